--- /dev/null
+++ b/pkg/platform/etcdkv/etcdkv.go
@@ -0,0 +1,197 @@
+// Package etcdkv reaches a key-value service over etcd's published JSON gateway
+// (API v3: /v3/kv, /v3/lease, /v3/watch). Only compare-and-swap, leases and watches
+// are used.
+package etcdkv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/platform"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+)
+
+const (
+	remedyService = "check the platform's key-value service; the system goes on with what it has in memory"
+	remedyUnknown = "ask again with the same id; the answer was lost and the change may have taken effect"
+	// maxAnswer bounds the bytes read of one answer: a value in base64 and its frame.
+	maxAnswer = 2*platform.MaxValue + 4096
+)
+
+// Client is a platform.KeyValue. Safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+	watch   *http.Client
+}
+
+var _ platform.KeyValue = (*Client)(nil)
+
+// New returns a client of the service at base, such as http://127.0.0.1:2379, each
+// of whose calls but Watch takes at most timeout.
+func New(base string, timeout time.Duration) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}
+	return &Client{
+		base:    strings.TrimSuffix(base, "/"),
+		timeout: timeout,
+		http:    &http.Client{Transport: transport},
+		watch:   &http.Client{Transport: transport},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements platform.KeyValue.
+func (c *Client) Get(ctx context.Context, key string) (platform.Value, error) {
+	var resp rangeResponse
+	if err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &resp, problem.Unavailable); err != nil {
+		return platform.Value{}, err
+	}
+	if len(resp.Kvs) == 0 {
+		return platform.Value{}, nil
+	}
+	return platform.Value{Data: resp.Kvs[0].Value, Version: resp.Kvs[0].ModRevision}, nil
+}
+
+// CompareAndSwap implements platform.KeyValue.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected int64, data []byte, lease platform.LeaseID) (int64, error) {
+	if len(data) > platform.MaxValue {
+		return 0, problem.New(problem.Invalid, "split the value", "value of key %s has %d bytes, over the service's %d", key, len(data), platform.MaxValue)
+	}
+	req := txnRequest{
+		Compare: []compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: expected}},
+		Success: []requestOp{{RequestPut: &putRequest{Key: []byte(key), Value: data, Lease: int64(lease)}}},
+	}
+	var resp txnResponse
+	if err := c.call(ctx, "/v3/kv/txn", req, &resp, problem.Unknown); err != nil {
+		return 0, err
+	}
+	if !resp.Succeeded {
+		return 0, platform.ErrConflict(key, expected)
+	}
+	return resp.Header.Revision, nil
+}
+
+// Delete implements platform.KeyValue.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	var resp struct{}
+	return c.call(ctx, "/v3/kv/deleterange", deleteRequest{Key: []byte(key)}, &resp, problem.Unknown)
+}
+
+// Grant implements platform.KeyValue.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	var resp leaseResponse
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	if err := c.call(ctx, "/v3/lease/grant", leaseGrantRequest{TTL: seconds}, &resp, problem.Unknown); err != nil {
+		return 0, err
+	}
+	return platform.LeaseID(resp.ID), nil
+}
+
+// KeepAlive implements platform.KeyValue.
+func (c *Client) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+	var resp leaseKeepAliveResponse
+	if err := c.call(ctx, "/v3/lease/keepalive", leaseKeepAliveRequest{ID: int64(lease)}, &resp, problem.Unknown); err != nil {
+		return err
+	}
+	if resp.Result.TTL <= 0 {
+		return problem.New(problem.NotFound, "take a new lease", "lease %d has ended", lease)
+	}
+	return nil
+}
+
+// Watch implements platform.KeyValue.
+func (c *Client) Watch(ctx context.Context, key string, changed func(platform.Value)) error {
+	resp, err := c.post(ctx, c.watch, "/v3/watch", watchRequest{CreateRequest: watchCreate{Key: []byte(key)}}, problem.Unavailable)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	decoder := json.NewDecoder(resp.Body)
+	for {
+		var message watchResponse
+		if err := decoder.Decode(&message); err != nil {
+			return problem.Wrap(err, problem.Unavailable, remedyService, "watch of key %s broke", key)
+		}
+		for _, event := range message.Result.Events {
+			changed(platform.Value{Data: event.Kv.Value, Version: event.Kv.ModRevision})
+		}
+	}
+}
+
+// call makes one call. If the request may have reached the service and its answer
+// is not known, the problem is of kind lost.
+func (c *Client) call(ctx context.Context, path string, req, resp any, lost problem.Kind) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	answer, err := c.post(ctx, c.http, path, req, lost)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return problem.Wrap(err, lost, remedyFor(lost), "answer of %s broke off", path)
+	}
+	if err := json.Unmarshal(data, resp); err != nil {
+		return problem.Wrap(err, lost, remedyFor(lost), "answer of %s does not parse", path)
+	}
+	return nil
+}
+
+func (c *Client) post(ctx context.Context, client *http.Client, path string, body any, lost problem.Kind) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, problem.Wrap(err, problem.Internal, "report this", "request of %s", path)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, problem.Wrap(err, problem.Invalid, "correct platform.key_value in the settings", "address of %s", path)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		kind := lost
+		if notSent(err) {
+			kind = problem.Unavailable
+		}
+		return nil, problem.Wrap(err, kind, remedyFor(kind), "no answer of %s", path)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	resp.Body.Close()
+	return nil, statusProblem(resp.StatusCode, path, lost)
+}
+
+// statusProblem maps an HTTP status. 429 and 503 are refusals: nothing was done.
+func statusProblem(status int, path string, lost problem.Kind) error {
+	kind := lost
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		kind = problem.Unavailable
+	}
+	return problem.New(kind, remedyFor(kind), "%s answered status %d", path, status)
+}
+
+func remedyFor(kind problem.Kind) string {
+	if kind == problem.Unknown {
+		return remedyUnknown
+	}
+	return remedyService
+}
+
+// notSent tells whether err shows that no connection was made.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/pkg/platform/httpsd/httpsd.go
@@ -0,0 +1,113 @@
+// Package httpsd reads an instance list in Prometheus' HTTP service discovery
+// format: a JSON list of groups of targets with labels.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/platform"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+)
+
+// The labels that describe an instance.
+const (
+	LabelName          = "name"
+	LabelService       = "service"
+	LabelFailureDomain = "failure_domain"
+	LabelState         = "state"
+	LabelIncarnation   = "incarnation"
+	LabelChecksTokens  = "checks_tokens"
+)
+
+// maxList bounds the bytes of a list: 300 for each of 50,000 instances.
+const maxList = 15 << 20
+
+// Group is one element of the list.
+type Group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Client is a platform.InstanceList.
+type Client struct {
+	url     string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ platform.InstanceList = (*Client)(nil)
+
+// New returns a client of the list at url.
+func New(url string, timeout time.Duration) *Client {
+	return &Client{url: url, timeout: timeout, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// List implements platform.InstanceList. Entries that do not name a service, an
+// address and a state correctly are left out, since one bad entry must not take
+// the others with it.
+func (c *Client) List(ctx context.Context) ([]platform.Listed, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, problem.Wrap(err, problem.Invalid, "correct platform.instance_list in the settings", "address of the instance list")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, problem.Wrap(err, problem.Unavailable, "check the platform's instance list", "instance list not read")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, problem.New(problem.Unavailable, "check the platform's instance list", "instance list answered status %d", resp.StatusCode)
+	}
+	var groups []Group
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&groups); err != nil {
+		return nil, problem.Wrap(err, problem.Unavailable, "check the platform's instance list", "instance list does not parse")
+	}
+	return convert(groups), nil
+}
+
+func convert(groups []Group) []platform.Listed {
+	var listed []platform.Listed
+	for _, group := range groups {
+		for _, target := range group.Targets {
+			if l, ok := convertTarget(target, group.Labels); ok {
+				listed = append(listed, l)
+			}
+		}
+	}
+	return listed
+}
+
+func convertTarget(target string, labels map[string]string) (platform.Listed, bool) {
+	if _, err := netip.ParseAddrPort(target); err != nil {
+		return platform.Listed{}, false
+	}
+	state := platform.State(labels[LabelState])
+	if state != platform.Live && state != platform.Leaving {
+		return platform.Listed{}, false
+	}
+	name := labels[LabelName]
+	if name == "" {
+		name = target
+	}
+	incarnation, _ := strconv.ParseUint(labels[LabelIncarnation], 10, 64)
+	return platform.Listed{
+		Name:          name,
+		Address:       target,
+		FailureDomain: labels[LabelFailureDomain],
+		Service:       labels[LabelService],
+		State:         state,
+		Incarnation:   incarnation,
+		ChecksTokens:  labels[LabelChecksTokens] == "true",
+	}, true
+}
