--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# The commands of the README; docs/ says more.
+.PHONY: build run test race lint bench
+
+build:
+	go build -o bin/ ./cmd/...
+
+run: build
+	./_scripts/example.sh
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint:
+	./_scripts/lint.sh
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./pkg/...
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -37,22 +37,23 @@
 
 // Refresh reads the head and brings the replica up to it. It returns the revision
 // that the service holds, which may be lower than the replica's if the service
-// lags or was restored; the replica then stays where it is.
-func (s *Store) Refresh(ctx context.Context) (uint64, error) {
+// lags or was restored, and the version of the head's key. The replica never goes
+// back.
+func (s *Store) Refresh(ctx context.Context) (revision uint64, version int64, err error) {
 	read, err := s.read(ctx)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	return read.head.Revision, nil
+	return read.head.Revision, read.version, nil
 }
 
 // Offer brings the replica up to a head that a watch delivered.
-func (s *Store) Offer(ctx context.Context, value platform.Value) (uint64, error) {
+func (s *Store) Offer(ctx context.Context, value platform.Value) error {
 	h, err := decodeHead(value.Data)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	return h.Revision, s.follow(ctx, h)
+	return s.follow(ctx, h)
 }
 
 func (s *Store) read(ctx context.Context) (readHead, error) {
--- /dev/null
+++ b/pkg/control/peers.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+)
+
+// Heard takes in a peer's heartbeat and the endpoints that it knows as leaving.
+func (c *Control) Heard(h membership.Heartbeat, leaving []LeavingEndpoint) {
+	c.events <- heard{h, leaving}
+}
+
+// Stopping has the peers told, at once and with each further heartbeat, that this
+// instance is leaving.
+func (c *Control) Stopping() { c.events <- stopping{} }
+
+// Members returns what is known of the other instances. Not to be changed.
+func (c *Control) Members() []membership.Member { return *c.membersShared.Load() }
+
+// Self returns this instance as its peers see it.
+func (c *Control) Self() membership.Self { return c.settings.Self }
+
+type heard struct {
+	heartbeat membership.Heartbeat
+	leaving   []LeavingEndpoint
+}
+
+func (e heard) apply(c *Control) {
+	changes := c.members.Observe(c.clock.Now(), e.heartbeat)
+	c.noteMembers(changes)
+	for _, endpoint := range e.leaving {
+		left{endpoint, "instance " + e.heartbeat.From.Name}.apply(c)
+	}
+	if e.heartbeat.Revision > c.configuration.Revision() && e.heartbeat.From.Name != c.settings.Self.Name {
+		c.peers.Behind(e.heartbeat.From, e.heartbeat.Revision)
+	}
+}
+
+type stopping struct{}
+
+func (stopping) apply(c *Control) {
+	c.stopping = true
+	c.beat()
+}
+
+// beat sends a heartbeat and looks for peers that have been silent for too long.
+func (c *Control) beat() {
+	now := c.clock.Now()
+	changes := c.members.Tick(now)
+	h, to := c.members.Next(now, c.random.IntN)
+	h.Leaving = c.stopping
+	h.Revision = c.configuration.Revision()
+	c.peers.Broadcast(h, c.LeavingEndpoints(), to)
+	c.noteMembers(changes)
+	c.shareMembers()
+}
+
+// noteMembers records changes of state and counts the live instances anew.
+func (c *Control) noteMembers(changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, change := range changes {
+		kind := kindOf(change)
+		c.ring.Add(timeline.Event{Kind: kind, Detail: change.Member.Name + " in " + change.Member.FailureDomain})
+		c.log.WithFields(logrus.Fields{"event": string(kind), "peer": change.Member.Name, "incarnation": change.Member.Incarnation}).Info()
+	}
+	c.shareMembers()
+	live := 1
+	for _, member := range c.Members() {
+		if member.State == membership.Live {
+			live++
+		}
+	}
+	if live != c.instances {
+		c.instances = live
+		c.publish()
+	}
+}
+
+func kindOf(change membership.Change) timeline.Kind {
+	switch change.State {
+	case membership.Live:
+		return timeline.PeerJoined
+	case membership.Suspected:
+		return timeline.PeerSuspected
+	}
+	return timeline.PeerLeft
+}
+
+func (c *Control) shareMembers() {
+	list := c.members.List()
+	c.membersShared.Store(&list)
+}
--- /dev/null
+++ b/pkg/daemon/services.go
@@ -0,0 +1,284 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/config"
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/kernel"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/platform"
+	"github.com/cobaltcroft/cobaltcroft/pkg/platform/etcdkv"
+	"github.com/cobaltcroft/cobaltcroft/pkg/platform/httpsd"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
+)
+
+var errStoppedAtOnce = problem.New(problem.Unavailable, "send one signal and wait for a planned stop", "stopped at once by a second signal; requests in flight were cut")
+
+// Start implements kernel.Service.
+func (b *base) Start(*kernel.Kernel, *tomb.Tomb) error {
+	b.ring.Add(timeline.Event{Kind: timeline.InstanceStarted})
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (b *base) Stop() {}
+
+func lookupBase(k *kernel.Kernel) (*base, error) { return kernel.Lookup[*base](k, ServiceBase) }
+
+// platformService holds the clients of the platform's services.
+type platformService struct {
+	keyValue *etcdkv.Client
+	list     *httpsd.Client
+}
+
+// Start implements kernel.Service.
+func (s *platformService) Start(k *kernel.Kernel, _ *tomb.Tomb) error {
+	b, err := lookupBase(k)
+	if err != nil {
+		return err
+	}
+	timeout := b.settings.Platform.Timeout.Std()
+	s.keyValue = etcdkv.New(b.settings.Platform.KeyValue, timeout)
+	s.list = httpsd.New(b.settings.Platform.InstanceList, timeout)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *platformService) Stop() {
+	s.keyValue.Close()
+	s.list.Close()
+}
+
+// peersService holds the sockets of the peers' face. What is served on them is
+// begun by the services that need it.
+type peersService struct {
+	udp      *net.UDPConn
+	listener net.Listener
+	client   *peers.Client
+	gossip   *peers.Gossip
+	self     membership.Self
+	// behind is set by the config service, which starts later.
+	behind atomic.Pointer[func(membership.Self)]
+}
+
+// Start implements kernel.Service.
+func (s *peersService) Start(k *kernel.Kernel, _ *tomb.Tomb) error {
+	b, err := lookupBase(k)
+	if err != nil {
+		return err
+	}
+	log := b.logs.For("peers")
+	s.listener, s.udp, err = listenPeers(b.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	s.self = membership.Self{
+		Name:          b.settings.Instance,
+		Incarnation:   b.incarnation,
+		FailureDomain: b.settings.FailureDomain,
+		PeerAddress:   s.listener.Addr().String(),
+	}
+	s.client = peers.NewClient(b.settings.Instance, b.settings.Tokens.Peers)
+	s.gossip = peers.NewGossip(s.udp, b.settings.Tokens.Peers, b.ring.Clock(), b.metrics, log, func(peer membership.Self, _ uint64) {
+		if behind := s.behind.Load(); behind != nil {
+			(*behind)(peer)
+		}
+	})
+	logListening(log, "peers", s.self.PeerAddress)
+	return nil
+}
+
+// peerPortTries bounds the search for a port that is free for TCP and UDP alike,
+// where the settings leave the choice to the system.
+const peerPortTries = 20
+
+func listenPeers(address string) (net.Listener, *net.UDPConn, error) {
+	var last error
+	for range peerPortTries {
+		listener, err := listen("peers", address)
+		if err != nil {
+			return nil, nil, err
+		}
+		tcp := listener.Addr().(*net.TCPAddr)
+		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: tcp.IP, Port: tcp.Port})
+		if err == nil {
+			return listener, udp, nil
+		}
+		last = err
+		_ = listener.Close()
+	}
+	return nil, nil, problem.Wrap(last, problem.Invalid, "use an address whose port is free for UDP too", "listen.peers %s", address)
+}
+
+// Stop implements kernel.Service.
+func (s *peersService) Stop() {
+	_ = s.listener.Close()
+	s.client.Close()
+}
+
+func listen(face, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, problem.Wrap(err, problem.Invalid, "use an address of this machine with a free port", "listen.%s %s", face, address)
+	}
+	return listener, nil
+}
+
+func logListening(log *logrus.Entry, face, address string) {
+	log.WithFields(logrus.Fields{"event": "listening", "face": face, "address": address}).Info()
+}
+
+// controlService runs the control goroutine and what feeds it.
+type controlService struct {
+	*control.Control
+	base   *base
+	gossip *peers.Gossip
+}
+
+// Start implements kernel.Service.
+func (s *controlService) Start(k *kernel.Kernel, t *tomb.Tomb) error {
+	b, err := lookupBase(k)
+	if err != nil {
+		return err
+	}
+	s.base = b
+	peersService, err := kernel.Lookup[*peersService](k, ServicePeers)
+	if err != nil {
+		return err
+	}
+	platformService, err := kernel.Lookup[*platformService](k, ServicePlatform)
+	if err != nil {
+		return err
+	}
+	s.gossip = peersService.gossip
+	s.Control = control.New(controlSettings(b.settings, peersService.self), peersService.gossip, b.clock, b.ring, b.logs.For("control"))
+	t.Go(func() error { return s.Control.Run(t) })
+	t.Go(func() error { return peersService.gossip.Run(t, s.Control) })
+	t.Go(func() error { return s.readList(t, platformService.list) })
+	return nil
+}
+
+func controlSettings(s settings.Settings, self membership.Self) control.Settings {
+	return control.Settings{
+		FailureDomain: s.FailureDomain,
+		Policy:        decision.Policy(s.Policy),
+		MaxQueue:      s.Limits.QueuePerService,
+		Seed:          rand.Uint64(),
+		Self:          self,
+		Contacts:      s.Peers,
+		Heartbeat:     s.Timings.Heartbeat.Std(),
+		SuspectAfter:  s.Timings.SuspectAfter.Std(),
+	}
+}
+
+// readList reads the instance list again and again. A reading that fails changes
+// nothing: the endpoints known stay.
+func (s *controlService) readList(t *tomb.Tomb, list platform.InstanceList) error {
+	ctx := t.Context(context.Background())
+	log := s.base.logs.For("platform")
+	for t.Alive() {
+		listed, err := list.List(ctx)
+		if err == nil {
+			s.SetListed(listed)
+		} else if ctx.Err() == nil {
+			log.WithField("event", "instance_list_unread").Warn(err)
+		}
+		pause(ctx, s.base.settings.Timings.InstanceListPoll.Std())
+	}
+	return nil
+}
+
+// Stop implements kernel.Service. The socket is closed so that its reader ends.
+func (s *controlService) Stop() { s.gossip.Close() }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// configService keeps the configuration up to date and takes changes.
+type configService struct {
+	replica   *config.Replica
+	submitter *config.Submitter
+	follower  *config.Follower
+}
+
+// Start implements kernel.Service.
+func (s *configService) Start(k *kernel.Kernel, t *tomb.Tomb) error {
+	b, err := lookupBase(k)
+	if err != nil {
+		return err
+	}
+	control, err := kernel.Lookup[*controlService](k, ServiceControl)
+	if err != nil {
+		return err
+	}
+	platformService, err := kernel.Lookup[*platformService](k, ServicePlatform)
+	if err != nil {
+		return err
+	}
+	peersService, err := kernel.Lookup[*peersService](k, ServicePeers)
+	if err != nil {
+		return err
+	}
+	s.replica = config.NewReplica()
+	s.replica.OnAdvance(control.Configure)
+	store := config.NewStore(platformService.keyValue, s.replica)
+	s.submitter = config.NewSubmitter(store)
+	s.follower = config.NewFollower(followerOptions(b, control, peersService), store)
+	behind := func(peer membership.Self) { s.follower.Behind(peerOf(peer)) }
+	peersService.behind.Store(&behind)
+	t.Go(func() error {
+		s.submitter.Run(t.Context(context.Background()))
+		return nil
+	})
+	s.follower.Run(t)
+	return nil
+}
+
+func followerOptions(b *base, control *controlService, peersService *peersService) config.FollowerOptions {
+	return config.FollowerOptions{
+		Self:        peerOf(peersService.self),
+		Peers:       func() []config.Peer { return livePeers(control.Members()) },
+		Puller:      peersService.client,
+		Timeout:     2 * b.settings.Platform.Timeout.Std(),
+		AntiEntropy: b.settings.Timings.AntiEntropy.Std(),
+		Confirmed:   control.Confirm,
+		Clock:       b.clock,
+		Ring:        b.ring,
+		Log:         b.logs.For("config"),
+	}
+}
+
+func peerOf(m membership.Self) config.Peer {
+	return config.Peer{Name: m.Name, FailureDomain: m.FailureDomain, Address: m.PeerAddress}
+}
+
+func livePeers(members []membership.Member) []config.Peer {
+	var live []config.Peer
+	for _, m := range members {
+		if m.State == membership.Live {
+			live = append(live, peerOf(m.Self))
+		}
+	}
+	return live
+}
+
+// Stop implements kernel.Service.
+func (s *configService) Stop() {}
--- /dev/null
+++ b/pkg/decision/baseline.go
@@ -0,0 +1,59 @@
+package decision
+
+import (
+	"time"
+)
+
+// acquireBaseline chooses by one of the simple policies that the adaptive one is
+// measured against: at once, among all live endpoints that were not tried.
+func (p *Pool) acquireBaseline(now time.Time, work Work) Verdict {
+	var candidates []*target
+	for _, t := range p.order {
+		if !t.Leaving && !work.excludes(t.Name) {
+			candidates = append(candidates, t)
+		}
+	}
+	if p.config.Policy == StrictLocal {
+		candidates = localOnly(candidates)
+	}
+	if len(candidates) == 0 {
+		return Verdict{Refusal: &Refusal{Reason: NoEndpoint}}
+	}
+	return Verdict{Grant: p.grant(now, p.pick(candidates), work)}
+}
+
+func (p *Pool) pick(candidates []*target) *target {
+	switch p.config.Policy {
+	case RoundRobin:
+		p.turn++
+		return candidates[p.turn%len(candidates)]
+	case LeastInFlight:
+		return p.leastInFlight(candidates)
+	default:
+		return candidates[p.random.IntN(len(candidates))]
+	}
+}
+
+// leastInFlight returns the candidate with the fewest calls of this instance, ties
+// broken by a random first place.
+func (p *Pool) leastInFlight(candidates []*target) *target {
+	first := p.random.IntN(len(candidates))
+	best := candidates[first]
+	for i := range candidates {
+		t := candidates[(first+i)%len(candidates)]
+		if t.inFlight < best.inFlight {
+			best = t
+		}
+	}
+	return best
+}
+
+func localOnly(candidates []*target) []*target {
+	var local []*target
+	for _, t := range candidates {
+		if t.local {
+			local = append(local, t)
+		}
+	}
+	return local
+}
--- /dev/null
+++ b/pkg/decision/pool.go
@@ -0,0 +1,403 @@
+package decision
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// ejectableShare bounds the share of endpoints that are ejected at a time.
+	ejectableShare = 0.5
+	// retryShare is the share of retries in successful calls that the budget
+	// grants, and maxRetries what it saves up at most.
+	retryShare = 0.1
+	maxRetries = 10.0
+	// slowDeviations is how many mean deviations above the mean a call must take
+	// to count as failed when it is broken off.
+	slowDeviations = 4
+	// prefixHints is how many prompt prefixes a pool remembers.
+	prefixHints = 1 << 14
+)
+
+// Pool holds the endpoints of one service and the work that wants them. Safe for
+// concurrent use; each call is short.
+type Pool struct {
+	mu      sync.Mutex
+	config  Config
+	random  *rand.Rand
+	targets map[string]*target
+	order   []*target // all targets, for the baselines and the scans
+	turn    int       // of round robin
+	// available targets, the local ones and the others.
+	local, remote []*target
+	capacity      float64
+	live          int // targets that are not leaving
+	ejected       []*target
+	nextReturn    time.Time
+	queue         queue
+	backlog       backlog
+	latency       estimate
+	retries       float64
+	prefixes      *lru.Cache[uint64, prefixHint]
+}
+
+// NewPool returns a pool without endpoints. The random source is used under the
+// pool's lock alone.
+func NewPool(config Config, random *rand.Rand) *Pool {
+	prefixes, _ := lru.New[uint64, prefixHint](prefixHints)
+	return &Pool{
+		config:   config,
+		random:   random,
+		targets:  map[string]*target{},
+		retries:  maxRetries,
+		prefixes: prefixes,
+	}
+}
+
+// Update sets the pool's endpoints. What is known of an endpoint stays, unless its
+// incarnation grew; calls in flight stay counted.
+func (p *Pool) Update(now time.Time, concurrency int, endpoints []Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config.Concurrency = concurrency
+	present := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		present[e.Name] = true
+		p.update(e)
+	}
+	for name, t := range p.targets {
+		if !present[name] {
+			t.Leaving = true
+			p.settle(t)
+			delete(p.targets, name)
+		}
+	}
+	p.reorder(endpoints)
+	p.dispatch(now)
+}
+
+func (p *Pool) update(e Endpoint) {
+	t := p.targets[e.Name]
+	if t == nil || t.Incarnation < e.Incarnation || t.Address != e.Address {
+		if t != nil {
+			t.Leaving = true
+			p.settle(t)
+		}
+		t = &target{Endpoint: e, local: e.FailureDomain == p.config.FailureDomain, place: nowhere, limit: float64(p.config.Concurrency)}
+		p.targets[e.Name] = t
+	}
+	t.Endpoint = e
+	t.concurrency = p.config.Concurrency
+	t.limit = min(t.limit, float64(t.concurrency))
+	p.settle(t)
+}
+
+func (p *Pool) reorder(endpoints []Endpoint) {
+	p.order = p.order[:0]
+	p.live = 0
+	for _, e := range endpoints {
+		t := p.targets[e.Name]
+		p.order = append(p.order, t)
+		if !t.Leaving {
+			p.live++
+		}
+	}
+}
+
+// MarkLeaving stops new work to an endpoint of an incarnation at once, before the
+// next Update says the same. It tells whether that was news.
+func (p *Pool) MarkLeaving(name string, incarnation uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[name]
+	if t == nil || t.Incarnation > incarnation || t.Leaving {
+		return false
+	}
+	t.Leaving = true
+	p.live--
+	p.settle(t)
+	return true
+}
+
+// Acquire asks for an endpoint. The verdict is a grant, a refusal, or a waiter
+// whose Done channel gets one of the two later.
+func (p *Pool) Acquire(now time.Time, work Work) Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readmit(now)
+	if p.config.Policy != Adaptive {
+		return p.acquireBaseline(now, work)
+	}
+	if refusal := p.hopeless(now, &work); refusal != nil {
+		return Verdict{Refusal: refusal}
+	}
+	if p.queue.length == 0 {
+		if t := p.choose(now, &work); t != nil {
+			return Verdict{Grant: p.grant(now, t, work)}
+		}
+	}
+	return p.enqueue(now, work)
+}
+
+// hopeless returns a refusal for work that no endpoint can do in time.
+func (p *Pool) hopeless(now time.Time, work *Work) *Refusal {
+	if !p.untried(work) {
+		return &Refusal{Reason: NoEndpoint}
+	}
+	if work.Deadline.Before(now) {
+		return &Refusal{Reason: TooLate}
+	}
+	return nil
+}
+
+// untried tells whether there is a live endpoint that the work does not exclude.
+func (p *Pool) untried(work *Work) bool {
+	if p.live > len(work.Exclude) {
+		return true
+	}
+	for _, t := range p.order {
+		if !t.Leaving && !work.excludes(t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) enqueue(now time.Time, work Work) Verdict {
+	if p.queue.length >= p.config.MaxQueue {
+		victim := p.queue.victim(&work)
+		if victim == nil {
+			return Verdict{Refusal: &Refusal{Reason: QueueFull, RetryAfter: p.drainTime(now)}}
+		}
+		p.queue.remove(victim)
+		victim.Done <- Verdict{Refusal: &Refusal{Reason: OverShare, RetryAfter: p.drainTime(now)}}
+	}
+	w := &Waiter{Done: make(chan Verdict, 1), work: work}
+	p.queue.push(w)
+	p.dispatch(now)
+	return Verdict{Waiter: w}
+}
+
+// drainTime is how long the waiting work will take.
+func (p *Pool) drainTime(now time.Time) time.Duration {
+	mean, _ := p.latency.at(now)
+	return seconds(mean * float64(p.queue.length) / max(p.capacity, 1))
+}
+
+// Withdraw takes waiting work back. If a verdict has come meanwhile, it is
+// returned, and a grant in it must be finished.
+func (p *Pool) Withdraw(w *Waiter) (Verdict, bool) {
+	p.mu.Lock()
+	p.queue.remove(w)
+	p.mu.Unlock()
+	select {
+	case v := <-w.Done:
+		return v, true
+	default:
+		return Verdict{}, false
+	}
+}
+
+// Tick gives verdicts that only the passing of time brings: readmitted endpoints
+// and waiting work that has become too late.
+func (p *Pool) Tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readmit(now)
+	p.dispatch(now)
+}
+
+// dispatch gives free endpoints to waiting work, in the queue's order.
+func (p *Pool) dispatch(now time.Time) {
+	var passedOver []*Waiter
+	for p.queue.length > 0 {
+		w := p.queue.pop()
+		if refusal := p.hopeless(now, &w.work); refusal != nil {
+			w.Done <- Verdict{Refusal: refusal}
+			continue
+		}
+		t := p.choose(now, &w.work)
+		if t != nil {
+			w.Done <- Verdict{Grant: p.grant(now, t, w.work)}
+			continue
+		}
+		passedOver = append(passedOver, w)
+		if len(p.local)+len(p.remote) == 0 || len(w.work.Exclude) == 0 {
+			break
+		}
+	}
+	for _, w := range passedOver {
+		p.queue.unpop(w)
+	}
+}
+
+func (p *Pool) grant(now time.Time, t *target, work Work) *Grant {
+	t.inFlight++
+	p.settle(t)
+	return &Grant{Endpoint: t.Endpoint, Local: t.local, target: t, start: now, work: work}
+}
+
+// Finish gives a grant back with what the call told. The report may be nil.
+func (p *Pool) Finish(now time.Time, g *Grant, result Result, report *Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := g.target
+	if report != nil {
+		t.observe(now, *report)
+	}
+	t.inFlight--
+	p.learn(now, t, g, result)
+	p.settle(t)
+	p.dispatch(now)
+}
+
+func (p *Pool) learn(now time.Time, t *target, g *Grant, result Result) {
+	switch result {
+	case Success:
+		took := now.Sub(g.start)
+		t.latency.add(now, took)
+		p.latency.add(now, took)
+		p.retries = min(maxRetries, p.retries+retryShare)
+		t.succeeded()
+		p.rememberPrefix(now, g.work.Prefix, t)
+	case Failure:
+		p.failed(now, t)
+	case Unreachable:
+		p.eject(now, t)
+	case Busy:
+		t.lower(now)
+	case Draining:
+		if !t.Leaving && p.targets[t.Name] == t {
+			t.Leaving = true
+			p.live--
+		}
+	case Abandoned:
+		p.abandoned(now, t, g)
+	}
+}
+
+func (p *Pool) failed(now time.Time, t *target) {
+	t.failures++
+	if t.failures >= failuresToEject || t.probation {
+		p.eject(now, t)
+	}
+}
+
+// abandoned learns from a call that was broken off. One that had already taken far
+// longer than usual counts as failed, with the time it took as a lower bound.
+func (p *Pool) abandoned(now time.Time, t *target, g *Grant) {
+	mean, deviation := p.latency.at(now)
+	took := now.Sub(g.start)
+	if p.latency.samples == 0 || took < seconds(mean+slowDeviations*deviation) {
+		return
+	}
+	t.latency.add(now, took)
+	p.failed(now, t)
+}
+
+// eject takes a target out, unless too many are out.
+func (p *Pool) eject(now time.Time, t *target) {
+	if t.ejected() || float64(len(p.ejected)+1) > ejectableShare*float64(p.live) {
+		return
+	}
+	t.eject(now)
+	p.ejected = append(p.ejected, t)
+	if p.nextReturn.IsZero() || t.ejectedUntil.Before(p.nextReturn) {
+		p.nextReturn = t.ejectedUntil
+	}
+}
+
+// readmit ends the ejections whose time is up.
+func (p *Pool) readmit(now time.Time) {
+	if p.nextReturn.IsZero() || now.Before(p.nextReturn) {
+		return
+	}
+	p.nextReturn = time.Time{}
+	kept := p.ejected[:0]
+	for _, t := range p.ejected {
+		if !now.Before(t.ejectedUntil) {
+			t.readmit()
+			p.settle(t)
+			continue
+		}
+		kept = append(kept, t)
+		if p.nextReturn.IsZero() || t.ejectedUntil.Before(p.nextReturn) {
+			p.nextReturn = t.ejectedUntil
+		}
+	}
+	p.ejected = kept
+}
+
+// settle puts a target in or out of the available ones and counts its capacity,
+// after anything about it changed.
+func (p *Pool) settle(t *target) {
+	capacity := t.capacity()
+	p.capacity += capacity - t.counted
+	t.counted = capacity
+	list := &p.remote
+	if t.local {
+		list = &p.local
+	}
+	switch available := t.available(); {
+	case available && t.place == nowhere:
+		t.place = len(*list)
+		*list = append(*list, t)
+	case !available && t.place != nowhere:
+		last := (*list)[len(*list)-1]
+		(*list)[t.place] = last
+		last.place = t.place
+		*list = (*list)[:len(*list)-1]
+		t.place = nowhere
+	}
+}
+
+// TryRetry takes one retry from the budget, which successful calls fill, and tells
+// whether there was one.
+func (p *Pool) TryRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.retries < 1 {
+		return false
+	}
+	p.retries--
+	return true
+}
+
+// Spare tells whether an endpoint is free while nothing waits.
+func (p *Pool) Spare() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.length == 0 && len(p.local)+len(p.remote) > 0
+}
+
+// Latency returns the usual time of a call and its mean deviation; zero if no
+// call has succeeded yet.
+func (p *Pool) Latency(now time.Time) (mean, deviation time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, d := p.latency.at(now)
+	return seconds(m), seconds(d)
+}
+
+// Standing is the state of one endpoint, for operators.
+type Standing struct {
+	Endpoint
+	InFlight int
+	Limit    float64
+	Ejected  bool
+	Mean     time.Duration
+}
+
+// Standings returns the state of all endpoints, in the order they were given.
+func (p *Pool) Standings() []Standing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	standings := make([]Standing, 0, len(p.order))
+	for _, t := range p.order {
+		standings = append(standings, Standing{Endpoint: t.Endpoint, InFlight: t.inFlight, Limit: t.limit, Ejected: t.ejected(), Mean: seconds(t.latency.mean)})
+	}
+	return standings
+}
--- /dev/null
+++ b/pkg/membership/members.go
@@ -0,0 +1,311 @@
+// Package membership keeps what an instance knows of the others: who lives, who is
+// leaving, and which configuration each has in force. It is a state machine without
+// I/O; heartbeats and the time are handed in.
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State of a member.
+type State string
+
+// The states.
+const (
+	Live State = "live"
+	// Suspected: silent for too long, as several witnesses agree.
+	Suspected State = "suspected"
+	// Leaving: it has said so.
+	Leaving State = "leaving"
+)
+
+const (
+	// witnessesNeeded is how many instances must miss a member before it is
+	// suspected, so that one bad link does not empty a domain.
+	witnessesNeeded = 2
+	// forgetFactor times the suspicion time is when a silent member is forgotten.
+	forgetFactor = 10
+	// bridgesOut is how many instances of other failure domains get each heartbeat.
+	bridgesOut = 2
+	// contactLife is how long an address that someone named is tried.
+	contactLife = time.Minute
+	// maxKnown bounds the members named in one heartbeat.
+	maxKnown = 4
+)
+
+// Self is this instance as the others see it.
+type Self struct {
+	Name          string
+	Incarnation   uint64
+	FailureDomain string
+	PeerAddress   string
+}
+
+// Heartbeat is what one instance tells of itself and what it knows.
+type Heartbeat struct {
+	From     Self
+	Sequence uint64
+	Leaving  bool
+	Revision uint64
+	// Suspects are the instances that the sender misses.
+	Suspects []string
+	// Known are a few live instances.
+	Known []Self
+}
+
+// Member is what is known of one other instance.
+type Member struct {
+	Self
+	State    State
+	Revision uint64
+	// Heard is when its last heartbeat came.
+	Heard    time.Time
+	sequence uint64
+	// witnesses are the instances that miss it, and when they last said so.
+	witnesses map[string]time.Time
+}
+
+// Change is a change of a member's state.
+type Change struct {
+	Member Self
+	// State is the new one; empty if the member was forgotten.
+	State State
+	// New is set if the member was not known before.
+	New bool
+}
+
+// Members is what one instance knows. Not safe for concurrent use: it belongs to
+// one goroutine.
+type Members struct {
+	self         Self
+	suspectAfter time.Duration
+	members      map[string]*Member
+	// contacts are peer addresses of which no heartbeat has come yet, and until
+	// when they are tried; the zero time is for ever.
+	contacts map[string]time.Time
+	sequence uint64
+}
+
+// New returns the members known at the start: none, but the addresses of contacts.
+func New(self Self, suspectAfter time.Duration, contacts []string) *Members {
+	m := &Members{self: self, suspectAfter: suspectAfter, members: map[string]*Member{}, contacts: map[string]time.Time{}}
+	for _, address := range contacts {
+		m.contacts[address] = time.Time{}
+	}
+	delete(m.contacts, self.PeerAddress)
+	return m
+}
+
+func (m *Members) addContact(address string, now time.Time) {
+	until, known := m.contacts[address]
+	if address == m.self.PeerAddress || known && until.IsZero() {
+		return
+	}
+	m.contacts[address] = now.Add(contactLife)
+}
+
+// Observe takes in a heartbeat. It is ignored if it is of an older incarnation, or
+// not newer than the last of its incarnation: datagrams are lost, doubled and
+// reordered.
+func (m *Members) Observe(now time.Time, h Heartbeat) []Change {
+	if h.From.Name == m.self.Name {
+		return nil
+	}
+	member := m.members[h.From.Name]
+	if member != nil && stale(member, h) {
+		return nil
+	}
+	changes := m.dropSameAddress(h.From)
+	delete(m.contacts, h.From.PeerAddress)
+	isNew := member == nil || member.Incarnation < h.From.Incarnation
+	if isNew {
+		member = &Member{Self: h.From, witnesses: map[string]time.Time{}}
+		m.members[h.From.Name] = member
+	}
+	before := member.State
+	member.sequence = h.Sequence
+	member.Heard = now
+	member.Revision = max(member.Revision, h.Revision)
+	clear(member.witnesses)
+	member.State = Live
+	if h.Leaving || before == Leaving {
+		member.State = Leaving
+	}
+	if member.State != before {
+		changes = append(changes, Change{Member: member.Self, State: member.State, New: isNew})
+	}
+	m.hearSuspects(now, h)
+	m.hearKnown(now, h)
+	return changes
+}
+
+func stale(member *Member, h Heartbeat) bool {
+	if h.From.Incarnation != member.Incarnation {
+		return h.From.Incarnation < member.Incarnation
+	}
+	return h.Sequence <= member.sequence
+}
+
+// dropSameAddress forgets another member at the sender's address: that one is gone,
+// and its address was given to the sender.
+func (m *Members) dropSameAddress(from Self) []Change {
+	for name, other := range m.members {
+		if name != from.Name && other.PeerAddress == from.PeerAddress {
+			delete(m.members, name)
+			return []Change{{Member: other.Self}}
+		}
+	}
+	return nil
+}
+
+// hearSuspects notes the sender as a witness for those that it misses. Only
+// witnesses of the suspect's own domain hear it often enough to count.
+func (m *Members) hearSuspects(now time.Time, h Heartbeat) {
+	for _, name := range h.Suspects {
+		if member := m.members[name]; member != nil && member.FailureDomain == h.From.FailureDomain {
+			member.witnesses[h.From.Name] = now
+		}
+	}
+}
+
+func (m *Members) hearKnown(now time.Time, h Heartbeat) {
+	for _, known := range h.Known {
+		if known.Name != m.self.Name && m.members[known.Name] == nil {
+			m.addContact(known.PeerAddress, now)
+		}
+	}
+}
+
+// Tick finds those that have been silent for too long.
+func (m *Members) Tick(now time.Time) []Change {
+	var changes []Change
+	for _, member := range m.sorted() {
+		silence := now.Sub(member.Heard)
+		if silence > forgetFactor*m.suspectAfter {
+			delete(m.members, member.Name)
+			m.addContact(member.PeerAddress, now)
+			changes = append(changes, Change{Member: member.Self})
+			continue
+		}
+		if member.State == Live && m.suspect(now, member) {
+			member.State = Suspected
+			changes = append(changes, Change{Member: member.Self, State: Suspected})
+		}
+	}
+	return changes
+}
+
+// suspect tells whether enough witnesses miss a member. Those of other domains hear
+// it now and then only, and are given longer.
+func (m *Members) suspect(now time.Time, member *Member) bool {
+	if !m.misses(now, member) {
+		return false
+	}
+	witnesses := 1
+	for _, at := range member.witnesses {
+		if now.Sub(at) <= m.suspectAfter {
+			witnesses++
+		}
+	}
+	return witnesses >= min(witnessesNeeded, 1+m.possibleWitnesses(member))
+}
+
+// misses tells whether this instance has not heard a member for too long.
+func (m *Members) misses(now time.Time, member *Member) bool {
+	patience := m.suspectAfter
+	if member.FailureDomain != m.self.FailureDomain {
+		patience *= 2
+	}
+	return now.Sub(member.Heard) > patience
+}
+
+// possibleWitnesses counts the others that could witness: live ones of the member's
+// domain.
+func (m *Members) possibleWitnesses(member *Member) int {
+	n := 0
+	for _, other := range m.members {
+		if other != member && other.State == Live && other.FailureDomain == member.FailureDomain {
+			n++
+		}
+	}
+	return n
+}
+
+// Next returns the heartbeat to send, without Leaving and Revision, which the caller
+// sets; and the addresses to send it to: all of the own failure domain, a few of the
+// others, and the contacts not heard yet. The random function returns a number in
+// [0, n).
+func (m *Members) Next(now time.Time, random func(n int) int) (Heartbeat, []string) {
+	m.sequence++
+	h := Heartbeat{From: m.self, Sequence: m.sequence}
+	var to []string
+	var others []*Member
+	for _, member := range m.sorted() {
+		if member.State == Live && m.misses(now, member) {
+			h.Suspects = append(h.Suspects, member.Name)
+		}
+		if member.FailureDomain == m.self.FailureDomain {
+			to = append(to, member.PeerAddress)
+			continue
+		}
+		others = append(others, member)
+	}
+	for _, member := range pick(others, bridgesOut, random) {
+		to = append(to, member.PeerAddress)
+	}
+	for _, member := range pick(m.live(), maxKnown, random) {
+		h.Known = append(h.Known, member.Self)
+	}
+	for address, until := range m.contacts {
+		if !until.IsZero() && now.After(until) {
+			delete(m.contacts, address)
+			continue
+		}
+		to = append(to, address)
+	}
+	return h, to
+}
+
+// pick returns up to n of the members, in random order.
+func pick(members []*Member, n int, random func(n int) int) []*Member {
+	for i := 0; i < min(n, len(members)); i++ {
+		j := i + random(len(members)-i)
+		members[i], members[j] = members[j], members[i]
+	}
+	return members[:min(n, len(members))]
+}
+
+func (m *Members) live() []*Member {
+	return slices.DeleteFunc(m.sorted(), func(member *Member) bool { return member.State != Live })
+}
+
+func (m *Members) sorted() []*Member {
+	list := make([]*Member, 0, len(m.members))
+	for _, member := range m.members {
+		list = append(list, member)
+	}
+	slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// List returns copies of all members, sorted by name.
+func (m *Members) List() []Member {
+	var list []Member
+	for _, member := range m.sorted() {
+		list = append(list, *member)
+	}
+	return list
+}
+
+// AddContact has heartbeats sent to an address, such as one of the instance list,
+// unless it is a known member's.
+func (m *Members) AddContact(now time.Time, address string) {
+	for _, member := range m.members {
+		if member.PeerAddress == address {
+			return
+		}
+	}
+	m.addContact(address, now)
+}
--- a/pkg/platform/etcdkv/etcdkv.go
+++ b/pkg/platform/etcdkv/etcdkv.go
@@ -111,8 +111,8 @@
 }
 
 // Watch implements platform.KeyValue.
-func (c *Client) Watch(ctx context.Context, key string, changed func(platform.Value)) error {
-	resp, err := c.post(ctx, c.watch, "/v3/watch", watchRequest{CreateRequest: watchCreate{Key: []byte(key)}}, problem.Unavailable)
+func (c *Client) Watch(ctx context.Context, key string, after int64, changed func(platform.Value)) error {
+	resp, err := c.post(ctx, c.watch, "/v3/watch", watchRequest{CreateRequest: watchCreate{Key: []byte(key), StartRevision: after + 1}}, problem.Unavailable)
 	if err != nil {
 		return err
 	}
--- a/pkg/platform/etcdkv/messages.go
+++ b/pkg/platform/etcdkv/messages.go
@@ -71,7 +71,8 @@
 }
 
 type watchCreate struct {
-	Key []byte `json:"key"`
+	Key           []byte `json:"key"`
+	StartRevision int64  `json:"start_revision,string"`
 }
 
 type watchRequest struct {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -43,9 +43,9 @@
 	// KeepAlive begins the lease's time anew. It fails with NotFound if the
 	// lease has ended.
 	KeepAlive(ctx context.Context, lease LeaseID) error
-	// Watch calls changed with each new value of key until ctx ends or the watch
-	// breaks, and returns why.
-	Watch(ctx context.Context, key string, changed func(Value)) error
+	// Watch calls changed with the values of key of versions above after, as they
+	// are written, until ctx ends or the watch breaks, and returns why.
+	Watch(ctx context.Context, key string, after int64, changed func(Value)) error
 }
 
 // State of a listed instance.
--- /dev/null
+++ b/pkg/standin/instancelist.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/platform/httpsd"
+)
+
+// Instance is one entry of the list.
+type Instance struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	Service       string `json:"service,omitempty"`
+	FailureDomain string `json:"failure_domain"`
+	Leaving       bool   `json:"leaving,omitempty"`
+	Incarnation   uint64 `json:"incarnation"`
+	ChecksTokens  bool   `json:"checks_tokens,omitempty"`
+}
+
+// InstanceList stands in for the platform's instance list.
+type InstanceList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	outage  bool
+	current map[string]Instance
+	history []listVersion
+}
+
+type listVersion struct {
+	at   time.Time
+	body []byte
+}
+
+// NewInstanceList returns an empty list that shows changes after lag.
+func NewInstanceList(lag time.Duration) *InstanceList {
+	l := &InstanceList{lag: lag, current: map[string]Instance{}}
+	l.record()
+	return l
+}
+
+// Set adds or replaces an entry.
+func (l *InstanceList) Set(i Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current[i.Name] = i
+	l.record()
+}
+
+// Remove takes an entry out.
+func (l *InstanceList) Remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.current, name)
+	l.record()
+}
+
+// SetOutage makes the list refuse reads.
+func (l *InstanceList) SetOutage(outage bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outage = outage
+}
+
+func (l *InstanceList) record() {
+	groups := make([]httpsd.Group, 0, len(l.current))
+	for _, i := range l.current {
+		groups = append(groups, group(i))
+	}
+	body, _ := json.Marshal(groups)
+	l.history = append(l.history, listVersion{at: time.Now(), body: body})
+}
+
+func group(i Instance) httpsd.Group {
+	state := "live"
+	if i.Leaving {
+		state = "leaving"
+	}
+	return httpsd.Group{Targets: []string{i.Address}, Labels: map[string]string{
+		httpsd.LabelName:          i.Name,
+		httpsd.LabelService:       i.Service,
+		httpsd.LabelFailureDomain: i.FailureDomain,
+		httpsd.LabelState:         state,
+		httpsd.LabelIncarnation:   strconv.FormatUint(i.Incarnation, 10),
+		httpsd.LabelChecksTokens:  strconv.FormatBool(i.ChecksTokens),
+	}}
+}
+
+// ServeHTTP implements http.Handler.
+func (l *InstanceList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	for len(l.history) > 1 && time.Since(l.history[1].at) >= l.lag {
+		l.history = l.history[1:]
+	}
+	body, outage := l.history[0].body, l.outage
+	l.mu.Unlock()
+	if outage {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/service/peers/client.go
@@ -0,0 +1,143 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/config"
+	"github.com/cobaltcroft/cobaltcroft/pkg/once"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/request"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/convert"
+)
+
+const dialTimeout = 500 * time.Millisecond
+
+// Client calls peers, over one connection for each. Safe for concurrent use.
+type Client struct {
+	hello api.Hello
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+var (
+	_ once.Forwarder = (*Client)(nil)
+	_ config.Puller  = (*Client)(nil)
+)
+
+// NewClient returns a client that presents the token for an instance.
+func NewClient(instance, token string) *Client {
+	return &Client{hello: api.Hello{Token: token, Instance: instance}, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Pull implements config.Puller.
+func (c *Client) Pull(ctx context.Context, address string, from uint64) (config.Update, error) {
+	var update config.Update
+	err := c.call(ctx, address, api.MethodPull, api.Pull{From: from}, &update)
+	return update, err
+}
+
+// Forward implements once.Forwarder.
+func (c *Client) Forward(ctx context.Context, holder once.Holder, r request.Request) (request.Result, error) {
+	forward := api.Forward{
+		HolderInstance:    holder.Instance,
+		HolderIncarnation: holder.Incarnation,
+		Pipeline:          r.Pipeline,
+		DeadlineMs:        time.Until(r.Deadline).Milliseconds(),
+		Call:              convert.Call(r),
+	}
+	var result api.Result
+	if err := c.call(ctx, holder.PeerAddress, api.MethodForward, forward, &result); err != nil {
+		return request.Result{}, err
+	}
+	return convert.ResultFrom(result), nil
+}
+
+// Status asks a peer for its state.
+func (c *Client) Status(ctx context.Context, address string) (api.InstanceStatus, error) {
+	var status api.InstanceStatus
+	err := c.call(ctx, address, api.MethodStatus, struct{}{}, &status)
+	return status, err
+}
+
+// Timeline asks a peer for events.
+func (c *Client) Timeline(ctx context.Context, address string, selection api.TimelineSelect) (api.TimelineEvents, error) {
+	var events api.TimelineEvents
+	err := c.call(ctx, address, api.MethodTimeline, selection, &events)
+	return events, err
+}
+
+func (c *Client) call(ctx context.Context, address, method string, params, result any) error {
+	rpc, err := c.connect(ctx, address)
+	if err != nil {
+		return problem.Wrap(err, problem.Unavailable, "check the peer and the network to it", "peer %s is not reached", address)
+	}
+	if err := rpc.Call(ctx, method, params, result); err != nil {
+		return problem.Wrap(err, problem.Unknown, "ask again", "peer %s did not answer %s", address, method)
+	}
+	return nil
+}
+
+// connect returns the connection to a peer, made anew if there is none.
+func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	rpc := c.conns[address]
+	c.mu.Unlock()
+	if rpc != nil {
+		return rpc, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	rpc = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, newCodec(maxMessage)), nothing{})
+	var reply struct{}
+	if err := rpc.Call(ctx, api.MethodHello, c.hello, &reply); err != nil {
+		_ = rpc.Close()
+		return nil, err
+	}
+	return c.keep(address, rpc), nil
+}
+
+// keep remembers a connection until it breaks. If another was made meanwhile, that
+// one is used.
+func (c *Client) keep(address string, rpc *jsonrpc2.Conn) *jsonrpc2.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		_ = rpc.Close()
+		return other
+	}
+	c.conns[address] = rpc
+	go func() {
+		<-rpc.DisconnectNotify()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.conns[address] == rpc {
+			delete(c.conns, address)
+		}
+	}()
+	return rpc
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, rpc := range c.conns {
+		_ = rpc.Close()
+	}
+}
+
+// nothing answers no calls: peers ask over connections of their own.
+type nothing struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (nothing) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- /dev/null
+++ b/service/peers/datagram.go
@@ -0,0 +1,112 @@
+package peers
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/cobaltcroft/cobaltcroft/api/cobaltcroft/v1"
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+)
+
+const (
+	// signatureSize is how many bytes of the HMAC-SHA256 precede a datagram's body.
+	signatureSize = 16
+	// maxDatagram bounds a datagram in bytes.
+	maxDatagram = 8 << 10
+	// maxLeaving bounds the leaving endpoints named in one heartbeat; more take
+	// turns.
+	maxLeaving = 64
+)
+
+// beat is a heartbeat with all that travels in its datagram.
+type beat struct {
+	heartbeat membership.Heartbeat
+	leaving   []control.LeavingEndpoint
+	stamp     timeline.Stamp
+}
+
+// encode returns the signed datagram.
+func encode(b beat, secret []byte) ([]byte, error) {
+	h := b.heartbeat
+	wire := &pb.Heartbeat{
+		Instance:      h.From.Name,
+		Incarnation:   h.From.Incarnation,
+		FailureDomain: h.From.FailureDomain,
+		PeerAddress:   h.From.PeerAddress,
+		Leaving:       h.Leaving,
+		Revision:      h.Revision,
+		WallMs:        b.stamp.WallMs,
+		Logical:       b.stamp.Logical,
+		Suspects:      h.Suspects,
+		Sequence:      h.Sequence,
+	}
+	for _, e := range turn(b.leaving, h.Sequence) {
+		wire.LeavingEndpoints = append(wire.LeavingEndpoints, &pb.LeavingEndpoint{Name: e.Name, Incarnation: e.Incarnation})
+	}
+	for _, k := range h.Known {
+		wire.Known = append(wire.Known, &pb.KnownInstance{Instance: k.Name, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
+	}
+	body, err := proto.Marshal(wire)
+	if err != nil {
+		return nil, err
+	}
+	return append(signature(body, secret), body...), nil
+}
+
+// turn returns up to maxLeaving endpoints, others with each heartbeat.
+func turn(leaving []control.LeavingEndpoint, sequence uint64) []control.LeavingEndpoint {
+	n := uint64(len(leaving))
+	if n <= maxLeaving {
+		return leaving
+	}
+	picked := make([]control.LeavingEndpoint, 0, maxLeaving)
+	for i := range uint64(maxLeaving) {
+		picked = append(picked, leaving[(sequence*maxLeaving+i)%n])
+	}
+	return picked
+}
+
+// decode reads a datagram; one that is not signed with the secret is refused.
+func decode(data, secret []byte) (beat, error) {
+	if len(data) < signatureSize || !hmac.Equal(data[:signatureSize], signature(data[signatureSize:], secret)) {
+		return beat{}, problem.New(problem.Denied, "give all instances the same tokens.peers", "a datagram is not signed with the peers' token")
+	}
+	var wire pb.Heartbeat
+	if err := proto.Unmarshal(data[signatureSize:], &wire); err != nil {
+		return beat{}, problem.Wrap(err, problem.Invalid, "run one version of the program", "a heartbeat does not parse")
+	}
+	b := beat{
+		heartbeat: membership.Heartbeat{
+			From: membership.Self{
+				Name:          wire.Instance,
+				Incarnation:   wire.Incarnation,
+				FailureDomain: wire.FailureDomain,
+				PeerAddress:   wire.PeerAddress,
+			},
+			Sequence: wire.Sequence,
+			Leaving:  wire.Leaving,
+			Revision: wire.Revision,
+			Suspects: wire.Suspects,
+		},
+		stamp: timeline.Stamp{WallMs: wire.WallMs, Logical: wire.Logical},
+	}
+	for _, e := range wire.LeavingEndpoints {
+		b.leaving = append(b.leaving, control.LeavingEndpoint{Name: e.Name, Incarnation: e.Incarnation})
+	}
+	for _, k := range wire.Known {
+		b.heartbeat.Known = append(b.heartbeat.Known, membership.Self{Name: k.Instance, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
+	}
+	return b, nil
+}
+
+func signature(body, secret []byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte("heartbeat:"))
+	mac.Write(body)
+	return mac.Sum(nil)[:signatureSize]
+}
--- /dev/null
+++ b/service/peers/gossip.go
@@ -0,0 +1,96 @@
+package peers
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+)
+
+// Gossip sends and receives heartbeats over UDP. It is the control service's way
+// to its peers.
+type Gossip struct {
+	conn     *net.UDPConn
+	secret   []byte
+	clock    *timeline.Clock
+	log      *logrus.Entry
+	onBehind func(peer membership.Self, revision uint64)
+	sent     *metrics.Counter
+	received *metrics.Counter
+	refused  *metrics.Counter
+}
+
+var _ control.Peers = (*Gossip)(nil)
+
+// NewGossip returns a gossip over conn. onBehind is called, and must not block, when
+// a peer has a newer configuration.
+func NewGossip(conn *net.UDPConn, secret string, clock *timeline.Clock, set *metrics.Set, log *logrus.Entry, onBehind func(membership.Self, uint64)) *Gossip {
+	return &Gossip{
+		conn:     conn,
+		secret:   []byte(secret),
+		clock:    clock,
+		log:      log,
+		onBehind: onBehind,
+		sent:     set.NewCounter(`cobaltcroft_heartbeat_bytes_total{direction="sent"}`),
+		received: set.NewCounter(`cobaltcroft_heartbeat_bytes_total{direction="received"}`),
+		refused:  set.NewCounter("cobaltcroft_heartbeats_refused_total"),
+	}
+}
+
+// Broadcast implements control.Peers.
+func (g *Gossip) Broadcast(h membership.Heartbeat, leaving []control.LeavingEndpoint, to []string) {
+	data, err := encode(beat{heartbeat: h, leaving: leaving, stamp: g.clock.Now()}, g.secret)
+	if err != nil {
+		g.log.WithField("event", "heartbeat_not_encoded").Error(err)
+		return
+	}
+	for _, address := range to {
+		g.send(data, address)
+	}
+}
+
+func (g *Gossip) send(data []byte, address string) {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		g.log.WithFields(logrus.Fields{"event": "bad_peer_address", "address": address}).Warn(err)
+		return
+	}
+	// A datagram that can't be sent is as good as lost.
+	n, _ := g.conn.WriteToUDPAddrPort(data, target)
+	g.sent.Add(n)
+}
+
+// Behind implements control.Peers.
+func (g *Gossip) Behind(peer membership.Self, revision uint64) { g.onBehind(peer, revision) }
+
+// Run gives received heartbeats to c until t dies.
+func (g *Gossip) Run(t *tomb.Tomb, c *control.Control) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
+		if !t.Alive() {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		g.received.Add(n)
+		b, err := decode(buffer[:n], g.secret)
+		if err != nil {
+			g.refused.Inc()
+			g.log.WithFields(logrus.Fields{"event": "heartbeat_refused", "from": from.String()}).Debug(err)
+			continue
+		}
+		g.clock.Observe(b.stamp)
+		c.Heard(b.heartbeat, b.leaving)
+	}
+}
+
+// Close ends Run.
+func (g *Gossip) Close() { _ = g.conn.Close() }
--- /dev/null
+++ b/service/peers/server.go
@@ -0,0 +1,235 @@
+package peers
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/config"
+	"github.com/cobaltcroft/cobaltcroft/pkg/once"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/request"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/convert"
+)
+
+const (
+	// maxConnections bounds the connections of peers.
+	maxConnections = 1024
+	// helloTimeout is how long a connection may go without the token.
+	helloTimeout = 5 * time.Second
+	// maxEvents bounds the events in one answer.
+	maxEvents = 10_000
+)
+
+// Backend is what the peers' face serves.
+type Backend interface {
+	// Since returns the configuration after a revision.
+	Since(from uint64) (config.Update, error)
+	// Bound runs a not-repeatable request that is bound to this instance.
+	Bound(ctx context.Context, holder once.Holder, r request.Request) request.Result
+	Status() api.InstanceStatus
+	Ring() *timeline.Ring
+}
+
+// Server answers peers over TCP.
+type Server struct {
+	backend Backend
+	token   string
+	log     *logrus.Entry
+	slots   chan struct{}
+
+	mu     sync.Mutex
+	conns  map[*jsonrpc2.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server of the backend.
+func NewServer(backend Backend, token string, log *logrus.Entry) *Server {
+	return &Server{backend: backend, token: token, log: log, slots: make(chan struct{}, maxConnections), conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case s.slots <- struct{}{}:
+			s.open(conn)
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+func (s *Server) open(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	session := &session{server: s, conn: conn, codec: newCodec(maxStrange)}
+	stream := jsonrpc2.NewBufferedStream(conn, session.codec)
+	rpc := jsonrpc2.NewConn(context.Background(), stream, session)
+	s.mu.Lock()
+	s.conns[rpc] = struct{}{}
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		_ = rpc.Close()
+	}
+	go func() {
+		<-rpc.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, rpc)
+		s.mu.Unlock()
+		<-s.slots
+	}()
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
+	for rpc := range s.conns {
+		conns = append(conns, rpc)
+	}
+	s.mu.Unlock()
+	for _, rpc := range conns {
+		_ = rpc.Close()
+	}
+}
+
+// session is one peer's connection.
+type session struct {
+	server *Server
+	conn   net.Conn
+	codec  *codec
+	// trusted is set by the hello. It is read and written by the connection's
+	// reader alone, which calls Handle.
+	trusted bool
+}
+
+// Handle implements jsonrpc2.Handler. It must not block, since it is called by the
+// connection's reader.
+func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == api.MethodHello {
+		s.hello(ctx, rpc, req)
+		return
+	}
+	if !s.trusted {
+		s.refuse(ctx, rpc, req)
+		return
+	}
+	go s.answer(ctx, rpc, req)
+}
+
+func (s *session) hello(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	hello, err := params[api.Hello](req)
+	if err != nil || subtle.ConstantTimeCompare([]byte(hello.Token), []byte(s.server.token)) != 1 {
+		s.refuse(ctx, rpc, req)
+		return
+	}
+	s.trusted = true
+	s.codec.limit.Store(maxMessage)
+	_ = s.conn.SetReadDeadline(time.Time{})
+	_ = rpc.Reply(ctx, req.ID, struct{}{})
+}
+
+func (s *session) refuse(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	s.server.log.WithFields(logrus.Fields{"event": "peer_refused", "from": s.conn.RemoteAddr().String(), "method": req.Method}).Warn()
+	_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeOf(problem.Denied), Message: "the peers' token is missing or wrong (remedy: give all instances the same tokens.peers)"})
+	_ = rpc.Close()
+}
+
+func (s *session) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := s.dispatch(ctx, req)
+	if err != nil {
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeOf(problem.KindOf(err)), Message: err.Error()})
+		return
+	}
+	_ = rpc.Reply(ctx, req.ID, result)
+}
+
+func (s *session) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	switch req.Method {
+	case api.MethodPull:
+		pull, err := params[api.Pull](req)
+		if err != nil {
+			return nil, err
+		}
+		return s.server.backend.Since(pull.From)
+	case api.MethodForward:
+		forward, err := params[api.Forward](req)
+		if err != nil {
+			return nil, err
+		}
+		return s.forward(ctx, forward), nil
+	case api.MethodStatus:
+		return s.server.backend.Status(), nil
+	case api.MethodTimeline:
+		selection, err := params[api.TimelineSelect](req)
+		if err != nil {
+			return nil, err
+		}
+		return Select(s.server.backend.Ring(), s.server.backend.Status().Instance, selection), nil
+	}
+	return nil, problem.New(problem.NotFound, "run one version of the program", "no method %q", req.Method)
+}
+
+func (s *session) forward(ctx context.Context, f api.Forward) api.Result {
+	r := convert.Request(f.Call, f.Pipeline, time.Now(), time.Duration(f.DeadlineMs)*time.Millisecond)
+	holder := once.Holder{Instance: f.HolderInstance, Incarnation: f.HolderIncarnation}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return convert.Result(s.server.backend.Bound(ctx, holder, r))
+}
+
+// Select answers a selection from one instance's ring.
+func Select(ring *timeline.Ring, instance string, selection api.TimelineSelect) api.TimelineEvents {
+	events, dropped := ring.Select(timeline.Filter{Request: selection.Request, Change: selection.Change, Endpoint: selection.Endpoint})
+	limit := selection.Limit
+	if limit <= 0 || limit > maxEvents {
+		limit = maxEvents
+	}
+	events = events[max(0, len(events)-limit):]
+	answer := api.TimelineEvents{Instance: instance, Dropped: dropped}
+	for _, e := range events {
+		answer.Events = append(answer.Events, convert.Event(e))
+	}
+	return answer
+}
+
+func params[T any](req *jsonrpc2.Request) (T, error) {
+	var v T
+	if req.Params == nil {
+		return v, problem.New(problem.Invalid, "run one version of the program", "method %s came without parameters", req.Method)
+	}
+	if err := json.Unmarshal(*req.Params, &v); err != nil {
+		return v, problem.Wrap(err, problem.Invalid, "run one version of the program", "parameters of %s do not parse", req.Method)
+	}
+	return v, nil
+}
+
+// codeOf gives each kind of problem a code in jsonrpc2's range for applications.
+func codeOf(kind problem.Kind) int64 {
+	const first = 1000
+	for i, k := range kinds {
+		if k == kind {
+			return first + int64(i)
+		}
+	}
+	return first + int64(len(kinds))
+}
+
+var kinds = []problem.Kind{
+	problem.Invalid, problem.Conflict, problem.Unavailable, problem.Unknown, problem.NotFound,
+	problem.Denied, problem.Overloaded, problem.Deadline, problem.Internal,
+}
