--- a/pkg/traffic/executor.go
+++ b/pkg/traffic/executor.go
@@ -45,8 +45,8 @@
 type Executor struct {
 	Options
 	limits *limits
-	// cancels counts the cancellations sent in the background.
-	cancels sync.WaitGroup
+	// background counts the attempts and cancellations that may outlive their request.
+	background sync.WaitGroup
 }
 
 // New returns an executor.
@@ -57,8 +57,9 @@
 // InFlight returns the number of requests that run.
 func (x *Executor) InFlight() int { return x.limits.inFlight() }
 
-// Close waits for the cancellations that were sent in the background.
-func (x *Executor) Close() { x.cancels.Wait() }
+// Close waits for what still goes on behind requests that have their results. It
+// must be called after the last Run has returned.
+func (x *Executor) Close() { x.background.Wait() }
 
 // run is one request on its way.
 type run struct {
--- a/pkg/traffic/stage.go
+++ b/pkg/traffic/stage.go
@@ -78,7 +78,7 @@
 	running := 0
 	launch := func(grant *decision.Grant) {
 		running++
-		go func() { ends <- s.call(ctx, grant) }()
+		s.background.Go(func() { ends <- s.call(ctx, grant) })
 	}
 	grant, err := s.acquire(ctx, nil)
 	if err != nil {
@@ -238,15 +238,13 @@
 		s.effects.ended(attempt.ID, true)
 		return
 	}
-	s.cancels.Add(1)
-	go func() {
-		defer s.cancels.Done()
+	s.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if s.Caller.Cancel(ctx, grant.Endpoint.Address, attempt) == nil {
 			s.effects.ended(attempt.ID, true)
 		}
-	}()
+	})
 }
 
 // resultOf is what a failed call tells about the endpoint.
--- /dev/null
+++ b/pkg/traffic/suite_test.go
@@ -0,0 +1,226 @@
+package traffic_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/config"
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/request"
+	"github.com/cobaltcroft/cobaltcroft/pkg/standin"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/traffic"
+)
+
+func TestTraffic(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "traffic")
+}
+
+// bench is an executor over real stand-in endpoints: two of each of four services,
+// and a plain one.
+type bench struct {
+	site     *standin.Site
+	executor *traffic.Executor
+	ring     *timeline.Ring
+	pools    map[string]*decision.Pool
+
+	mu      sync.Mutex
+	leaving []string
+}
+
+var services = []config.Service{
+	{Name: "encoder", Kind: config.Encoding, Concurrency: 4},
+	{Name: "archive", Kind: config.Retrieval, Concurrency: 4},
+	{Name: "reranker", Kind: config.Reranking, Concurrency: 4},
+	{Name: "engine", Kind: config.Generation, Concurrency: 4},
+	{Name: "alert", Kind: config.Plain, Concurrency: 4},
+}
+
+func newBench() *bench {
+	b := &bench{pools: map[string]*decision.Pool{}}
+	settings := standin.SiteSettings{}
+	for _, s := range services {
+		for _, suffix := range []string{"1", "2"} {
+			settings.Endpoints = append(settings.Endpoints, standin.EndpointSettings{Name: s.Name + "-" + suffix, Service: s.Name, FailureDomain: "here", Listen: "127.0.0.1:0", Concurrency: 4, ServiceMs: 2})
+		}
+	}
+	var err error
+	b.site, err = standin.StartSite(settings)
+	Expect(err).NotTo(HaveOccurred())
+	clock := clockwork.NewRealClock()
+	b.ring = timeline.NewRing("test", timeline.NewClock(clock), 1000)
+	client := openinference.New(1 << 20)
+	view := b.view()
+	b.executor = traffic.New(traffic.Options{
+		Instance: "test",
+		View:     func() *control.View { return view },
+		Leaving: func(e control.LeavingEndpoint, _ string) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.leaving = append(b.leaving, e.Name)
+		},
+		Caller:      client,
+		Clock:       clock,
+		Ring:        b.ring,
+		Log:         logging.Discard().For("traffic"),
+		Metrics:     traffic.NewMetrics(metrics.NewSet()),
+		MaxInFlight: 100,
+	})
+	DeferCleanup(func() {
+		b.executor.Close()
+		client.Close()
+		b.site.Close()
+	})
+	return b
+}
+
+func (b *bench) view() *control.View {
+	change := config.Change{ID: "c", Revision: 1}
+	put := func(o config.Object) {
+		change.Operations = append(change.Operations, config.Operation{Put: &o})
+	}
+	for _, s := range services {
+		put(config.Object{Service: &s})
+	}
+	put(config.Object{Organisation: &config.Organisation{Name: "huila", Weight: 1}})
+	put(config.Object{Organisation: &config.Organisation{Name: "narrow", Weight: 1, MaxConcurrent: 1}})
+	put(config.Object{Organisation: &config.Organisation{Name: "slow", Weight: 1, RequestsPerSecond: 0.001}})
+	put(config.Object{Pipeline: &config.Pipeline{Name: "bulletin", Objective: config.Attainment, DeadlineMs: 1000, Stages: []config.Stage{
+		{Name: "encode", Kind: config.Encoding, Service: "encoder"},
+		{Name: "retrieve", Kind: config.Retrieval, Service: "archive"},
+		{Name: "rerank", Kind: config.Reranking, Service: "reranker"},
+		{Name: "generate", Kind: config.Generation, Service: "engine"},
+	}}})
+	put(config.Object{Pipeline: &config.Pipeline{Name: "diamond", Objective: config.Cost, DeadlineMs: 1000, Stages: []config.Stage{
+		{Name: "encode", Kind: config.Encoding, Service: "encoder"},
+		{Name: "left", Kind: config.Retrieval, Service: "archive", After: []string{"encode"}},
+		{Name: "right", Kind: config.Retrieval, Service: "archive", After: []string{"encode"}},
+		{Name: "join", Kind: config.Reranking, Service: "reranker", After: []string{"left", "right"}},
+	}}})
+	put(config.Object{Pipeline: &config.Pipeline{Name: "alert", Objective: config.Attainment, DeadlineMs: 1000, Stages: []config.Stage{
+		{Name: "dispatch", Kind: config.Plain, Service: "alert"},
+	}}})
+	configuration, err := config.Empty().Check(change)
+	Expect(err).NotTo(HaveOccurred())
+	b.makePools()
+	plans := map[string]*decision.Plan{}
+	for _, p := range configuration.Pipelines() {
+		var steps []decision.Step
+		for i, s := range p.Stages {
+			steps = append(steps, decision.Step{Pool: b.pools[s.Service], Inputs: p.Inputs(i)})
+		}
+		plans[p.Name] = decision.NewPlan(steps)
+	}
+	return &control.View{Configuration: configuration, Pools: b.pools, Plans: plans, Instances: 1, Confirmed: true}
+}
+
+func (b *bench) makePools() {
+	for _, s := range services {
+		b.pools[s.Name] = decision.NewPool(decision.Config{Policy: decision.Adaptive, FailureDomain: "here", Concurrency: 4, MaxQueue: 100}, rand.New(rand.NewPCG(1, 2)))
+		b.both(s.Name)
+	}
+}
+
+// both gives a service's pool its two endpoints, onlyFirst the first alone.
+func (b *bench) both(service string) { b.update(service, "1", "2") }
+
+func (b *bench) onlyFirst(service string) { b.update(service, "1") }
+
+func (b *bench) update(service string, suffixes ...string) {
+	var list []decision.Endpoint
+	for _, suffix := range suffixes {
+		list = append(list, decision.Endpoint{Name: service + "-" + suffix, Address: b.endpoint(service, suffix).Address(), FailureDomain: "here", Incarnation: 1})
+	}
+	b.pools[service].Update(time.Now(), 4, list)
+}
+
+func (b *bench) endpoint(service, suffix string) *standin.Endpoint {
+	return b.site.Endpoints[service+"-"+suffix]
+}
+
+// fault sets the faults of both endpoints of a service.
+func (b *bench) fault(service string, f standin.EndpointFaults) {
+	b.endpoint(service, "1").SetFaults(f)
+	b.endpoint(service, "2").SetFaults(f)
+}
+
+// faultNext sets faults for the next call to the service, wherever it goes.
+func (b *bench) faultNext(service string, f standin.EndpointFaults) {
+	f.Calls = 1
+	b.endpoint(service, "1").SetFaults(f)
+	b.endpoint(service, "2").SetFaults(f)
+	once := make(chan struct{})
+	go func() {
+		defer close(once)
+		for b.endpoint(service, "1").Calls()+b.endpoint(service, "2").Calls() == 0 {
+			time.Sleep(50 * time.Microsecond)
+		}
+		b.fault(service, standin.EndpointFaults{})
+	}()
+	DeferCleanup(func() { <-once })
+}
+
+func call(pipeline string, allowed time.Duration) request.Request {
+	return request.Request{ID: "r1", Organisation: "huila", Pipeline: pipeline, Input: json.RawMessage(`{"question":"frost?"}`), Deadline: time.Now().Add(allowed), Repeatable: true}
+}
+
+func (b *bench) run(r request.Request) request.Result {
+	return b.executor.Run(context.Background(), r, nil)
+}
+
+// runs counts what the endpoints have run of a stage.
+func (b *bench) runs(stage string) int {
+	n := 0
+	for _, run := range b.site.Runs() {
+		if run.Stage == stage {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *bench) events(kind timeline.Kind) int {
+	events, _ := b.ring.Select(timeline.Filter{})
+	n := 0
+	for _, e := range events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// expected is the whole right answer to a request to the bulletin pipeline.
+func expected(r request.Request) string {
+	input := stageInput(r.Input, "", nil)
+	before := standin.Output(r.ID, "encode", input)
+	before = standin.Output(r.ID, "retrieve", stageInput(r.Input, "encode", before))
+	before = standin.Output(r.ID, "rerank", stageInput(r.Input, "retrieve", before))
+	last := stageInput(r.Input, "rerank", before)
+	text := ""
+	for i := range 8 {
+		text += standin.Token(r.ID, "generate", last, i)
+	}
+	data, _ := json.Marshal(text)
+	return string(data)
+}
+
+func stageInput(input json.RawMessage, stage string, before json.RawMessage) string {
+	if stage == "" {
+		return `{"input":` + string(input) + `}`
+	}
+	return `{"input":` + string(input) + `,"before":{"` + stage + `":` + string(before) + `}}`
+}
