test, traffic, operators: whole-program proofs, and what they found

Found, each by a failing test, and mended: - Apply under an outage outlived the operator's own deadline, so that a known 'not accepted' arrived as no answer. A tenth of the caller's time is kept back. - A stream whose prompt takes longer than usual was broken off at each endpoint until none was left (two endpoints: 250 ms, 500 ms, outcome unknown). Streams are broken off only while another endpoint is left, after times that double; between tokens the stream's own mean gap counts. - The instance list's outage wrote a log line at each poll; now one when it is lost and one when it is back.

--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -90,13 +90,16 @@
 		FailureDomain: b.settings.FailureDomain,
 		PeerAddress:   s.listener.Addr().String(),
 	}
+	logListening(log, "peers", s.self.PeerAddress)
+	if advertised := b.settings.Advertise.Peers; advertised != "" {
+		s.self.PeerAddress = advertised
+	}
 	s.client = peers.NewClient(b.settings.Instance, b.settings.Tokens.Peers)
 	s.gossip = peers.NewGossip(s.udp, b.settings.Tokens.Peers, b.ring.Clock(), b.metrics, log, func(peer membership.Self, _ uint64) {
 		if behind := s.behind.Load(); behind != nil {
 			(*behind)(peer)
 		}
 	})
-	logListening(log, "peers", s.self.PeerAddress)
 	return nil
 }
 
@@ -187,19 +190,33 @@
 // nothing: the endpoints known stay.
 func (s *controlService) readList(t *tomb.Tomb, list platform.InstanceList) error {
 	ctx := t.Context(context.Background())
-	log := s.base.logs.For("platform")
+	reached := true
 	for t.Alive() {
 		listed, err := list.List(ctx)
 		if err == nil {
 			s.SetListed(listed)
-		} else if ctx.Err() == nil {
-			log.WithField("event", "instance_list_unread").Warn(err)
+		}
+		if ctx.Err() == nil && reached != (err == nil) {
+			reached = err == nil
+			s.noteList(err)
 		}
 		pause(ctx, s.base.settings.Timings.InstanceListPoll.Std())
 	}
 	return nil
 }
 
+// noteList records that the instance list is lost, or back if err is nil.
+func (s *controlService) noteList(err error) {
+	log := s.base.logs.For("platform")
+	if err == nil {
+		s.base.ring.Add(timeline.Event{Kind: timeline.PlatformBack, Detail: "instance list"})
+		log.WithField("event", timeline.PlatformBack).Info("instance list")
+		return
+	}
+	s.base.ring.Add(timeline.Event{Kind: timeline.PlatformLost, Detail: err.Error()})
+	log.WithField("event", timeline.PlatformLost).Warn(err)
+}
+
 // Stop implements kernel.Service. The socket is closed so that its reader ends.
 func (s *controlService) Stop() { s.gossip.Close() }
 
--- a/pkg/decision/pool.go
+++ b/pkg/decision/pool.go
@@ -366,6 +366,13 @@
 	return true
 }
 
+// Untried tells whether there is a live endpoint beside those named.
+func (p *Pool) Untried(names []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.untried(&Work{Exclude: names})
+}
+
 // Spare tells whether an endpoint is free while nothing waits.
 func (p *Pool) Spare() bool {
 	p.mu.Lock()
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -82,6 +82,9 @@
 	c.address("listen.operators", s.Listen.Operators)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.metrics", s.Listen.Metrics)
+	if s.Advertise.Peers != "" {
+		c.address("advertise.peers", s.Advertise.Peers)
+	}
 	for i, peer := range s.Peers {
 		c.address(fmt.Sprintf("peers[%d]", i), peer)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,6 +21,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Listen has the address of each face. Port 0 lets the system choose.
 	Listen Listen `json:"listen"`
+	// Advertise has the addresses told to others, where they differ from Listen.
+	Advertise Advertise `json:"advertise"`
 	// Peers are the peer addresses of some other instances, to begin with.
 	Peers []string `json:"peers"`
 	// Tokens that operators and peers present.
@@ -46,6 +48,12 @@
 	Metrics   string `json:"metrics"`
 }
 
+// Advertise has addresses (IP:port) at which others reach this instance, where a
+// forwarder stands before it. Empty: the listen address.
+type Advertise struct {
+	Peers string `json:"peers"`
+}
+
 // Tokens are shared secrets.
 type Tokens struct {
 	// Operators are accepted on the operators' face, any of them, so that they
--- a/pkg/standin/instancelist.go
+++ b/pkg/standin/instancelist.go
@@ -58,6 +58,14 @@
 	l.record()
 }
 
+// SetLag sets after what time changes show.
+func (l *InstanceList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+	l.trim()
+}
+
 // SetOutage makes the list refuse reads.
 func (l *InstanceList) SetOutage(outage bool) {
 	l.mu.Lock()
@@ -74,6 +82,13 @@
 	l.history = append(l.history, listVersion{at: time.Now(), body: body})
 }
 
+// trim drops the versions that no longer show.
+func (l *InstanceList) trim() {
+	for len(l.history) > 1 && time.Since(l.history[1].at) >= l.lag {
+		l.history = l.history[1:]
+	}
+}
+
 func group(i Instance) httpsd.Group {
 	state := "live"
 	if i.Leaving {
@@ -92,9 +107,7 @@
 // ServeHTTP implements http.Handler.
 func (l *InstanceList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	l.mu.Lock()
-	for len(l.history) > 1 && time.Since(l.history[1].at) >= l.lag {
-		l.history = l.history[1:]
-	}
+	l.trim()
 	body, outage := l.history[0].body, l.outage
 	l.mu.Unlock()
 	if outage {
--- a/pkg/traffic/generate.go
+++ b/pkg/traffic/generate.go
@@ -12,8 +12,15 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
 
-// minStall is the shortest pause in a stream that counts as a stall.
-const minStall = 100 * time.Millisecond
+const (
+	// minStall is the shortest pause in a stream that counts as a stall.
+	minStall = 250 * time.Millisecond
+	// stallDeviations is how many mean deviations above the mean of whole calls a
+	// first token may take, and stallGaps how many times the mean gap of its own
+	// stream a later one.
+	stallDeviations = 8
+	stallGaps       = 20
+)
 
 // generate makes one attempt at a generation stage. It goes on behind the tokens
 // that earlier attempts brought. An attempt that stalls is broken off, so that the
@@ -25,15 +32,53 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stall := newStallTimer(s.stallTime(), cancel)
+	stall := newStallTimer(s.firstTokenTime(), cancel)
 	defer stall.stop()
+	var first time.Time
+	received := 0
 	return s.Caller.Generate(ctx, grant.Endpoint.Address, call, s.tokens, func(token endpoint.Token) error {
-		stall.restart()
+		if received == 0 {
+			first = time.Now()
+		}
+		received++
+		stall.restart(s.nextTokenTime(time.Since(first), received))
 		s.tokens = append(s.tokens, token)
 		return s.emit(token)
 	})
 }
 
+// mayStall tells whether anything could be gained by breaking a stream off: a request
+// that may not be repeated, or has no attempt or no other endpoint left, can only wait.
+func (s *stageRun) mayStall() bool {
+	return !s.Baseline && s.request.Repeatable && len(s.tried) < s.attemptBound() && s.pool.Untried(s.tried)
+}
+
+// never is longer than any request lasts.
+const never = 24 * time.Hour
+
+// firstTokenTime is how long the first token of an attempt may take. Prompts differ
+// in length, and so the time doubles with each attempt.
+func (s *stageRun) firstTokenTime() time.Duration {
+	if !s.mayStall() {
+		return never
+	}
+	mean, deviation := s.pool.Latency(s.Clock.Now())
+	if mean == 0 {
+		return max(minStall, time.Until(s.request.Deadline)/3)
+	}
+	return max(minStall, mean+stallDeviations*deviation) << (len(s.tried) - 1)
+}
+
+// nextTokenTime is how long the token after the received ones may take, which came
+// over a time since the first.
+func (s *stageRun) nextTokenTime(since time.Duration, received int) time.Duration {
+	if !s.mayStall() {
+		return never
+	}
+	gap := since / time.Duration(max(received-1, 1))
+	return max(minStall, stallGaps*gap)
+}
+
 // emit gives a token to the caller, if it wants tokens and this stage is the last.
 func (s *stageRun) emit(token endpoint.Token) error {
 	if s.sink == nil || s.index != len(s.pipeline.Stages)-1 {
@@ -50,36 +95,22 @@
 // errStreamClosed stops a stream whose request has its result already.
 var errStreamClosed = errors.New("the request has its result")
 
-// stallTime is how long a stream may pause. A request that may not be repeated can
-// gain nothing from breaking off, and so never stalls.
-func (s *stageRun) stallTime() time.Duration {
-	if s.Baseline || !s.request.Repeatable {
-		return time.Until(s.request.Deadline) + time.Minute
-	}
-	mean, deviation := s.pool.Latency(s.Clock.Now())
-	if mean == 0 {
-		return max(minStall, time.Until(s.request.Deadline)/3)
-	}
-	return max(minStall, mean+hedgeDeviations*deviation)
-}
-
 // stallTimer calls a function when it has not been restarted for a time.
 type stallTimer struct {
 	mu      sync.Mutex
 	timer   *time.Timer
-	after   time.Duration
 	stopped bool
 }
 
 func newStallTimer(after time.Duration, f func()) *stallTimer {
-	return &stallTimer{timer: time.AfterFunc(after, f), after: after}
+	return &stallTimer{timer: time.AfterFunc(after, f)}
 }
 
-func (t *stallTimer) restart() {
+func (t *stallTimer) restart(after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.stopped {
-		t.timer.Reset(t.after)
+		t.timer.Reset(after)
 	}
 }
 
--- a/service/operators/operators.go
+++ b/service/operators/operators.go
@@ -30,8 +30,11 @@
 const (
 	// maxRequestBytes bounds an operator's message.
 	maxRequestBytes = 16 << 20
-	// applyTimeout bounds Apply where the caller gives no shorter time.
-	applyTimeout = 10 * time.Second
+	// applyTimeout bounds Apply where the caller gives no shorter time; of a shorter
+	// time, answerShare is kept for the answer, so that a fate that is known here is
+	// not lost on the way.
+	applyTimeout = 5 * time.Second
+	answerShare  = 0.1
 	// peerTimeout bounds what is asked of one peer, peersAtOnce how many are asked
 	// at once.
 	peerTimeout = 2 * time.Second
@@ -107,7 +110,7 @@
 	if len(id) > maxChangeID {
 		return nil, problem.New(problem.Invalid, "use at most 128 characters; nothing was changed", "change_id has %d characters", len(id))
 	}
-	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, applyTime(ctx))
 	defer cancel()
 	change := config.NewChange(id, req.Msg.Author, f.Clock.Now(), convert.Operations(req.Msg.Operations)...)
 	result, err := f.Submitter.Submit(ctx, change)
@@ -121,6 +124,15 @@
 	return connect.NewResponse(&pb.ApplyResponse{ChangeId: id, Revision: result.Revision, Repeated: result.Repeated}), nil
 }
 
+func applyTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return applyTimeout
+	}
+	left := time.Until(deadline)
+	return min(applyTimeout, left-time.Duration(answerShare*float64(left)))
+}
+
 // GetConfiguration implements the service.
 func (f *Face) GetConfiguration(_ context.Context, req *connect.Request[pb.GetConfigurationRequest]) (*connect.Response[pb.GetConfigurationResponse], error) {
 	current := f.Replica.Current()
--- /dev/null
+++ b/test/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package test
+
+var buildFlags []string
