--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README; docs/ says more.
-.PHONY: build run test race lint bench
+.PHONY: build run test race lint bench measure measure-quick
 
 build:
 	go build -o bin/ ./cmd/...
@@ -18,3 +18,9 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./pkg/...
+
+measure: build
+	./_scripts/measure.sh
+
+measure-quick: build
+	./_scripts/measure.sh --quick
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -76,6 +76,7 @@
 	}
 	if live != c.instances {
 		c.instances = live
+		c.updatePools()
 		c.publish()
 	}
 }
--- a/pkg/decision/admission.go
+++ b/pkg/decision/admission.go
@@ -54,7 +54,7 @@
 
 // The cautions of the two objectives.
 const (
-	AttainmentCaution Caution = 0.5
+	AttainmentCaution Caution = 0.75
 	CostCaution       Caution = 1.5
 )
 
@@ -75,6 +75,9 @@
 		return nil, refusal
 	}
 	if late := needed - work.Deadline.Sub(now); late > 0 && !idle {
+		for _, step := range p.steps {
+			step.Pool.press(now)
+		}
 		return nil, &Refusal{Reason: TooLate, RetryAfter: late}
 	}
 	if !work.Deadline.After(now) {
@@ -132,7 +135,9 @@
 	}
 	f := forecast{}
 	f.mean, f.deviation = p.latency.at(now)
-	capacity := max(p.capacity, 1)
+	// What this instance has in flight ends at the rate of inFlight/mean, however
+	// many others use the endpoints (Little's law): it has that capacity at least.
+	capacity := max(p.capacity*p.share, float64(p.inFlight), 1)
 	ahead := p.backlog.ahead(work)
 	f.idle = ahead == 0
 	f.wait = max(0, ahead+1-capacity) / capacity * f.mean
--- a/pkg/decision/choose.go
+++ b/pkg/decision/choose.go
@@ -75,7 +75,7 @@
 	return best
 }
 
-// fit tells whether a target may do the work and would likely be in time.
+// fit tells whether a target may do the work and would usually be in time.
 func (p *Pool) fit(now time.Time, t *target, work *Work, poolMean float64) bool {
 	if work.excludes(t.Name) {
 		return false
@@ -83,5 +83,5 @@
 	if t.latency.samples == 0 {
 		return true
 	}
-	return seconds(t.mean(now, poolMean)) <= work.Deadline.Sub(now) || t.inFlight == 0 && t.mean(now, poolMean) <= poolMean
+	return seconds(t.mean(now, poolMean)) <= work.Deadline.Sub(now)
 }
--- a/pkg/decision/pool.go
+++ b/pkg/decision/pool.go
@@ -18,6 +18,11 @@
 	// slowDeviations is how many mean deviations above the mean a call must take
 	// to count as failed when it is broken off.
 	slowDeviations = 4
+	// shareIncrease is what the share of the capacity grows by, in equal parts, and
+	// shareDecrease the factor when it shrinks, with each report.
+	shareIncrease = 0.2
+	shareDecrease = 0.97
+	pressedFor    = 100 * time.Millisecond
 	// prefixHints is how many prompt prefixes a pool remembers.
 	prefixHints = 1 << 14
 )
@@ -35,13 +40,20 @@
 	local, remote []*target
 	capacity      float64
 	live          int // targets that are not leaving
+	inFlight      int // calls of this instance
 	ejected       []*target
 	nextReturn    time.Time
 	queue         queue
 	backlog       backlog
 	latency       estimate
-	retries       float64
-	prefixes      *lru.Cache[uint64, prefixHint]
+	// sharers is the number of instances that use the same endpoints, share the part
+	// of their capacity that this one may count on.
+	sharers int
+	share   float64
+	// pressed is when work last waited for, or was refused by, the pool's capacity.
+	pressed  time.Time
+	retries  float64
+	prefixes *lru.Cache[uint64, prefixHint]
 }
 
 // NewPool returns a pool without endpoints. The random source is used under the
@@ -53,6 +65,8 @@
 		random:   random,
 		targets:  map[string]*target{},
 		retries:  maxRetries,
+		sharers:  1,
+		share:    1,
 		prefixes: prefixes,
 	}
 }
@@ -201,6 +215,36 @@
 	}
 }
 
+// SetSharers sets the number of instances that use the same endpoints.
+func (p *Pool) SetSharers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n == p.sharers {
+		return
+	}
+	p.sharers = max(n, 1)
+	p.share = 1 / float64(p.sharers)
+}
+
+// adaptShare moves the share of the capacity between an equal part and the whole:
+// up while work waits here but none at the endpoints, down when some waits there.
+func (p *Pool) adaptShare(now time.Time, r Report) {
+	least := 1 / float64(p.sharers)
+	switch {
+	case r.Waiting > 0:
+		p.share = max(least, p.share*shareDecrease)
+	case p.queue.length > 0 || now.Sub(p.pressed) < pressedFor:
+		p.share = min(1, p.share+shareIncrease*least)
+	}
+}
+
+// press says that a request was refused for lack of the pool's capacity.
+func (p *Pool) press(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pressed = now
+}
+
 // Tick gives verdicts that only the passing of time brings: readmitted endpoints
 // and waiting work that has become too late.
 func (p *Pool) Tick(now time.Time) {
@@ -236,6 +280,7 @@
 
 func (p *Pool) grant(now time.Time, t *target, work Work) *Grant {
 	t.inFlight++
+	p.inFlight++
 	p.settle(t)
 	return &Grant{Endpoint: t.Endpoint, Local: t.local, target: t, start: now, work: work}
 }
@@ -247,8 +292,10 @@
 	t := g.target
 	if report != nil {
 		t.observe(now, *report)
+		p.adaptShare(now, *report)
 	}
 	t.inFlight--
+	p.inFlight--
 	p.learn(now, t, g, result)
 	p.settle(t)
 	p.dispatch(now)
--- /dev/null
+++ b/pkg/decision/replay_test.go
@@ -0,0 +1,309 @@
+package decision_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/config"
+	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/trace"
+)
+
+// replay runs a trace through the decisions of several instances, in virtual time,
+// against endpoints that are only slots and a queue.
+type replay struct {
+	fleet     trace.Fleet
+	now       time.Time
+	events    eventHeap
+	sequence  int
+	endpoints map[string]*fakeEndpoint
+	instances []*fakeInstance
+	results   []*fakeRequest
+	spent     map[*fakeRequest]time.Duration
+	baseline  bool
+}
+
+type fakeEndpoint struct {
+	slots, running int
+	waiting        []func()
+	slow           float64
+	dead           bool
+}
+
+// fakeInstance is the decision state of one instance.
+type fakeInstance struct {
+	pools map[string]*decision.Pool
+	plans map[string]*decision.Plan
+}
+
+type fakeRequest struct {
+	*trace.Request
+	instance *fakeInstance
+	pipeline config.Pipeline
+	deadline time.Time
+	work     decision.Work
+	place    *decision.Admission
+	answered bool
+}
+
+func newReplay(fleet trace.Fleet, policy decision.Policy) *replay {
+	r := &replay{fleet: fleet, now: start, endpoints: map[string]*fakeEndpoint{}, spent: map[*fakeRequest]time.Duration{}, baseline: policy != decision.Adaptive}
+	for n, domain := range fleet.Domains {
+		i := &fakeInstance{pools: map[string]*decision.Pool{}, plans: map[string]*decision.Plan{}}
+		for _, s := range fleet.Services {
+			pool := decision.NewPool(decision.Config{Policy: policy, FailureDomain: domain, MaxQueue: 1024}, rand.New(rand.NewPCG(uint64(n), 9)))
+			var list []decision.Endpoint
+			for e := range s.Endpoints {
+				name := trace.EndpointName(s.Name, e)
+				list = append(list, decision.Endpoint{Name: name, FailureDomain: fleet.Domains[e%len(fleet.Domains)], Incarnation: 1})
+				r.endpoints[name] = &fakeEndpoint{slots: s.Concurrency, slow: 1}
+			}
+			pool.Update(start, s.Concurrency, list)
+			pool.SetSharers(len(fleet.Domains))
+			i.pools[s.Name] = pool
+		}
+		for _, p := range fleet.Pipelines {
+			var steps []decision.Step
+			for k, stage := range p.Stages {
+				steps = append(steps, decision.Step{Pool: i.pools[stage.Service], Inputs: p.Inputs(k)})
+			}
+			i.plans[p.Name] = decision.NewPlan(steps)
+		}
+		r.instances = append(r.instances, i)
+	}
+	return r
+}
+
+func (r *replay) run(t *trace.Trace) {
+	for n, e := range t.Entries {
+		r.at(start.Add(e.At()), func() { r.entry(n, e) })
+	}
+	for tick := time.Duration(0); tick < 4*time.Second; tick += 20 * time.Millisecond {
+		r.at(start.Add(tick), r.tick)
+	}
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.do()
+	}
+}
+
+func (r *replay) tick() {
+	for _, i := range r.instances {
+		for _, p := range i.pools {
+			p.Tick(r.now)
+		}
+	}
+}
+
+func (r *replay) entry(n int, e trace.Entry) {
+	if e.Switch != nil {
+		for _, name := range e.Switch.Endpoints {
+			r.endpoints[name].dead = e.Switch.State.Dead
+			r.endpoints[name].slow = max(1, e.Switch.State.Faults.Slow)
+		}
+		return
+	}
+	q := &fakeRequest{Request: e.Request, instance: r.instances[n%len(r.instances)]}
+	caution := decision.AttainmentCaution
+	for _, p := range r.fleet.Pipelines {
+		if p.Name == e.Request.Pipeline {
+			q.pipeline = p
+			q.deadline = r.now.Add(p.Deadline())
+			if p.Objective == config.Cost {
+				caution = decision.CostCaution
+			}
+		}
+	}
+	q.work = decision.Work{Organisation: e.Request.Organisation, Weight: 1, Deadline: q.deadline}
+	for _, o := range r.fleet.Organisations {
+		if o.Name == e.Request.Organisation {
+			q.work.Weight = float64(o.Weight)
+		}
+	}
+	r.results = append(r.results, q)
+	place, refusal := q.instance.plans[q.pipeline.Name].Admit(r.now, q.work, caution)
+	if refusal == nil {
+		q.place = place
+		r.stage(q, 0, nil)
+	}
+}
+
+// stage asks for an endpoint for the stage at index k.
+func (r *replay) stage(q *fakeRequest, k int, tried []string) {
+	if k == len(q.pipeline.Stages) {
+		q.answered = !r.now.After(q.deadline)
+		q.place.Close()
+		return
+	}
+	work := q.work
+	work.Exclude = tried
+	work.Deadline = q.instance.plans[q.pipeline.Name].StageDeadline(r.now, k, q.deadline)
+	v := q.instance.pools[q.pipeline.Stages[k].Service].Acquire(r.now, work)
+	if v.Waiter != nil {
+		r.poll(q, k, tried, v.Waiter)
+		return
+	}
+	r.verdict(q, k, tried, v)
+}
+
+// poll looks each millisecond whether waiting work has its verdict.
+func (r *replay) poll(q *fakeRequest, k int, tried []string, w *decision.Waiter) {
+	select {
+	case v := <-w.Done:
+		r.verdict(q, k, tried, v)
+	default:
+		r.at(r.now.Add(time.Millisecond), func() { r.poll(q, k, tried, w) })
+	}
+}
+
+func (r *replay) verdict(q *fakeRequest, k int, tried []string, v decision.Verdict) {
+	pool := q.instance.pools[q.pipeline.Stages[k].Service]
+	if v.Refusal != nil {
+		q.place.Close()
+		return
+	}
+	e := r.endpoints[v.Grant.Endpoint.Name]
+	tried = append(tried, v.Grant.Endpoint.Name)
+	if e.dead {
+		pool.Finish(r.now, v.Grant, decision.Unreachable, nil)
+		if r.baseline && len(tried) > 1 {
+			q.place.Close()
+			return
+		}
+		r.stage(q, k, tried)
+		return
+	}
+	begin := func() {
+		took := time.Duration(q.WorkMs[q.pipeline.Stages[k].Name] * e.slow * float64(time.Millisecond))
+		broken := min(took, max(0, q.deadline.Sub(r.now)))
+		r.at(r.now.Add(broken), func() { r.finish(q, k, v.Grant, e, broken, broken < took) })
+	}
+	if e.running < e.slots {
+		e.running++
+		begin()
+		return
+	}
+	e.waiting = append(e.waiting, begin)
+}
+
+func (r *replay) finish(q *fakeRequest, k int, g *decision.Grant, e *fakeEndpoint, took time.Duration, broken bool) {
+	r.spent[q] += took
+	e.running--
+	if len(e.waiting) > 0 {
+		e.running++
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		next()
+	}
+	result := decision.Success
+	if broken {
+		result = decision.Failure
+	}
+	q.instance.pools[q.pipeline.Stages[k].Service].Finish(r.now, g, result, &decision.Report{Running: e.running, Waiting: len(e.waiting)})
+	if broken {
+		q.place.Close()
+		return
+	}
+	q.place.StageDone(k)
+	r.stage(q, k+1, nil)
+}
+
+// smallWaste is the wasted share that is never too much.
+const smallWaste = 0.02
+
+func replayed(fleet trace.Fleet, policy decision.Policy, t *trace.Trace) outcome {
+	r := newReplay(fleet, policy)
+	r.run(t)
+	return r.outcome()
+}
+
+// outcome is what a replay has reached.
+type outcome struct{ attainment, wasted, others float64 }
+
+func (r *replay) outcome() outcome {
+	answered, others, othersAnswered := 0, 0, 0
+	var spent, wasted time.Duration
+	for _, q := range r.results {
+		spent += r.spent[q]
+		if q.answered {
+			answered++
+		} else {
+			wasted += r.spent[q]
+		}
+		if q.Organisation != r.fleet.Organisations[0].Name {
+			others++
+			if q.answered {
+				othersAnswered++
+			}
+		}
+	}
+	return outcome{
+		attainment: float64(answered) / float64(len(r.results)),
+		wasted:     float64(wasted) / float64(spent),
+		others:     float64(othersAnswered) / float64(others),
+	}
+}
+
+type event struct {
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+func (r *replay) at(at time.Time, do func()) {
+	r.sequence++
+	heap.Push(&r.events, event{at, r.sequence, do})
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+var _ = Describe("replay of the recorded traces", func() {
+	for _, fleet := range trace.Fleets() {
+		for _, name := range trace.Names() {
+			It(fmt.Sprintf("%s %s reaches its stated outcome", fleet.Name, name), func() {
+				file, err := os.Open(filepath.Join("..", "..", "_fixtures", "traces", fleet.Name+"-"+name+".jsonl"))
+				Expect(err).NotTo(HaveOccurred())
+				defer file.Close()
+				t, err := trace.Read(file)
+				Expect(err).NotTo(HaveOccurred())
+				got := replayed(fleet, decision.Adaptive, t)
+				AddReportEntry("adaptive", fmt.Sprintf("%+v", got))
+				best := outcome{wasted: 1}
+				for _, policy := range []decision.Policy{decision.Random, decision.RoundRobin, decision.LeastInFlight, decision.StrictLocal} {
+					baseline := replayed(fleet, policy, t)
+					AddReportEntry(string(policy), fmt.Sprintf("%+v", baseline))
+					best.attainment = max(best.attainment, baseline.attainment)
+					best.wasted = min(best.wasted, baseline.wasted)
+				}
+				expected := t.Header.Expected
+				Expect(got.attainment).To(BeNumerically(">=", expected.MinAttainment))
+				Expect(got.attainment).To(BeNumerically(">=", best.attainment+expected.MinMargin))
+				Expect(got.wasted).To(BeNumerically("<=", max(expected.MaxWasteRatio*best.wasted, smallWaste)))
+				Expect(got.others).To(BeNumerically(">=", expected.MinOthersAttainment))
+			})
+		}
+	}
+})
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -69,6 +69,7 @@
 	waiting     []*waitingCall
 	active      map[string]context.CancelFunc
 	runs        []Run
+	loads       []loadAt
 	calls       int
 	prefixes    *lru.Cache[string, struct{}]
 	crossed     chan openinference.InferResponse
@@ -256,7 +257,20 @@
 func (e *Endpoint) setLoad(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.Header().Set(openinference.HeaderLoad, openinference.EncodeLoad(e.running, len(e.waiting), e.faults.Draining))
+	now := time.Now()
+	e.loads = append(e.loads, loadAt{at: now, running: e.running, waiting: len(e.waiting)})
+	stale := time.Duration(e.faults.StaleLoadMs) * time.Millisecond
+	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= stale {
+		e.loads = e.loads[1:]
+	}
+	load := e.loads[0]
+	w.Header().Set(openinference.HeaderLoad, openinference.EncodeLoad(load.running, load.waiting, e.faults.Draining))
+}
+
+// loadAt is a load and when it was.
+type loadAt struct {
+	at               time.Time
+	running, waiting int
 }
 
 func (e *Endpoint) cancel(w http.ResponseWriter, r bunrouter.Request) error {
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -39,6 +39,8 @@
 	Twice     bool `json:"twice,omitempty"`
 	Garbage   bool `json:"garbage,omitempty"`
 	Oversized bool `json:"oversized,omitempty"`
+	// StaleLoadMs makes load reports that old, in milliseconds.
+	StaleLoadMs int `json:"stale_load_ms,omitempty"`
 	// LateMs delays the answer after the call has run, in milliseconds.
 	LateMs int `json:"late_ms,omitempty"`
 	// DieAfterTokens and FreezeAfterTokens break a stream, SkipTokens leaves a gap.
--- a/pkg/standin/site.go
+++ b/pkg/standin/site.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -138,8 +140,10 @@
 		}
 		return e.set(state)
 	})
-	router.GET("/runs", func(w http.ResponseWriter, _ bunrouter.Request) error {
-		return json.NewEncoder(w).Encode(s.Runs())
+	router.GET("/runs", func(w http.ResponseWriter, r bunrouter.Request) error {
+		prefix := r.URL.Query().Get("prefix")
+		runs := slices.DeleteFunc(s.Runs(), func(run Run) bool { return !strings.HasPrefix(run.Request, prefix) })
+		return json.NewEncoder(w).Encode(runs)
 	})
 	router.GET("/counts", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		return json.NewEncoder(w).Encode(s.KeyValue.Counts())
