decision: refuse at once what has become too late; count service times without waiting

Cause, seen by polling what each instance has in flight during the flood: engines stood idle while work waited. Work at the head of the queue that fitted no endpoint any more, since its time was too short, was passed over and stopped the rest behind it until its deadline came; the instances swung between 17 calls in flight and none. Change: such work is refused at once (its caller learns it at once, too), what follows is looked at, and a call that the deadline cuts no longer counts as the endpoint's failure. A target's time is smoothed without the waiting that its load report explains, and the forecast takes what ends a second from the share of the slots or from what is in flight, whichever is more. Taken out: prompt prefix hints. The hinted engine is more often the loaded one, and eight prefixes for each engine are evicted before they come back.

--- a/pkg/decision/admission.go
+++ b/pkg/decision/admission.go
@@ -55,7 +55,7 @@
 // The cautions of the two objectives.
 const (
 	AttainmentCaution Caution = 0.75
-	CostCaution       Caution = 1.5
+	CostCaution       Caution = 1
 )
 
 // Admission is an admitted request's place in the backlog of each step's pool.
@@ -134,16 +134,28 @@
 		return forecast{idle: true}
 	}
 	f := forecast{}
-	f.mean, f.deviation = p.latency.at(now)
-	// What this instance has in flight ends at the rate of inFlight/mean, however
-	// many others use the endpoints (Little's law): it has that capacity at least.
-	capacity := max(p.capacity*p.share, float64(p.inFlight), 1)
+	f.mean, f.deviation = p.service.at(now)
 	ahead := p.backlog.ahead(work)
 	f.idle = ahead == 0
-	f.wait = max(0, ahead+1-capacity) / capacity * f.mean
+	slots := max(p.capacity*p.share, 1)
+	if rate := p.rate(now, slots); rate > 0 {
+		f.wait = max(0, ahead+1-slots) / rate
+	}
 	return f
 }
 
+// rate is how many calls a second end for this instance: as many as its share of the
+// endpoints can do, or as what is in flight shows, whichever is more. In flight are
+// rate times usual time, however many others use the endpoints (Little's law).
+func (p *Pool) rate(now time.Time, slots float64) float64 {
+	service, _ := p.service.at(now)
+	latency, _ := p.latency.at(now)
+	if service <= 0 || latency <= 0 {
+		return 0
+	}
+	return max(slots/service, float64(p.inFlight)/latency)
+}
+
 func (p *Pool) enter(work *Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/decision/choose.go
+++ b/pkg/decision/choose.go
@@ -17,10 +17,7 @@
 // choose returns the target for work, or nil if none is free. Local targets go
 // first; the others take what the local ones have no room for.
 func (p *Pool) choose(now time.Time, work *Work) *target {
-	poolMean, _ := p.latency.at(now)
-	if t := p.hinted(now, work, poolMean); t != nil {
-		return t
-	}
+	poolMean, _ := p.service.at(now)
 	if t := p.sample(now, p.local, work, poolMean); t != nil {
 		return t
 	}
--- a/pkg/decision/pool.go
+++ b/pkg/decision/pool.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"sync"
 	"time"
-
-	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 const (
@@ -18,13 +16,14 @@
 	// slowDeviations is how many mean deviations above the mean a call must take
 	// to count as failed when it is broken off.
 	slowDeviations = 4
-	// shareIncrease is what the share of the capacity grows by, in equal parts, and
-	// shareDecrease the factor when it shrinks, with each report.
-	shareIncrease = 0.2
-	shareDecrease = 0.97
+	// shareIncrease and shareDecrease are the parts by which the share of the capacity
+	// grows and shrinks in the usual time of a call.
+	shareIncrease = 0.25
+	shareDecrease = 0.25
 	pressedFor    = 100 * time.Millisecond
-	// prefixHints is how many prompt prefixes a pool remembers.
-	prefixHints = 1 << 14
+	// maxPassedOver bounds the waiting work that is looked at because what comes
+	// before it fits no free endpoint.
+	maxPassedOver = 16
 )
 
 // Pool holds the endpoints of one service and the work that wants them. Safe for
@@ -45,29 +44,27 @@
 	nextReturn    time.Time
 	queue         queue
 	backlog       backlog
-	latency       estimate
+	latency       estimate // of calls as they are, waiting at the endpoint included
+	service       estimate // of calls without that waiting
 	// sharers is the number of instances that use the same endpoints, share the part
 	// of their capacity that this one may count on.
 	sharers int
 	share   float64
 	// pressed is when work last waited for, or was refused by, the pool's capacity.
-	pressed  time.Time
-	retries  float64
-	prefixes *lru.Cache[uint64, prefixHint]
+	pressed time.Time
+	retries float64
 }
 
 // NewPool returns a pool without endpoints. The random source is used under the
 // pool's lock alone.
 func NewPool(config Config, random *rand.Rand) *Pool {
-	prefixes, _ := lru.New[uint64, prefixHint](prefixHints)
 	return &Pool{
-		config:   config,
-		random:   random,
-		targets:  map[string]*target{},
-		retries:  maxRetries,
-		sharers:  1,
-		share:    1,
-		prefixes: prefixes,
+		config:  config,
+		random:  random,
+		targets: map[string]*target{},
+		retries: maxRetries,
+		sharers: 1,
+		share:   1,
 	}
 }
 
@@ -161,7 +158,11 @@
 	if !p.untried(work) {
 		return &Refusal{Reason: NoEndpoint}
 	}
-	if work.Deadline.Before(now) {
+	// While nothing is in flight, work runs however little time is left, since an
+	// estimate that is too high would otherwise never be corrected.
+	usual, _ := p.service.at(now)
+	left := work.Deadline.Sub(now)
+	if left < 0 || p.inFlight > 0 && left < seconds(usual) {
 		return &Refusal{Reason: TooLate}
 	}
 	return nil
@@ -230,11 +231,14 @@
 // up while work waits here but none at the endpoints, down when some waits there.
 func (p *Pool) adaptShare(now time.Time, r Report) {
 	least := 1 / float64(p.sharers)
+	// Each call in flight reports once, so that this is the part of one change for
+	// each usual time of a call: the effect shows only after that.
+	part := 1 / float64(max(p.inFlight, 1))
 	switch {
 	case r.Waiting > 0:
-		p.share = max(least, p.share*shareDecrease)
+		p.share = max(least, p.share*(1-shareDecrease*part))
 	case p.queue.length > 0 || now.Sub(p.pressed) < pressedFor:
-		p.share = min(1, p.share+shareIncrease*least)
+		p.share = min(1, p.share*(1+shareIncrease*part))
 	}
 }
 
@@ -269,7 +273,7 @@
 			continue
 		}
 		passedOver = append(passedOver, w)
-		if len(p.local)+len(p.remote) == 0 || len(w.work.Exclude) == 0 {
+		if p.full() || len(passedOver) == maxPassedOver {
 			break
 		}
 	}
@@ -278,6 +282,9 @@
 	}
 }
 
+// full tells whether no call may begin now, whatever the work.
+func (p *Pool) full() bool { return len(p.local)+len(p.remote) == 0 }
+
 func (p *Pool) grant(now time.Time, t *target, work Work) *Grant {
 	t.inFlight++
 	p.inFlight++
@@ -305,11 +312,12 @@
 	switch result {
 	case Success:
 		took := now.Sub(g.start)
-		t.latency.add(now, took)
 		p.latency.add(now, took)
+		service := t.uncontended(took)
+		t.latency.add(now, service)
+		p.service.add(now, service)
 		p.retries = min(maxRetries, p.retries+retryShare)
 		t.succeeded()
-		p.rememberPrefix(now, g.work.Prefix, t)
 	case Failure:
 		p.failed(now, t)
 	case Unreachable:
--- a/pkg/decision/pool_test.go
+++ b/pkg/decision/pool_test.go
@@ -270,35 +270,3 @@
 		granted(p.Acquire(start, work("a")))
 	})
 })
-
-var _ = Describe("prompt prefixes", func() {
-	prefixed := func(prefix uint64) decision.Work {
-		w := work("a")
-		w.Prefix = prefix
-		return w
-	}
-
-	It("go back to the endpoint that ran them, while the hint is fresh and it has room", func() {
-		p := newPool(decision.Adaptive, 2, endpoints(8, "here")...)
-		g := granted(p.Acquire(start, prefixed(7)))
-		finish(p, g, time.Millisecond)
-		for range 5 {
-			again := granted(p.Acquire(start, prefixed(7)))
-			Expect(again.Endpoint.Name).To(Equal(g.Endpoint.Name))
-			finish(p, again, time.Millisecond)
-		}
-		granted(p.Acquire(start, prefixed(7)))
-		granted(p.Acquire(start, prefixed(7)))
-		Expect(granted(p.Acquire(start, prefixed(7))).Endpoint.Name).NotTo(Equal(g.Endpoint.Name))
-	})
-
-	It("are forgotten when evicted, and when their endpoint leaves", func() {
-		p := newPool(decision.Adaptive, 2, endpoints(8, "here")...)
-		g := granted(p.Acquire(start, prefixed(7)))
-		finish(p, g, time.Millisecond)
-		p.MarkLeaving(g.Endpoint.Name, 1)
-		Expect(granted(p.Acquire(start, prefixed(7))).Endpoint.Name).NotTo(Equal(g.Endpoint.Name))
-		p.ForgetPrefix(7)
-		granted(p.Acquire(start, prefixed(7)))
-	})
-})
--- a/pkg/decision/replay_test.go
+++ b/pkg/decision/replay_test.go
@@ -205,7 +205,7 @@
 	}
 	result := decision.Success
 	if broken {
-		result = decision.Failure
+		result = decision.Abandoned
 	}
 	q.instance.pools[q.pipeline.Stages[k].Service].Finish(r.now, g, result, &decision.Report{Running: e.running, Waiting: len(e.waiting)})
 	if broken {
--- a/pkg/decision/target.go
+++ b/pkg/decision/target.go
@@ -92,6 +92,19 @@
 	return load
 }
 
+// uncontended is the time that a call would have taken without waiting at the
+// endpoint: its time less the part that the load above the concurrency explains.
+func (t *target) uncontended(took time.Duration) time.Duration {
+	load := float64(t.report.Running+t.report.Waiting) / float64(max(t.concurrency, 1))
+	return time.Duration(float64(took) / max(1, load))
+}
+
+// expected is the time that a call would likely take at the target now, in seconds.
+func (t *target) expected(now time.Time, poolMean float64) float64 {
+	contention := max(1, (t.load(now)+1)/float64(t.concurrency))
+	return t.mean(now, poolMean) * contention
+}
+
 // score is lower for a better choice: the time a call would likely take there.
 func (t *target) score(now time.Time, poolMean float64) float64 {
 	return (1 + t.load(now)/float64(t.concurrency)) * max(t.mean(now, poolMean), 1e-6)
--- a/pkg/decision/work.go
+++ b/pkg/decision/work.go
@@ -45,9 +45,6 @@
 	Deadline time.Time
 	// Exclude names endpoints that must not be chosen: those tried before.
 	Exclude []string
-	// Prefix identifies a prompt prefix that an engine may hold in its cache; 0
-	// stands for none.
-	Prefix uint64
 }
 
 func (w *Work) excludes(name string) bool {
--- a/pkg/traffic/executor.go
+++ b/pkg/traffic/executor.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
@@ -340,11 +338,3 @@
 	data, _ := json.Marshal(in)
 	return data
 }
-
-// prefix identifies the prompt prefix of a generation stage; 0 if it has none.
-func (r *run) prefix(stage *config.Stage) uint64 {
-	if r.request.PromptCacheKey == "" || stage.Kind != config.Generation {
-		return 0
-	}
-	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%s", r.request.Organisation, stage.Model, stage.Adapter, r.request.PromptCacheKey))
-}
--- a/pkg/traffic/stage.go
+++ b/pkg/traffic/stage.go
@@ -149,7 +149,6 @@
 	work := s.work
 	work.Deadline = s.plan.StageDeadline(s.Clock.Now(), s.index, s.request.Deadline)
 	work.Exclude = s.tried
-	work.Prefix = s.prefix(s.stage)
 	return work
 }
 
@@ -256,7 +255,8 @@
 		return decision.Draining
 	case e.Effect == endpoint.Refused:
 		return decision.Busy
-	case e.Effect == endpoint.Stopped || ctx.Err() == context.Canceled:
+	case e.Effect == endpoint.Stopped || ctx.Err() != nil:
+		// A deadline that passes says nothing by itself: the call may have begun late.
 		return decision.Abandoned
 	}
 	return decision.Failure
