placement, lease: models on endpoints by fenced orders of one holder

Also: the instance list is read with entity tags, so that an unchanged list is not sent again; services look up those they need in one step.

--- /dev/null
+++ b/pkg/config/bench_test.go
@@ -0,0 +1,97 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/config"
+)
+
+// designOrganisations and designChanges are the sizes of the users' plan: all
+// organisations, and two days' changes.
+const (
+	designOrganisations = 15_000
+	designChanges       = 20_000
+)
+
+// large returns a configuration of the design size, and the replica that holds it.
+func large(organisations, changes int) (*config.Configuration, *config.Replica) {
+	first := config.Change{ID: "first", Revision: 1}
+	for i := range organisations {
+		first.Operations = append(first.Operations, putOrganisation(fmt.Sprintf("organisation-%05d", i), 1))
+	}
+	c, err := config.Empty().Apply(first)
+	if err != nil {
+		panic(err)
+	}
+	replica := config.NewReplica()
+	replica.Advance(c, []config.Change{first})
+	for i := range changes {
+		change := config.NewChange(fmt.Sprintf("00000000-0000-4000-8000-%012d", i), "automation", time.UnixMilli(1796204992778), putOrganisation(fmt.Sprintf("organisation-%05d", i%organisations), 2))
+		change.Revision = c.Revision() + 1
+		if c, err = c.Apply(change); err != nil {
+			panic(err)
+		}
+		replica.Advance(c, []config.Change{change})
+	}
+	return c, replica
+}
+
+// BenchmarkApply measures taking over one accepted change, BenchmarkCheck checking
+// one before it is accepted.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{1500, designOrganisations} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			c, _ := large(n, 10)
+			change := config.Change{ID: "c", Revision: c.Revision() + 1, Operations: []config.Operation{putOrganisation("organisation-00001", 3)}}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = c.Apply(change)
+			}
+		})
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	c, _ := large(designOrganisations, 10)
+	change := config.Change{ID: "c", Revision: c.Revision() + 1, Operations: []config.Operation{putOrganisation("organisation-00001", 3)}}
+	for b.Loop() {
+		_, _ = c.Check(change)
+	}
+}
+
+// BenchmarkPull measures what a peer gives to one that lags by one change, and by all.
+func BenchmarkPull(b *testing.B) {
+	_, replica := large(designOrganisations, 100)
+	revision := replica.Current().Revision()
+	for name, from := range map[string]uint64{"one": revision - 1, "all": 0} {
+		b.Run("lag="+name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				u, _ := replica.Since(from)
+				size = len(u.Snapshot)
+			}
+			b.ReportMetric(float64(size), "snapshot-bytes")
+		})
+	}
+}
+
+// BenchmarkMemory gives the heap that a configuration of the design size takes.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		c, replica := large(designOrganisations, designChanges)
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MiB")
+		runtime.KeepAlive(c)
+		runtime.KeepAlive(replica)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -146,6 +146,15 @@
 	return pipelines
 }
 
+// Placements returns all placements, sorted by name.
+func (c *Configuration) Placements() []*Placement {
+	var placements []*Placement
+	for _, name := range slices.Sorted(maps.Keys(c.objects[KindPlacement])) {
+		placements = append(placements, c.objects[KindPlacement][name].Object.Placement)
+	}
+	return placements
+}
+
 // Accepted returns the remembered changes, oldest first. Not to be changed.
 func (c *Configuration) Accepted() []Accepted { return c.accepted }
 
--- a/pkg/config/follower.go
+++ b/pkg/config/follower.go
@@ -191,7 +191,7 @@
 // watch holds the watch on the head while this instance is one of the watchers.
 func (f *Follower) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if f.watches() {
+		if f.Watches() {
 			f.hold(ctx)
 		}
 		f.pause(ctx, checkPeriod)
@@ -217,7 +217,7 @@
 
 // cancelWhenReplaced ends the watch when others are to hold it.
 func (f *Follower) cancelWhenReplaced(ctx context.Context, cancel func()) {
-	for ctx.Err() == nil && f.watches() {
+	for ctx.Err() == nil && f.Watches() {
 		f.pause(ctx, checkPeriod)
 	}
 	cancel()
@@ -229,10 +229,10 @@
 	}
 }
 
-// watches tells whether this instance is one of its domain's watchers, which all
+// Watches tells whether this instance is one of its domain's watchers, which all
 // instances work out alike from the live members: those with the highest hash of
 // name and key (rendezvous hashing). go-rendezvous would do, but its Remove panics.
-func (f *Follower) watches() bool {
+func (f *Follower) Watches() bool {
 	own := watchWeight(f.Self.Name)
 	higher := 0
 	for _, peer := range f.Peers() {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -71,6 +71,7 @@
 	confirmed     bool
 	instances     int
 	listed        map[string]*listedEndpoint
+	missing       int               // of the listed, those that the list lacks now
 	leaving       map[string]uint64 // incarnation by endpoint, as heard from answers and peers
 	pools         map[string]*decision.Pool
 	leavingShared atomic.Pointer[[]LeavingEndpoint]
@@ -81,10 +82,11 @@
 	random        *rand.Rand
 }
 
-// listedEndpoint is an endpoint of the instance list and when it was last there.
+// listedEndpoint is an endpoint of the instance list.
 type listedEndpoint struct {
 	platform.Listed
-	seen time.Time
+	// missing is since when the list lacks it; zero while it is there.
+	missing time.Time
 }
 
 // LeavingEndpoint is one incarnation of an endpoint known to be leaving.
@@ -155,8 +157,14 @@
 // Confirm says that the configuration is as new as can be found out.
 func (c *Control) Confirm() { c.events <- confirmed{} }
 
-// SetListed takes in a reading of the instance list.
-func (c *Control) SetListed(list []platform.Listed) { c.events <- listRead{list} }
+// SetListed takes in a reading of the instance list, or that it is unchanged.
+func (c *Control) SetListed(list []platform.Listed, unchanged bool) {
+	if unchanged {
+		c.events <- listUnchanged{}
+		return
+	}
+	c.events <- listRead{list}
+}
 
 // Leaving says that an endpoint's incarnation is leaving, as its own answer or a
 // peer has told.
@@ -189,25 +197,56 @@
 
 func (e listRead) apply(c *Control) {
 	now := c.clock.Now()
+	present := make(map[string]bool, len(e.list))
 	for _, l := range e.list {
 		if l.Service == "" {
 			c.members.AddContact(now, l.Address)
 			continue
 		}
-		c.listed[l.Name] = &listedEndpoint{Listed: l, seen: now}
+		present[l.Name] = true
+		c.listed[l.Name] = &listedEndpoint{Listed: l}
 		if l.State == platform.Leaving {
 			c.noteLeaving(LeavingEndpoint{l.Name, l.Incarnation}, "instance list")
 		}
 	}
+	c.missing = 0
 	for name, l := range c.listed {
-		if now.Sub(l.seen) > listedGrace {
-			delete(c.listed, name)
-			delete(c.leaving, name)
+		if present[name] {
+			continue
+		}
+		c.missing++
+		if l.missing.IsZero() {
+			l.missing = now
 		}
 	}
+	c.dropMissing(now)
 	c.updatePools()
 }
 
+type listUnchanged struct{}
+
+func (listUnchanged) apply(c *Control) {
+	if c.missing > 0 && c.dropMissing(c.clock.Now()) {
+		c.updatePools()
+	}
+}
+
+// dropMissing forgets the endpoints that the list has lacked for too long, and tells
+// whether there were any.
+func (c *Control) dropMissing(now time.Time) bool {
+	dropped := false
+	for name, l := range c.listed {
+		if l.missing.IsZero() || now.Sub(l.missing) <= listedGrace {
+			continue
+		}
+		delete(c.listed, name)
+		delete(c.leaving, name)
+		c.missing--
+		dropped = true
+	}
+	return dropped
+}
+
 type left struct {
 	endpoint LeavingEndpoint
 	from     string
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -28,6 +28,7 @@
 	ServiceCallers   = "callers"
 	ServiceOperators = "operators"
 	ServiceMetrics   = "metrics"
+	ServicePlacement = "placement"
 )
 
 // Daemon is one entry instance.
@@ -79,7 +80,8 @@
 		{ServiceControl, &controlService{}, []string{ServiceBase, ServicePlatform, ServicePeers}},
 		{ServiceConfig, &configService{}, []string{ServiceBase, ServicePlatform, ServicePeers, ServiceControl}},
 		{ServiceTraffic, &trafficService{}, []string{ServiceBase, ServicePlatform, ServicePeers, ServiceControl, ServiceConfig}},
-		{ServiceCallers, &callersService{}, []string{ServiceTraffic, ServiceOperators, ServiceMetrics}},
+		{ServicePlacement, &placementService{}, []string{ServiceTraffic}},
+		{ServiceCallers, &callersService{}, []string{ServiceTraffic, ServiceOperators, ServiceMetrics, ServicePlacement}},
 		{ServiceOperators, &operatorsService{}, []string{ServiceTraffic, ServicePeers}},
 		{ServiceMetrics, &metricsService{}, []string{ServiceBase}},
 	}
--- a/pkg/daemon/faces.go
+++ b/pkg/daemon/faces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -87,21 +88,15 @@
 
 // Start implements kernel.Service.
 func (s *trafficService) Start(k *kernel.Kernel, t *tomb.Tomb) error {
-	var err error
-	if s.base, err = lookupBase(k); err != nil {
-		return err
-	}
-	if s.control, err = kernel.Lookup[*controlService](k, ServiceControl); err != nil {
-		return err
-	}
-	if s.config, err = kernel.Lookup[*configService](k, ServiceConfig); err != nil {
-		return err
-	}
-	platformService, err := kernel.Lookup[*platformService](k, ServicePlatform)
-	if err != nil {
-		return err
-	}
-	peersService, err := kernel.Lookup[*peersService](k, ServicePeers)
+	var platformService *platformService
+	var peersService *peersService
+	err := errors.Join(
+		kernel.Find(k, ServiceBase, &s.base),
+		kernel.Find(k, ServiceControl, &s.control),
+		kernel.Find(k, ServiceConfig, &s.config),
+		kernel.Find(k, ServicePlatform, &platformService),
+		kernel.Find(k, ServicePeers, &peersService),
+	)
 	if err != nil {
 		return err
 	}
@@ -237,11 +232,12 @@
 
 // Start implements kernel.Service.
 func (s *operatorsService) Start(k *kernel.Kernel, t *tomb.Tomb) error {
-	trafficService, err := kernel.Lookup[*trafficService](k, ServiceTraffic)
-	if err != nil {
-		return err
-	}
-	peersService, err := kernel.Lookup[*peersService](k, ServicePeers)
+	var trafficService *trafficService
+	var peersService *peersService
+	err := errors.Join(
+		kernel.Find(k, ServiceTraffic, &trafficService),
+		kernel.Find(k, ServicePeers, &peersService),
+	)
 	if err != nil {
 		return err
 	}
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -152,19 +153,17 @@
 
 // Start implements kernel.Service.
 func (s *controlService) Start(k *kernel.Kernel, t *tomb.Tomb) error {
-	b, err := lookupBase(k)
-	if err != nil {
-		return err
-	}
-	s.base = b
-	peersService, err := kernel.Lookup[*peersService](k, ServicePeers)
-	if err != nil {
-		return err
-	}
-	platformService, err := kernel.Lookup[*platformService](k, ServicePlatform)
+	var peersService *peersService
+	var platformService *platformService
+	err := errors.Join(
+		kernel.Find(k, ServiceBase, &s.base),
+		kernel.Find(k, ServicePeers, &peersService),
+		kernel.Find(k, ServicePlatform, &platformService),
+	)
 	if err != nil {
 		return err
 	}
+	b := s.base
 	s.gossip = peersService.gossip
 	s.Control = control.New(controlSettings(b.settings, peersService.self), peersService.gossip, b.clock, b.ring, b.logs.For("control"))
 	t.Go(func() error { return s.Control.Run(t) })
@@ -192,9 +191,9 @@
 	ctx := t.Context(context.Background())
 	reached := true
 	for t.Alive() {
-		listed, err := list.List(ctx)
+		listed, unchanged, err := list.List(ctx)
 		if err == nil {
-			s.SetListed(listed)
+			s.SetListed(listed, unchanged)
 		}
 		if ctx.Err() == nil && reached != (err == nil) {
 			reached = err == nil
@@ -238,19 +237,16 @@
 
 // Start implements kernel.Service.
 func (s *configService) Start(k *kernel.Kernel, t *tomb.Tomb) error {
-	b, err := lookupBase(k)
-	if err != nil {
-		return err
-	}
-	control, err := kernel.Lookup[*controlService](k, ServiceControl)
-	if err != nil {
-		return err
-	}
-	platformService, err := kernel.Lookup[*platformService](k, ServicePlatform)
-	if err != nil {
-		return err
-	}
-	peersService, err := kernel.Lookup[*peersService](k, ServicePeers)
+	var b *base
+	var control *controlService
+	var platformService *platformService
+	var peersService *peersService
+	err := errors.Join(
+		kernel.Find(k, ServiceBase, &b),
+		kernel.Find(k, ServiceControl, &control),
+		kernel.Find(k, ServicePlatform, &platformService),
+		kernel.Find(k, ServicePeers, &peersService),
+	)
 	if err != nil {
 		return err
 	}
--- a/pkg/decision/choose.go
+++ b/pkg/decision/choose.go
@@ -74,7 +74,7 @@
 
 // fit tells whether a target may do the work and would usually be in time.
 func (p *Pool) fit(now time.Time, t *target, work *Work, poolMean float64) bool {
-	if work.excludes(t.Name) {
+	if work.excludes(t.Name) || now.Before(p.lacking[work.Model][t]) {
 		return false
 	}
 	if t.latency.samples == 0 {
--- a/pkg/decision/pool.go
+++ b/pkg/decision/pool.go
@@ -42,10 +42,13 @@
 	inFlight      int // calls of this instance
 	ejected       []*target
 	nextReturn    time.Time
-	queue         queue
-	backlog       backlog
-	latency       estimate // of calls as they are, waiting at the endpoint included
-	service       estimate // of calls without that waiting
+	// lacking are the targets that have refused a model since they do not hold it,
+	// and until when that counts.
+	lacking map[string]map[*target]time.Time
+	queue   queue
+	backlog backlog
+	latency estimate // of calls as they are, waiting at the endpoint included
+	service estimate // of calls without that waiting
 	// sharers is the number of instances that use the same endpoints, share the part
 	// of their capacity that this one may count on.
 	sharers int
@@ -62,6 +65,7 @@
 		config:  config,
 		random:  random,
 		targets: map[string]*target{},
+		lacking: map[string]map[*target]time.Time{},
 		retries: maxRetries,
 		sharers: 1,
 		share:   1,
@@ -155,7 +159,7 @@
 
 // hopeless returns a refusal for work that no endpoint can do in time.
 func (p *Pool) hopeless(now time.Time, work *Work) *Refusal {
-	if !p.untried(work) {
+	if !p.untried(work) || p.allLack(now, work.Model) {
 		return &Refusal{Reason: NoEndpoint}
 	}
 	// While nothing is in flight, work runs however little time is left, since an
@@ -329,6 +333,8 @@
 			t.Leaving = true
 			p.live--
 		}
+	case Lacking:
+		p.lacks(now, t, g.work.Model)
 	case Abandoned:
 		p.abandoned(now, t, g)
 	}
--- a/pkg/decision/work.go
+++ b/pkg/decision/work.go
@@ -43,6 +43,9 @@
 	// Deadline is when the stage must have ended so that those after it have
 	// the time they usually need.
 	Deadline time.Time
+	// Model names what the endpoint must hold: model, adapter and version; empty if
+	// any endpoint of the service will do.
+	Model string
 	// Exclude names endpoints that must not be chosen: those tried before.
 	Exclude []string
 }
@@ -124,6 +127,8 @@
 	Busy
 	// Draining: the endpoint refused since it is leaving; nothing ran.
 	Draining
+	// Lacking: the endpoint refused since it does not hold the model; nothing ran.
+	Lacking
 	// Abandoned: we broke off; it says nothing about the endpoint.
 	Abandoned
 )
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -87,8 +87,12 @@
 // Error says why a call failed and what it did.
 type Error struct {
 	Effect Effect
-	// Draining is set with Refused if the endpoint is leaving.
+	// Draining is set with Refused if the endpoint is leaving, Lacking if it does
+	// not hold the model.
 	Draining bool
+	Lacking  bool
+	// Status is the HTTP status or its like; 0 if none came.
+	Status int
 	// Foreign is set if an answer came that was not this attempt's.
 	Foreign bool
 	Address string
--- a/pkg/endpoint/openinference/client.go
+++ b/pkg/endpoint/openinference/client.go
@@ -170,14 +170,17 @@
 	if why := resp.Header.Get(HeaderNotRun); resp.StatusCode == http.StatusServiceUnavailable && why != "" {
 		e := a.fail(endpoint.Refused, errors.Newf("not run: %s", why))
 		e.Draining = why == NotRunDraining
+		e.Lacking = why == NotRunLacking
 		return e
 	}
 	var body ErrorResponse
 	err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBody)).Decode(&body)
+	e := a.fail(endpoint.Doubtful, errors.Newf("status %d without this attempt's id", resp.StatusCode))
 	if err == nil && body.ID == a.call.Attempt.ID {
-		return a.fail(endpoint.Failed, errors.Newf("status %d: %s", resp.StatusCode, body.Error))
+		e = a.fail(endpoint.Failed, errors.Newf("status %d: %s", resp.StatusCode, body.Error))
 	}
-	return a.fail(endpoint.Doubtful, errors.Newf("status %d without this attempt's id", resp.StatusCode))
+	e.Status = resp.StatusCode
+	return e
 }
 
 func decodeLoad(header string) *endpoint.Load {
--- a/pkg/endpoint/openinference/messages.go
+++ b/pkg/endpoint/openinference/messages.go
@@ -11,7 +11,7 @@
 // The headers beside the protocol.
 const (
 	// HeaderNotRun on a 503 says that the endpoint did not run the call, and why:
-	// NotRunBusy or NotRunDraining. Without it a 503 leaves the effect in doubt.
+	// NotRunBusy, NotRunDraining or NotRunLacking. Without it a 503 leaves the effect in doubt.
 	HeaderNotRun = "X-Not-Run"
 	// HeaderLoad carries the load report (Open Request Cost Aggregation, in its
 	// JSON form).
@@ -24,6 +24,8 @@
 const (
 	NotRunBusy     = "busy"
 	NotRunDraining = "draining"
+	// NotRunLacking: it does not hold the model.
+	NotRunLacking = "model"
 )
 
 // Parameters travel with each message.
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -70,6 +70,15 @@
 	return s, nil
 }
 
+// Find sets target to the service of a name, as Lookup returns it.
+func Find[T any](k *Kernel, name string, target *T) error {
+	found, err := Lookup[T](k, name)
+	if err == nil {
+		*target = found
+	}
+	return err
+}
+
 // Start starts all services in the order of their dependencies. If one fails,
 // those already started are stopped and its error is returned.
 func (k *Kernel) Start() error {
--- a/pkg/platform/httpsd/httpsd.go
+++ b/pkg/platform/httpsd/httpsd.go
@@ -34,11 +34,13 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// Client is a platform.InstanceList.
+// Client is a platform.InstanceList. List must not be called by two goroutines at once.
 type Client struct {
 	url     string
 	timeout time.Duration
 	http    *http.Client
+	// tag is the entity tag of the list that was read last.
+	tag string
 }
 
 var _ platform.InstanceList = (*Client)(nil)
@@ -51,29 +53,36 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// List implements platform.InstanceList. Entries that do not name a service, an
-// address and a state correctly are left out, since one bad entry must not take
-// the others with it.
-func (c *Client) List(ctx context.Context) ([]platform.Listed, error) {
+// List implements platform.InstanceList. An unchanged list is not sent again if the
+// service gives entity tags. Entries that do not name an address and a state
+// correctly are left out, since one bad entry must not take the others with it.
+func (c *Client) List(ctx context.Context) (entries []platform.Listed, unchanged bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
-		return nil, problem.Wrap(err, problem.Invalid, "correct platform.instance_list in the settings", "address of the instance list")
+		return nil, false, problem.Wrap(err, problem.Invalid, "correct platform.instance_list in the settings", "address of the instance list")
+	}
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, problem.Wrap(err, problem.Unavailable, "check the platform's instance list", "instance list not read")
+		return nil, false, problem.Wrap(err, problem.Unavailable, "check the platform's instance list", "instance list not read")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, true, nil
+	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, problem.New(problem.Unavailable, "check the platform's instance list", "instance list answered status %d", resp.StatusCode)
+		return nil, false, problem.New(problem.Unavailable, "check the platform's instance list", "instance list answered status %d", resp.StatusCode)
 	}
 	var groups []Group
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&groups); err != nil {
-		return nil, problem.Wrap(err, problem.Unavailable, "check the platform's instance list", "instance list does not parse")
+		return nil, false, problem.Wrap(err, problem.Unavailable, "check the platform's instance list", "instance list does not parse")
 	}
-	return convert(groups), nil
+	c.tag = resp.Header.Get("ETag")
+	return convert(groups), false, nil
 }
 
 func convert(groups []Group) []platform.Listed {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -73,7 +73,8 @@
 
 // InstanceList gives live and leaving instances, with a lag.
 type InstanceList interface {
-	List(ctx context.Context) ([]Listed, error)
+	// List returns the entries, or unchanged if they are as the last call gave them.
+	List(ctx context.Context) (entries []Listed, unchanged bool, err error)
 }
 
 // ErrConflict returns the problem for a failed compare.
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -110,6 +110,12 @@
 	c.duration("timings.instance_list_poll", t.InstanceListPoll, 50*time.Millisecond, time.Minute)
 	c.duration("timings.anti_entropy", t.AntiEntropy, 100*time.Millisecond, 10*time.Minute)
 	c.duration("timings.stop_grace", t.StopGrace, time.Second, 10*time.Minute)
+	c.duration("placement.lease", s.Placement.Lease, time.Second, time.Minute)
+	c.duration("placement.period", s.Placement.Period, 50*time.Millisecond, 10*time.Minute)
+	c.duration("placement.order_timeout", s.Placement.OrderTimeout, 100*time.Millisecond, 10*time.Minute)
+	if s.Placement.LoadsPerMinute <= 0 {
+		c.add("placement.loads_per_minute", s.Placement.LoadsPerMinute, "use a positive number")
+	}
 	c.duration("timings.claim_retention", t.ClaimRetention, time.Minute, 30*24*time.Hour)
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -31,6 +31,8 @@
 	Platform Platform `json:"platform"`
 	// Timings of the control work.
 	Timings Timings `json:"timings"`
+	// Placement of models on endpoints.
+	Placement Placement `json:"placement"`
 	// Limits on input.
 	Limits Limits `json:"limits"`
 	// Policy chooses the decision policy; all but "cobaltcroft" are baselines
@@ -89,6 +91,19 @@
 	ClaimRetention Duration `json:"claim_retention"`
 }
 
+// Placement of models on endpoints, by the holder of the failure domain's lease.
+type Placement struct {
+	// Lease is the time of the lease; whole seconds.
+	Lease Duration `json:"lease"`
+	// Period is the time between readings of the endpoints' models.
+	Period Duration `json:"period"`
+	// OrderTimeout bounds one order.
+	OrderTimeout Duration `json:"order_timeout"`
+	// LoadsPerMinute bounds the loads in the failure domain: what the weight store
+	// bears, divided by the number of domains.
+	LoadsPerMinute float64 `json:"loads_per_minute"`
+}
+
 // Limits on input.
 type Limits struct {
 	// RequestBytes bounds a caller's body.
@@ -122,6 +137,12 @@
 			StopGrace:        Duration(30 * time.Second),
 			ClaimRetention:   Duration(24 * time.Hour),
 		},
+		Placement: Placement{
+			Lease:          Duration(10 * time.Second),
+			Period:         Duration(30 * time.Second),
+			OrderTimeout:   Duration(60 * time.Second),
+			LoadsPerMinute: 12,
+		},
 		Limits: Limits{
 			RequestBytes:    1 << 20,
 			AnswerBytes:     8 << 20,
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -31,6 +31,10 @@
 	// ServiceMs is the time of a call that names none, in milliseconds.
 	ServiceMs    float64 `json:"service_ms"`
 	ChecksTokens bool    `json:"checks_tokens,omitempty"`
+	// NeedsModels makes it refuse calls of models that it was not told to load.
+	NeedsModels bool `json:"needs_models,omitempty"`
+	// LoadMs is how long an order takes, in milliseconds.
+	LoadMs float64 `json:"load_ms,omitempty"`
 }
 
 const (
@@ -69,6 +73,7 @@
 	waiting     []*waitingCall
 	active      map[string]context.CancelFunc
 	runs        []Run
+	models      models
 	loads       []loadAt
 	calls       int
 	prefixes    *lru.Cache[string, struct{}]
@@ -108,11 +113,15 @@
 	router.POST("/v2/models/:model/generate_stream", e.generate)
 	router.POST("/v2/models/:model/versions/:version/generate_stream", e.generate)
 	router.POST("/v2/models/:model/cancel", e.cancel)
+	router.POST("/v2/repository/index", e.index)
+	router.POST("/v2/repository/models/:model/load", e.load)
+	router.POST("/v2/repository/models/:model/unload", e.unload)
 	e.mu.Lock()
 	e.listener = listener
 	e.address = listener.Addr().String()
 	e.incarnation++
 	e.leaving = false
+	e.models = models{held: map[Held]bool{}}
 	e.server = &http.Server{Handler: router}
 	server := e.server
 	e.mu.Unlock()
@@ -299,7 +308,7 @@
 	}
 	ctx, faults, end := e.begin(r.Context(), req.ID)
 	defer end()
-	if faults.refuse(w) {
+	if faults.refuse(w) || e.refuseLacking(w, r) {
 		return nil
 	}
 	input := req.Inputs[0].Data[0]
@@ -358,7 +367,7 @@
 	}
 	ctx, faults, end := e.begin(r.Context(), req.ID)
 	defer end()
-	if faults.refuse(w) {
+	if faults.refuse(w) || e.refuseLacking(w, r) {
 		return nil
 	}
 	if !e.enter(ctx, req.Parameters.Priority) {
--- a/pkg/standin/instancelist.go
+++ b/pkg/standin/instancelist.go
@@ -50,6 +50,16 @@
 	l.record()
 }
 
+// SetAll adds or replaces several entries at once.
+func (l *InstanceList) SetAll(instances []Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, i := range instances {
+		l.current[i.Name] = i
+	}
+	l.record()
+}
+
 // Remove takes an entry out.
 func (l *InstanceList) Remove(name string) {
 	l.mu.Lock()
@@ -105,7 +115,7 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (l *InstanceList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (l *InstanceList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	l.trim()
 	body, outage := l.history[0].body, l.outage
@@ -114,6 +124,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	tag := `"` + digest(string(body)) + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(body)
 }
--- a/pkg/standin/keyvalue.go
+++ b/pkg/standin/keyvalue.go
@@ -141,6 +141,14 @@
 	return n
 }
 
+// Leases returns the number of leases that have not ended.
+func (kv *KeyValue) Leases() int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.endLeases()
+	return len(kv.leases)
+}
+
 func (kv *KeyValue) wake() {
 	close(kv.changed)
 	kv.changed = make(chan struct{})
--- /dev/null
+++ b/pkg/standin/models.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
+)
+
+// Held is a model that an endpoint holds.
+type Held struct {
+	Name    string `json:"name"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+}
+
+// OrderSeen is an order that an endpoint has got.
+type OrderSeen struct {
+	Model Held
+	Load  bool
+	Token int64
+	// Refused is set if the token was lower than one seen before.
+	Refused bool
+}
+
+// models is what an endpoint holds, and the orders that it has got.
+type models struct {
+	held   map[Held]bool
+	orders []OrderSeen
+	token  int64
+}
+
+// Orders returns the orders that the endpoint has got so far.
+func (e *Endpoint) Orders() []OrderSeen {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]OrderSeen(nil), e.models.orders...)
+}
+
+// SetModels sets whether the endpoint needs to be given its models, and whether it
+// checks the tokens of those who give orders.
+func (e *Endpoint) SetModels(needs, checksTokens bool) {
+	e.mu.Lock()
+	e.settings.NeedsModels = needs
+	e.settings.ChecksTokens = checksTokens
+	e.mu.Unlock()
+	e.publish()
+}
+
+// Holds tells whether the endpoint holds a model.
+func (e *Endpoint) Holds(m Held) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.models.held[m]
+}
+
+// refuseLacking answers a call of a model that an endpoint which has to be given its
+// models does not hold, and tells whether it did.
+func (e *Endpoint) refuseLacking(w http.ResponseWriter, r bunrouter.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.settings.NeedsModels {
+		return false
+	}
+	for m := range e.models.held {
+		if m.Name == r.Param("model") {
+			return false
+		}
+	}
+	w.Header().Set(openinference.HeaderNotRun, openinference.NotRunLacking)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+func (e *Endpoint) index(w http.ResponseWriter, _ bunrouter.Request) error {
+	e.mu.Lock()
+	list := []openinference.ModelStatus{}
+	for m := range e.models.held {
+		list = append(list, openinference.ModelStatus{Name: m.Name, Version: m.Version, State: "READY", Parameters: openinference.ModelParameters{Adapter: m.Adapter}})
+	}
+	e.mu.Unlock()
+	return json.NewEncoder(w).Encode(list)
+}
+
+func (e *Endpoint) load(w http.ResponseWriter, r bunrouter.Request) error {
+	return e.order(w, r, true)
+}
+
+func (e *Endpoint) unload(w http.ResponseWriter, r bunrouter.Request) error {
+	return e.order(w, r, false)
+}
+
+func (e *Endpoint) order(w http.ResponseWriter, r bunrouter.Request, load bool) error {
+	var body openinference.ModelOrder
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return err
+	}
+	p := body.Parameters
+	seen := OrderSeen{Model: Held{Name: r.Param("model"), Adapter: p.Adapter, Version: p.Version}, Load: load, Token: p.FencingToken}
+	// An order that has come takes effect, though the one who gave it is gone.
+	time.Sleep(time.Duration(e.settings.LoadMs * float64(time.Millisecond)))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen.Refused = e.settings.ChecksTokens && seen.Token < e.models.token
+	e.models.orders = append(e.models.orders, seen)
+	if seen.Refused {
+		w.WriteHeader(http.StatusConflict)
+		return nil
+	}
+	e.models.token = max(e.models.token, seen.Token)
+	if load {
+		e.models.held[seen.Model] = true
+	} else {
+		delete(e.models.held, seen.Model)
+	}
+	return nil
+}
--- a/pkg/standin/site.go
+++ b/pkg/standin/site.go
@@ -23,6 +23,8 @@
 	Control      string             `json:"control"`
 	ListLagMs    int                `json:"list_lag_ms"`
 	Endpoints    []EndpointSettings `json:"endpoints"`
+	// Records are entries of the list behind which nothing listens.
+	Records []Instance `json:"records,omitempty"`
 }
 
 // ReadSite reads the settings of a site.
@@ -63,6 +65,7 @@
 	if site.ControlAddress, err = site.serve(s.Control, site.controlRouter()); err != nil {
 		return nil, err
 	}
+	site.List.SetAll(s.Records)
 	for _, settings := range s.Endpoints {
 		e := NewEndpoint(settings, site.List)
 		if err := e.Start(); err != nil {
--- a/pkg/timeline/ring.go
+++ b/pkg/timeline/ring.go
@@ -30,6 +30,9 @@
 	PeerJoined       Kind = "peer_joined"
 	PeerSuspected    Kind = "peer_suspected"
 	PeerLeft         Kind = "peer_left"
+	OrderGiven       Kind = "order_given"
+	OrderFailed      Kind = "order_failed"
+	LeaseTaken       Kind = "lease_taken"
 	InstanceStarted  Kind = "instance_started"
 	InstanceStopping Kind = "instance_stopping"
 )
--- a/pkg/traffic/stage.go
+++ b/pkg/traffic/stage.go
@@ -149,9 +149,18 @@
 	work := s.work
 	work.Deadline = s.plan.StageDeadline(s.Clock.Now(), s.index, s.request.Deadline)
 	work.Exclude = s.tried
+	work.Model = modelKey(s.stage)
 	return work
 }
 
+// modelKey names what a stage's endpoint must hold; empty if it names nothing.
+func modelKey(s *config.Stage) string {
+	if s.Model == "" {
+		return ""
+	}
+	return s.Model + "/" + s.Adapter + "/" + s.Version
+}
+
 // call makes one attempt at a granted endpoint.
 func (s *stageRun) call(ctx context.Context, grant *decision.Grant) attemptEnd {
 	attempt := endpoint.Attempt{Request: s.request.ID, Stage: s.stage.Name, ID: uuid.NewString()}
@@ -253,6 +262,8 @@
 		return decision.Unreachable
 	case e.Effect == endpoint.Refused && e.Draining:
 		return decision.Draining
+	case e.Effect == endpoint.Refused && e.Lacking:
+		return decision.Lacking
 	case e.Effect == endpoint.Refused:
 		return decision.Busy
 	case e.Effect == endpoint.Stopped || ctx.Err() != nil:
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -105,6 +105,7 @@
 		"peers":     contacts,
 		"tokens":    map[string]any{"operators": []string{operatorsToken}, "peers": peersToken},
 		"platform":  map[string]string{"key_value": "http://" + i.platform.address(), "instance_list": "http://" + i.list.address(), "timeout": "300ms"},
+		"placement": map[string]any{"lease": "1s", "period": "100ms", "order_timeout": "500ms", "loads_per_minute": 6000},
 		"timings": map[string]string{
 			"heartbeat": "50ms", "suspect_after": "400ms", "instance_list_poll": "100ms", "anti_entropy": "2s", "stop_grace": "10s",
 		},
