test, docs, scripts: faces, the tool, mutants, and the pages

Bad input on each face, the tool's exit codes, settings; a script that takes mechanisms out one by one and expects a test to fail for each; a script that measures what control costs against the number of instances.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README; docs/ says more.
-.PHONY: build run test race lint bench measure measure-quick
+.PHONY: build run test race lint bench measure measure-quick scale mutants
 
 build:
 	go build -o bin/ ./cmd/...
@@ -24,3 +24,9 @@
 
 measure-quick: build
 	./_scripts/measure.sh --quick
+
+scale: build
+	./_scripts/scale.sh
+
+mutants:
+	./_scripts/mutants.sh
--- a/_scripts/example.sh
+++ b/_scripts/example.sh
@@ -7,18 +7,13 @@
 cd "$(dirname "$0")/.."
 example=_fixtures/example
 logs=$(mktemp -d)
-pids=()
-
-stop() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
+source _scripts/processes.sh
 failed() {
   echo "example failed; the processes' logs:" >&2
   tail -n 20 "$logs"/* >&2
 }
 trap failed ERR
-trap 'stop; rm -rf "$logs"' EXIT
+trap 'stop_all; rm -rf "$logs"' EXIT
 
 step() { echo; echo "== $*"; }
 
--- a/cmd/cobaltcroft-load/cmds/cmds.go
+++ b/cmd/cobaltcroft-load/cmds/cmds.go
@@ -12,10 +12,12 @@
 )
 
 type commandLine struct {
-	Traces  tracesCommand  `cmd:"" help:"Write the sample traces of both fleets."`
-	Prepare prepareCommand `cmd:"" help:"Write the settings of a fleet's stand-ins and instances, for each policy."`
-	Report  reportCommand  `cmd:"" help:"Write the measured tables into a page."`
-	Measure measureCommand `cmd:"" help:"Replay traces against running processes and print one line per trace and policy."`
+	Traces       tracesCommand       `cmd:"" help:"Write the sample traces of both fleets."`
+	Prepare      prepareCommand      `cmd:"" help:"Write the settings of a fleet's stand-ins and instances, for each policy."`
+	Report       reportCommand       `cmd:"" help:"Write the measured tables into a page."`
+	PrepareScale prepareScaleCommand `cmd:"" help:"Write the settings of many instances before many endpoint records."`
+	Scale        scaleCommand        `cmd:"" help:"Measure what control costs the running instances, and how fast a change spreads."`
+	Measure      measureCommand      `cmd:"" help:"Replay traces against running processes and print one line per trace and policy."`
 }
 
 // Main runs the tool.
--- a/cmd/cobaltcroft-load/cmds/measure.go
+++ b/cmd/cobaltcroft-load/cmds/measure.go
@@ -30,12 +30,7 @@
 	if err != nil {
 		return err
 	}
-	for _, set := range layout.Sets {
-		fmt.Println("cobaltcroft-standin", set.Site)
-		for _, path := range set.Instances {
-			fmt.Println("cobaltcroftd", path)
-		}
-	}
+	printProcesses(layout)
 	return nil
 }
 
--- a/pkg/measure/layout.go
+++ b/pkg/measure/layout.go
@@ -8,10 +8,10 @@
 	"net"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
+	"github.com/cobaltcroft/cobaltcroft/pkg/standin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/trace"
 )
 
@@ -30,9 +30,12 @@
 	Instances []string `json:"instances"`
 	// Control is the address of the stand-ins' switches.
 	Control string `json:"control"`
-	// Callers and Operators are the instances' addresses.
+	// Callers, Operators and Metrics are the instances' addresses.
 	Callers   []string `json:"callers"`
 	Operators []string `json:"operators"`
+	Metrics   []string `json:"metrics"`
+	// Endpoints is the number of endpoint records.
+	Endpoints int `json:"endpoints"`
 }
 
 // Policies in the order in which they are measured.
@@ -71,6 +74,17 @@
 	return "", problem.New(problem.Unavailable, "end other programs on this machine", "no free port from %d to %d", firstPort, lastPort)
 }
 
+// fill gives each address a free port.
+func (p *ports) fill(addresses ...*string) error {
+	for _, address := range addresses {
+		var err error
+		if *address, err = p.next(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Prepare writes the settings of all processes, and the layout, to dir.
 func Prepare(dir string, fleet trace.Fleet, policies []string) (*Layout, error) {
 	p := &ports{}
@@ -86,41 +100,64 @@
 }
 
 func prepare(dir string, fleet trace.Fleet, policy string, p *ports) (*Setup, error) {
+	domains := fleet.Domains
+	return writeSetup(dir, policy, fleet.Site(), domains, len(domains), p)
+}
+
+// scaleServices is the number of services over which scale's records are spread.
+const scaleServices = 5
+
+// PrepareScale writes the settings of instances before endpoint records, spread over
+// failure domains, and the layout, to dir.
+func PrepareScale(dir string, instances, domains, endpoints int) (*Layout, error) {
+	var names []string
+	for i := range domains {
+		names = append(names, fmt.Sprintf("domain-%d", i))
+	}
+	site := standin.SiteSettings{}
+	for i := range endpoints {
+		site.Records = append(site.Records, standin.Instance{
+			Name:          fmt.Sprintf("engine-%05d", i),
+			Address:       fmt.Sprintf("127.1.%d.%d:9", i/250, i%250),
+			Service:       fmt.Sprintf("service-%d", i%scaleServices),
+			FailureDomain: names[i%domains],
+			Incarnation:   1,
+		})
+	}
+	setup, err := writeSetup(dir, settings.PolicyCobaltcroft, site, names, instances, &ports{})
+	if err != nil {
+		return nil, err
+	}
+	setup.Endpoints = endpoints
+	layout := &Layout{Sets: []Setup{*setup}}
+	return layout, writeFile(filepath.Join(dir, layoutFile), layout)
+}
+
+// writeSetup writes the settings of a site, and of instances spread over domains.
+func writeSetup(dir, policy string, site standin.SiteSettings, domains []string, instances int, p *ports) (*Setup, error) {
 	setup := &Setup{Policy: policy, Site: filepath.Join(dir, policy+"-site.json")}
-	site := fleet.Site()
-	for _, address := range []*string{&site.KeyValue, &site.InstanceList, &site.Control} {
-		var err error
-		if *address, err = p.next(); err != nil {
-			return nil, err
-		}
+	if err := p.fill(&site.KeyValue, &site.InstanceList, &site.Control); err != nil {
+		return nil, err
 	}
 	setup.Control = site.Control
 	if err := writeFile(setup.Site, site); err != nil {
 		return nil, err
 	}
 	var peers []string
-	for i, domain := range fleet.Domains {
-		s := settings.Defaults()
-		s.Instance = fmt.Sprintf("%s-%d", domain, i)
-		s.FailureDomain = domain
-		s.Policy = policy
-		s.Tokens = settings.Tokens{Operators: []string{operatorsToken}, Peers: peersToken}
-		s.Platform.KeyValue = "http://" + site.KeyValue
-		s.Platform.InstanceList = "http://" + site.InstanceList
-		s.Timings.InstanceListPoll = settings.Duration(250 * time.Millisecond)
-		s.Log = map[string]string{"default": "warn"}
+	for i := range instances {
+		s := instanceSettings(site, domains[i%len(domains)], i, policy)
+		if err := p.fill(&s.Listen.Callers, &s.Listen.Operators, &s.Listen.Peers, &s.Listen.Metrics); err != nil {
+			return nil, err
+		}
 		s.Peers = append([]string{}, peers...)
-		for _, address := range []*string{&s.Listen.Callers, &s.Listen.Operators, &s.Listen.Peers, &s.Listen.Metrics} {
-			var err error
-			if *address, err = p.next(); err != nil {
-				return nil, err
-			}
+		if len(peers) < maxContacts {
+			peers = append(peers, s.Listen.Peers)
 		}
-		peers = append(peers, s.Listen.Peers)
 		path := filepath.Join(dir, policy+"-"+s.Instance+".json")
 		setup.Instances = append(setup.Instances, path)
 		setup.Callers = append(setup.Callers, s.Listen.Callers)
 		setup.Operators = append(setup.Operators, s.Listen.Operators)
+		setup.Metrics = append(setup.Metrics, s.Listen.Metrics)
 		if err := writeFile(path, s); err != nil {
 			return nil, err
 		}
@@ -128,6 +165,21 @@
 	return setup, nil
 }
 
+// maxContacts bounds the peers that an instance's settings name.
+const maxContacts = 3
+
+func instanceSettings(site standin.SiteSettings, domain string, i int, policy string) settings.Settings {
+	s := settings.Defaults()
+	s.Instance = fmt.Sprintf("%s-%d", domain, i)
+	s.FailureDomain = domain
+	s.Policy = policy
+	s.Tokens = settings.Tokens{Operators: []string{operatorsToken}, Peers: peersToken}
+	s.Platform.KeyValue = "http://" + site.KeyValue
+	s.Platform.InstanceList = "http://" + site.InstanceList
+	s.Log = map[string]string{"default": "warn"}
+	return s
+}
+
 // ReadLayout reads the layout in dir.
 func ReadLayout(dir string) (*Layout, error) {
 	data, err := os.ReadFile(filepath.Join(dir, layoutFile))
--- /dev/null
+++ b/service/peers/datagram_test.go
@@ -0,0 +1,95 @@
+package peers
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+)
+
+var secret = []byte("peers-token")
+
+// typical is a heartbeat at the size that the users' plan names.
+func typical() beat {
+	b := beat{
+		heartbeat: membership.Heartbeat{
+			From:     membership.Self{Name: "sala-a-17", Incarnation: 1796204992778373772, FailureDomain: "sala-a", PeerAddress: "10.12.13.14:7403"},
+			Sequence: 123456,
+			Revision: 3_504_000,
+		},
+		leaving: []control.LeavingEndpoint{{Name: "bulletin-engine-0123", Incarnation: 17}},
+		stamp:   timeline.Stamp{WallMs: 1796204992778, Logical: 3},
+	}
+	for i := range 4 {
+		b.heartbeat.Known = append(b.heartbeat.Known, membership.Self{Name: fmt.Sprintf("sala-a-%d", i), FailureDomain: "sala-a", PeerAddress: fmt.Sprintf("10.12.13.%d:7403", i)})
+	}
+	return b
+}
+
+func TestDatagramKeepsWhatItCarries(t *testing.T) {
+	g := NewWithT(t)
+	data, err := encode(typical(), secret)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := decode(data, secret)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(typical()))
+}
+
+func TestDatagramOfAnotherSecretIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	data, err := encode(typical(), []byte("another secret"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = decode(data, secret)
+	g.Expect(err).To(MatchError(ContainSubstring("not signed")))
+}
+
+func TestLeavingEndpointsTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	var many []control.LeavingEndpoint
+	for i := range 200 {
+		many = append(many, control.LeavingEndpoint{Name: fmt.Sprint(i)})
+	}
+	named := map[string]bool{}
+	for sequence := range uint64(200) {
+		for _, e := range turn(many, sequence) {
+			named[e.Name] = true
+		}
+	}
+	g.Expect(named).To(HaveLen(200))
+}
+
+func FuzzDecode(f *testing.F) {
+	data, _ := encode(typical(), secret)
+	f.Add(data)
+	f.Add([]byte("short"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		// The body of any datagram, made to look signed, must not harm.
+		body := data[min(signatureSize, len(data)):]
+		b, err := decode(append(signature(body, secret), body...), secret)
+		if err != nil {
+			return
+		}
+		if _, err := encode(b, secret); err != nil {
+			t.Skip("names that are not UTF-8 can't be sent on")
+		}
+	})
+}
+
+// BenchmarkHeartbeatSize gives the bytes of a heartbeat in protobuf, and what JSON
+// would need.
+func BenchmarkHeartbeatSize(b *testing.B) {
+	var size int
+	for b.Loop() {
+		data, _ := encode(typical(), secret)
+		size = len(data)
+	}
+	t := typical()
+	text, _ := json.Marshal([]any{t.heartbeat, t.leaving, t.stamp})
+	b.ReportMetric(float64(size), "bytes/heartbeat")
+	b.ReportMetric(float64(len(text)), "json-bytes/heartbeat")
+}
