limits: organisations' rates follow demand within a failure domain

Cause: equal parts admit 14 of a rate of 100 that is asked at one of seven instances. Change: instances tell each other, in heartbeats, how much each organisation with a rate asks of them; parts follow demand, a tenth is split equally, and neighbours that are not heard are left their equal part. Tried: a limiter's burst of one, which admitted 80 of 100 for the grain of arrivals.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/config"
 	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/platform"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
@@ -27,6 +28,9 @@
 	// listedGrace is how long an endpoint stays after the instance list has
 	// dropped it without having called it leaving: lists have gaps.
 	listedGrace = 5 * time.Second
+	// sharedFor is how long an endpoint that is leaving is named in heartbeats. Each
+	// costs some 25 bytes in every heartbeat of every instance.
+	sharedFor = 15 * time.Second
 )
 
 // Settings of the control service.
@@ -69,10 +73,10 @@
 	// The fields below belong to the control goroutine.
 	configuration *config.Configuration
 	confirmed     bool
-	instances     int
+	instances     limits.Size
 	listed        map[string]*listedEndpoint
-	missing       int               // of the listed, those that the list lacks now
-	leaving       map[string]uint64 // incarnation by endpoint, as heard from answers and peers
+	missing       int                     // of the listed, those that the list lacks now
+	leaving       map[string]leavingSince // by endpoint, as heard from list, answers and peers
 	pools         map[string]*decision.Pool
 	leavingShared atomic.Pointer[[]LeavingEndpoint]
 	members       *membership.Members
@@ -89,6 +93,13 @@
 	missing time.Time
 }
 
+// leavingSince is the incarnation of an endpoint that is leaving, and since when that
+// is known here.
+type leavingSince struct {
+	incarnation uint64
+	since       time.Time
+}
+
 // LeavingEndpoint is one incarnation of an endpoint known to be leaving.
 type LeavingEndpoint struct {
 	Name        string
@@ -104,9 +115,9 @@
 		log:           log,
 		events:        make(chan event, queueLength),
 		configuration: config.Empty(),
-		instances:     1,
+		instances:     limits.Size{Domain: 1, All: 1},
 		listed:        map[string]*listedEndpoint{},
-		leaving:       map[string]uint64{},
+		leaving:       map[string]leavingSince{},
 		pools:         map[string]*decision.Pool{},
 		peers:         peers,
 	}
@@ -265,20 +276,24 @@
 // An incarnation that is leaving never comes back; a higher one is another process.
 func (c *Control) noteLeaving(e LeavingEndpoint, from string) bool {
 	known, ok := c.leaving[e.Name]
-	if ok && known >= e.Incarnation {
+	if ok && known.incarnation >= e.Incarnation {
 		return false
 	}
-	c.leaving[e.Name] = e.Incarnation
+	c.leaving[e.Name] = leavingSince{incarnation: e.Incarnation, since: c.clock.Now()}
 	c.shareLeaving()
 	c.ring.Add(timeline.Event{Kind: timeline.EndpointLeaving, Endpoint: e.Name, Detail: "told by " + from})
 	c.log.WithFields(logrus.Fields{"event": "endpoint_leaving", "endpoint": e.Name, "incarnation": e.Incarnation, "from": from}).Info()
 	return true
 }
 
+// shareLeaving sets what the heartbeats tell: the endpoints that are newly known as
+// leaving. Whoever hears it tells it on for as long, and the list tells the rest.
 func (c *Control) shareLeaving() {
 	shared := make([]LeavingEndpoint, 0, len(c.leaving))
-	for name, incarnation := range c.leaving {
-		shared = append(shared, LeavingEndpoint{name, incarnation})
+	for name, l := range c.leaving {
+		if c.clock.Since(l.since) <= sharedFor {
+			shared = append(shared, LeavingEndpoint{name, l.incarnation})
+		}
 	}
 	slices.SortFunc(shared, func(a, b LeavingEndpoint) int { return strings.Compare(a.Name, b.Name) })
 	c.leavingShared.Store(&shared)
@@ -314,18 +329,18 @@
 		endpoints := byService[name]
 		slices.SortFunc(endpoints, func(a, b decision.Endpoint) int { return strings.Compare(a.Name, b.Name) })
 		pool.Update(now, int(c.configuration.Service(name).Concurrency), endpoints)
-		pool.SetSharers(c.instances)
+		pool.SetSharers(c.instances.All)
 	}
 }
 
 func (c *Control) convert(l *listedEndpoint) decision.Endpoint {
-	incarnation, told := c.leaving[l.Name]
+	leaving, told := c.leaving[l.Name]
 	return decision.Endpoint{
 		Name:          l.Name,
 		Address:       l.Address,
 		FailureDomain: l.FailureDomain,
 		Incarnation:   l.Incarnation,
-		Leaving:       told && incarnation >= l.Incarnation,
+		Leaving:       told && leaving.incarnation >= l.Incarnation,
 		ChecksTokens:  l.ChecksTokens,
 	}
 }
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
@@ -48,6 +49,7 @@
 // beat sends a heartbeat and looks for peers that have been silent for too long.
 func (c *Control) beat() {
 	now := c.clock.Now()
+	c.shareLeaving()
 	changes := c.members.Tick(now)
 	h, to := c.members.Next(now, c.random.IntN)
 	h.Leaving = c.stopping
@@ -68,10 +70,14 @@
 		c.log.WithFields(logrus.Fields{"event": string(kind), "peer": change.Member.Name, "incarnation": change.Member.Incarnation}).Info()
 	}
 	c.shareMembers()
-	live := 1
+	live := limits.Size{Domain: 1, All: 1}
 	for _, member := range c.Members() {
-		if member.State == membership.Live {
-			live++
+		if member.State != membership.Live {
+			continue
+		}
+		live.All++
+		if member.FailureDomain == c.settings.Self.FailureDomain {
+			live.Domain++
 		}
 	}
 	if live != c.instances {
--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/cobaltcroft/cobaltcroft/pkg/config"
 	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 )
 
 // View is what traffic decides by. It is immutable, but for the pools in it, which
@@ -15,8 +16,9 @@
 	Pools map[string]*decision.Pool
 	// Plans by pipeline.
 	Plans map[string]*decision.Plan
-	// Instances is the number of live instances, this one included.
-	Instances int
+	// Instances is the number of live instances, this one included, in the own
+	// failure domain and in all.
+	Instances limits.Size
 	// Confirmed is set once the configuration is known to be as new as can be
 	// found out; before, nothing is served.
 	Confirmed bool
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/kernel"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
@@ -44,6 +45,7 @@
 	logs        *logging.Logs
 	metrics     *metrics.Set
 	ring        *timeline.Ring
+	shares      *limits.Shares
 	incarnation uint64
 	stopping    atomic.Bool
 }
@@ -61,6 +63,7 @@
 		logs:        logs,
 		metrics:     metrics.NewSet(),
 		ring:        timeline.NewRing(s.Instance, timeline.NewClock(clock), timeline.DefaultCapacity),
+		shares:      limits.NewShares(clock),
 		incarnation: uint64(clock.Now().UnixNano()),
 	}
 	d := &Daemon{kernel: kernel.New(), log: logs.For("daemon")}
--- a/pkg/daemon/faces.go
+++ b/pkg/daemon/faces.go
@@ -122,6 +122,7 @@
 		Ring:        s.base.ring,
 		Log:         s.base.logs.For("traffic"),
 		Metrics:     traffic.NewMetrics(s.base.metrics),
+		Shares:      s.base.shares,
 		MaxInFlight: s.base.settings.Limits.InFlight,
 		Baseline:    s.base.settings.Policy != settings.PolicyCobaltcroft,
 	}
--- a/pkg/daemon/services.go
+++ b/pkg/daemon/services.go
@@ -96,7 +96,7 @@
 		s.self.PeerAddress = advertised
 	}
 	s.client = peers.NewClient(b.settings.Instance, b.settings.Tokens.Peers)
-	s.gossip = peers.NewGossip(s.udp, b.settings.Tokens.Peers, b.ring.Clock(), b.metrics, log, func(peer membership.Self, _ uint64) {
+	s.gossip = peers.NewGossip(s.udp, b.settings.Tokens.Peers, b.ring.Clock(), b.shares, b.metrics, log, func(peer membership.Self, _ uint64) {
 		if behind := s.behind.Load(); behind != nil {
 			(*behind)(peer)
 		}
--- /dev/null
+++ b/pkg/limits/shares_test.go
@@ -0,0 +1,138 @@
+package limits_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
+)
+
+func TestLimits(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limits")
+}
+
+// fleet is instances of one failure domain that tell each other their demands once a
+// second, unless they are cut off from each other.
+type fleet struct {
+	clock  *clockwork.FakeClock
+	shares []*limits.Shares
+	cut    bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{clock: clockwork.NewFakeClock()}
+	for range n {
+		f.shares = append(f.shares, limits.NewShares(f.clock))
+	}
+	return f
+}
+
+const limit = 100.0
+
+// admitted offers requests at rates for each instance for some seconds, and returns how
+// many were admitted a second.
+func (f *fleet) admitted(seconds int, perSecond ...float64) float64 {
+	const steps = 1000
+	count := 0
+	owed := make([]float64, len(perSecond))
+	for range seconds {
+		for range steps {
+			f.clock.Advance(time.Second / steps)
+			for i := range f.shares {
+				for owed[i] += perSecond[i] / steps; owed[i] >= 1; owed[i]-- {
+					count += f.offer(i)
+				}
+			}
+		}
+		f.tell()
+	}
+	return float64(count) / float64(seconds)
+}
+
+func (f *fleet) offer(i int) int {
+	if f.shares[i].Allow("huila", limit, limits.Size{Domain: len(f.shares), All: len(f.shares)}) {
+		return 1
+	}
+	return 0
+}
+
+func (f *fleet) tell() {
+	if f.cut {
+		return
+	}
+	for i, from := range f.shares {
+		named := from.Named()
+		for j, to := range f.shares {
+			if i != j {
+				to.Heard(fmt.Sprint(i), named)
+			}
+		}
+	}
+}
+
+var _ = Describe("a rate over all instances", func() {
+	DescribeTable("is nearly used up and hardly exceeded, however demand is spread",
+		func(least, most float64, perSecond ...float64) {
+			f := newFleet(len(perSecond))
+			f.admitted(6, perSecond...)
+			got := f.admitted(10, perSecond...)
+			AddReportEntry("admitted a second", got)
+			Expect(got).To(BeNumerically(">=", least))
+			Expect(got).To(BeNumerically("<=", most))
+		},
+		Entry("evenly", 95.0, 102.0, 60.0, 60.0, 60.0, 60.0),
+		Entry("two to one", 93.0, 102.0, 120.0, 60.0, 60.0, 60.0),
+		Entry("all at one", 90.0, 102.0, 300.0, 0.0, 0.0, 0.0),
+		Entry("all at one of seven", 90.0, 102.0, 300.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0),
+	)
+
+	It("follows demand that moves from one instance to another", func() {
+		f := newFleet(4)
+		f.admitted(6, 300, 0, 0, 0)
+		f.admitted(4, 0, 300, 0, 0)
+		Expect(f.admitted(6, 0, 300, 0, 0)).To(BeNumerically("~", 94, 8))
+	})
+
+	It("is not exceeded while instances are cut off from each other, and once they know nothing", func() {
+		f := newFleet(4)
+		f.admitted(6, 300, 10, 10, 10)
+		f.cut = true
+		f.admitted(6, 300, 300, 300, 300)
+		got := f.admitted(10, 300, 300, 300, 300)
+		AddReportEntry("admitted a second, cut off", got)
+		Expect(got).To(BeNumerically("<=", 1.05*limit))
+		Expect(got).To(BeNumerically(">=", 0.95*limit))
+	})
+
+	It("is split equally before any demand is known", func() {
+		s := limits.NewShares(clockwork.NewFakeClock())
+		Expect(s.Limit("huila", 100, limits.Size{Domain: 4, All: 20})).To(Equal(5.0))
+	})
+
+	It("is split without a neighbour that is gone, and names many organisations in turn", func() {
+		clock := clockwork.NewFakeClock()
+		s := limits.NewShares(clock)
+		s.Allow("huila", 100, limits.Size{Domain: 2, All: 2})
+		s.Heard("x", []limits.Demand{{Organisation: limits.Hash("huila"), PerSecond: 1000}})
+		before := s.Limit("huila", 100, limits.Size{Domain: 2, All: 2})
+		clock.Advance(time.Minute)
+		s.Allow("huila", 100, limits.Size{Domain: 1, All: 1})
+		Expect(s.Limit("huila", 100, limits.Size{Domain: 1, All: 1})).To(BeNumerically(">", before))
+		for i := range 10 {
+			s.Allow(fmt.Sprint(i), 100, limits.Size{Domain: 2, All: 2})
+		}
+		named := map[uint32]bool{}
+		for range 5 {
+			for _, d := range s.Named() {
+				named[d.Organisation] = true
+			}
+		}
+		Expect(named).To(HaveLen(11))
+	})
+})
--- a/pkg/traffic/executor.go
+++ b/pkg/traffic/executor.go
@@ -15,6 +15,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/request"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
@@ -32,6 +33,8 @@
 	Ring    *timeline.Ring
 	Log     *logrus.Entry
 	Metrics *Metrics
+	// Shares splits the organisations' rates over the instances.
+	Shares *limits.Shares
 	// MaxInFlight bounds the requests in flight.
 	MaxInFlight int
 	// Baseline makes retries as simple as the baseline policies are: one retry,
@@ -42,18 +45,18 @@
 // Executor runs requests. Safe for concurrent use.
 type Executor struct {
 	Options
-	limits *limits
+	usage *usage
 	// background counts the attempts and cancellations that may outlive their request.
 	background sync.WaitGroup
 }
 
 // New returns an executor.
 func New(o Options) *Executor {
-	return &Executor{Options: o, limits: newLimits(o.MaxInFlight)}
+	return &Executor{Options: o, usage: newUsage(o.MaxInFlight, o.Shares)}
 }
 
 // InFlight returns the number of requests that run.
-func (x *Executor) InFlight() int { return x.limits.inFlight() }
+func (x *Executor) InFlight() int { return x.usage.inFlight() }
 
 // Close waits for what still goes on behind requests that have their results. It
 // must be called after the last Run has returned.
@@ -118,10 +121,10 @@
 		return request.Refuse(r.ID, err)
 	}
 	run.sink = sink
-	if err := x.limits.enter(organisation, view.Instances); err != nil {
+	if err := x.usage.enter(organisation, view.Instances); err != nil {
 		return request.Refuse(r.ID, err)
 	}
-	defer x.limits.exit(organisation)
+	defer x.usage.exit(organisation)
 	place, refusal := run.plan.Admit(x.Clock.Now(), run.work, caution(run.pipeline.Objective))
 	if refusal != nil {
 		return run.refused(refusal)
--- a/pkg/traffic/outcome_test.go
+++ b/pkg/traffic/outcome_test.go
@@ -224,6 +224,7 @@
 		Expect(refused).To(SatisfyAll(HaveField("Outcome", request.NotRun), HaveField("Problem.Kind", problem.Overloaded)))
 		r.Organisation = "slow"
 		b.run(r)
+		b.run(r)
 		Expect(b.run(r)).To(SatisfyAll(HaveField("Outcome", request.NotRun), HaveField("Problem.Kind", problem.Overloaded)))
 		r.Organisation = "nobody"
 		Expect(b.run(r)).To(SatisfyAll(HaveField("Outcome", request.NotRun), HaveField("Problem.Kind", problem.NotFound)))
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/cobaltcroft/cobaltcroft/api/cobaltcroft/v1"
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
@@ -27,6 +28,7 @@
 type beat struct {
 	heartbeat membership.Heartbeat
 	leaving   []control.LeavingEndpoint
+	demands   []limits.Demand
 	stamp     timeline.Stamp
 }
 
@@ -48,6 +50,9 @@
 	for _, e := range turn(b.leaving, h.Sequence) {
 		wire.LeavingEndpoints = append(wire.LeavingEndpoints, &pb.LeavingEndpoint{Name: e.Name, Incarnation: e.Incarnation})
 	}
+	for _, d := range b.demands {
+		wire.Demands = append(wire.Demands, &pb.Demand{Organisation: d.Organisation, PerSecond: float32(d.PerSecond)})
+	}
 	for _, k := range h.Known {
 		wire.Known = append(wire.Known, &pb.KnownInstance{Instance: k.Name, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
 	}
@@ -98,6 +103,9 @@
 	for _, e := range wire.LeavingEndpoints {
 		b.leaving = append(b.leaving, control.LeavingEndpoint{Name: e.Name, Incarnation: e.Incarnation})
 	}
+	for _, d := range wire.Demands {
+		b.demands = append(b.demands, limits.Demand{Organisation: d.Organisation, PerSecond: float64(d.PerSecond)})
+	}
 	for _, k := range wire.Known {
 		b.heartbeat.Known = append(b.heartbeat.Known, membership.Self{Name: k.Instance, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
 	}
--- a/service/peers/gossip.go
+++ b/service/peers/gossip.go
@@ -9,6 +9,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
@@ -19,6 +20,7 @@
 	conn     *net.UDPConn
 	secret   []byte
 	clock    *timeline.Clock
+	shares   *limits.Shares
 	log      *logrus.Entry
 	onBehind func(peer membership.Self, revision uint64)
 	sent     *metrics.Counter
@@ -28,13 +30,15 @@
 
 var _ control.Peers = (*Gossip)(nil)
 
-// NewGossip returns a gossip over conn. onBehind is called, and must not block, when
+// NewGossip returns a gossip over conn, which tells the demands of shares and takes in
+// those of the own failure domain. onBehind is called, and must not block, when
 // a peer has a newer configuration.
-func NewGossip(conn *net.UDPConn, secret string, clock *timeline.Clock, set *metrics.Set, log *logrus.Entry, onBehind func(membership.Self, uint64)) *Gossip {
+func NewGossip(conn *net.UDPConn, secret string, clock *timeline.Clock, shares *limits.Shares, set *metrics.Set, log *logrus.Entry, onBehind func(membership.Self, uint64)) *Gossip {
 	return &Gossip{
 		conn:     conn,
 		secret:   []byte(secret),
 		clock:    clock,
+		shares:   shares,
 		log:      log,
 		onBehind: onBehind,
 		sent:     set.NewCounter(`cobaltcroft_heartbeat_bytes_total{direction="sent"}`),
@@ -45,7 +49,7 @@
 
 // Broadcast implements control.Peers.
 func (g *Gossip) Broadcast(h membership.Heartbeat, leaving []control.LeavingEndpoint, to []string) {
-	data, err := encode(beat{heartbeat: h, leaving: leaving, stamp: g.clock.Now()}, g.secret)
+	data, err := encode(beat{heartbeat: h, leaving: leaving, demands: g.shares.Named(), stamp: g.clock.Now()}, g.secret)
 	if err != nil {
 		g.log.WithField("event", "heartbeat_not_encoded").Error(err)
 		return
@@ -88,6 +92,9 @@
 			continue
 		}
 		g.clock.Observe(b.stamp)
+		if b.heartbeat.From.FailureDomain == c.Self().FailureDomain {
+			g.shares.Heard(b.heartbeat.From.Name, b.demands)
+		}
 		c.Heard(b.heartbeat, b.leaving)
 	}
 }
