config, test: check what a change touches, and a harness without races

Change: looked at are the objects that a change touches, and all pipelines and placements, which may name them.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -20,13 +20,23 @@
 	stageKinds  = []StageKind{Encoding, Retrieval, Reranking, Generation, Plain}
 )
 
-// Faults returns every fault of the configuration as a whole, each naming the
-// object, the field and the value. Empty means valid.
-func (c *Configuration) Faults() []string {
+// faultsAfter returns every fault of a configuration that a change has led to from a
+// valid one, each naming the object, the field and the value. Empty means valid.
+// Looked at are the objects that the change touches, and all that may name them.
+func (c *Configuration) faultsAfter(change Change) []string {
 	k := &checker{configuration: c}
-	for kind, objects := range c.objects {
-		for name, stored := range objects {
-			k.key = Key{kind, name}
+	looked := map[Key]bool{}
+	for _, op := range change.Operations {
+		looked[op.Key()] = true
+	}
+	for _, kind := range []Kind{KindPipeline, KindPlacement} {
+		for name := range c.objects[kind] {
+			looked[Key{kind, name}] = true
+		}
+	}
+	for key := range looked {
+		if stored, ok := c.Get(key); ok {
+			k.key = key
 			k.object(stored.Object)
 		}
 	}
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if faults := next.Faults(); len(faults) > 0 {
+	if faults := next.faultsAfter(change); len(faults) > 0 {
 		p := problem.New(problem.Invalid, "correct each fault; nothing was changed", "change %s is not valid", change.ID)
 		p.Faults = faults
 		return nil, p
--- a/pkg/traffic/outcome_test.go
+++ b/pkg/traffic/outcome_test.go
@@ -138,7 +138,7 @@
 	})
 
 	DescribeTable("whose deadline passes in a stage has its answer then, and it is true",
-		func(service, stage string, ranBefore int) {
+		func(service string, ranBefore int) {
 			b.fault(service, standin.EndpointFaults{Freeze: true, FreezeAfterTokens: 1})
 			began := time.Now()
 			result := b.run(call("bulletin", 150*time.Millisecond))
@@ -153,10 +153,10 @@
 			}
 			Expect(done).To(Equal(ranBefore))
 		},
-		Entry("encoding", "encoder", "encode", 0),
-		Entry("retrieval", "archive", "retrieve", 1),
-		Entry("reranking", "reranker", "rerank", 2),
-		Entry("generation", "engine", "generate", 3),
+		Entry("encoding", "encoder", 0),
+		Entry("retrieval", "archive", 1),
+		Entry("reranking", "reranker", 2),
+		Entry("generation", "engine", 3),
 	)
 
 	It("stops at the endpoint when its caller goes away", func() {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,8 @@
 	list     *tcpLink
 	peers    *peerLink
 	faces    map[string]string
+	// peersAt is where the peers' link leads: the face's address in the newest run.
+	peersAt atomic.Value
 }
 
 // newSystem starts stand-ins with two endpoints of each service in each domain. The
@@ -79,9 +82,10 @@
 // start starts an instance process, which knows the peers started before it.
 func (s *system) start(name, domain string) *instance {
 	i := &instance{system: s, name: name, domain: domain}
+	i.peersAt.Store("127.0.0.1:1")
 	i.platform = newTCPLink("127.0.0.1:0", func() string { return s.site.KeyValueAddress })
 	i.list = newTCPLink("127.0.0.1:0", func() string { return s.site.ListAddress })
-	i.peers = newPeerLink(func() string { return i.faces["peers"] })
+	i.peers = newPeerLink(func() string { return i.peersAt.Load().(string) })
 	s.instances[name] = i
 	s.order = append(s.order, i)
 	i.run()
@@ -128,6 +132,7 @@
 			return i.faces[face]
 		}, soon).ShouldNot(BeEmpty())
 	}
+	i.peersAt.Store(i.faces["peers"])
 }
 
 func (i *instance) signal(s syscall.Signal) { i.session.Command.Process.Signal(s) }
