decision: one job a file, and models that are lacking do not pile up

Found in reading: the notes of endpoints that lack a model kept those that were gone; they are dropped when there are more notes than endpoints. Tests for passing over endpoints that lack a model.

--- a/pkg/decision/lacking.go
+++ b/pkg/decision/lacking.go
@@ -17,6 +17,16 @@
 		p.lacking[model] = targets
 	}
 	targets[t] = now.Add(lackingLife)
+	if len(targets) > p.live {
+		dropOld(now, targets)
+	}
+}
+
+// dropOld forgets targets whose word no longer counts, or that are gone.
+func dropOld(now time.Time, targets map[*target]time.Time) {
+	maps.DeleteFunc(targets, func(t *target, until time.Time) bool {
+		return t.Leaving || now.After(until)
+	})
 }
 
 // allLack tells whether no live target is known that might hold a model.
@@ -25,8 +35,6 @@
 	if model == "" || len(targets) < p.live {
 		return false
 	}
-	maps.DeleteFunc(targets, func(t *target, until time.Time) bool {
-		return t.Leaving || now.After(until)
-	})
+	dropOld(now, targets)
 	return len(targets) >= p.live
 }
--- a/pkg/decision/pool.go
+++ b/pkg/decision/pool.go
@@ -6,25 +6,9 @@
 	"time"
 )
 
-const (
-	// ejectableShare bounds the share of endpoints that are ejected at a time.
-	ejectableShare = 0.5
-	// retryShare is the share of retries in successful calls that the budget
-	// grants, and maxRetries what it saves up at most.
-	retryShare = 0.1
-	maxRetries = 10.0
-	// slowDeviations is how many mean deviations above the mean a call must take
-	// to count as failed when it is broken off.
-	slowDeviations = 4
-	// shareIncrease and shareDecrease are the parts by which the share of the capacity
-	// grows and shrinks in the usual time of a call.
-	shareIncrease = 0.25
-	shareDecrease = 0.25
-	pressedFor    = 100 * time.Millisecond
-	// maxPassedOver bounds the waiting work that is looked at because what comes
-	// before it fits no free endpoint.
-	maxPassedOver = 16
-)
+// maxPassedOver bounds the waiting work that is looked at because what comes before
+// it fits no free endpoint.
+const maxPassedOver = 16
 
 // Pool holds the endpoints of one service and the work that wants them. Safe for
 // concurrent use; each call is short.
@@ -220,39 +204,6 @@
 	}
 }
 
-// SetSharers sets the number of instances that use the same endpoints.
-func (p *Pool) SetSharers(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n == p.sharers {
-		return
-	}
-	p.sharers = max(n, 1)
-	p.share = 1 / float64(p.sharers)
-}
-
-// adaptShare moves the share of the capacity between an equal part and the whole:
-// up while work waits here but none at the endpoints, down when some waits there.
-func (p *Pool) adaptShare(now time.Time, r Report) {
-	least := 1 / float64(p.sharers)
-	// Each call in flight reports once, so that this is the part of one change for
-	// each usual time of a call: the effect shows only after that.
-	part := 1 / float64(max(p.inFlight, 1))
-	switch {
-	case r.Waiting > 0:
-		p.share = max(least, p.share*(1-shareDecrease*part))
-	case p.queue.length > 0 || now.Sub(p.pressed) < pressedFor:
-		p.share = min(1, p.share*(1+shareIncrease*part))
-	}
-}
-
-// press says that a request was refused for lack of the pool's capacity.
-func (p *Pool) press(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pressed = now
-}
-
 // Tick gives verdicts that only the passing of time brings: readmitted endpoints
 // and waiting work that has become too late.
 func (p *Pool) Tick(now time.Time) {
@@ -312,86 +263,6 @@
 	p.dispatch(now)
 }
 
-func (p *Pool) learn(now time.Time, t *target, g *Grant, result Result) {
-	switch result {
-	case Success:
-		took := now.Sub(g.start)
-		p.latency.add(now, took)
-		service := t.uncontended(took)
-		t.latency.add(now, service)
-		p.service.add(now, service)
-		p.retries = min(maxRetries, p.retries+retryShare)
-		t.succeeded()
-	case Failure:
-		p.failed(now, t)
-	case Unreachable:
-		p.eject(now, t)
-	case Busy:
-		t.lower(now)
-	case Draining:
-		if !t.Leaving && p.targets[t.Name] == t {
-			t.Leaving = true
-			p.live--
-		}
-	case Lacking:
-		p.lacks(now, t, g.work.Model)
-	case Abandoned:
-		p.abandoned(now, t, g)
-	}
-}
-
-func (p *Pool) failed(now time.Time, t *target) {
-	t.failures++
-	if t.failures >= failuresToEject || t.probation {
-		p.eject(now, t)
-	}
-}
-
-// abandoned learns from a call that was broken off. One that had already taken far
-// longer than usual counts as failed, with the time it took as a lower bound.
-func (p *Pool) abandoned(now time.Time, t *target, g *Grant) {
-	mean, deviation := p.latency.at(now)
-	took := now.Sub(g.start)
-	if p.latency.samples == 0 || took < seconds(mean+slowDeviations*deviation) {
-		return
-	}
-	t.latency.add(now, took)
-	p.failed(now, t)
-}
-
-// eject takes a target out, unless too many are out.
-func (p *Pool) eject(now time.Time, t *target) {
-	if t.ejected() || float64(len(p.ejected)+1) > ejectableShare*float64(p.live) {
-		return
-	}
-	t.eject(now)
-	p.ejected = append(p.ejected, t)
-	if p.nextReturn.IsZero() || t.ejectedUntil.Before(p.nextReturn) {
-		p.nextReturn = t.ejectedUntil
-	}
-}
-
-// readmit ends the ejections whose time is up.
-func (p *Pool) readmit(now time.Time) {
-	if p.nextReturn.IsZero() || now.Before(p.nextReturn) {
-		return
-	}
-	p.nextReturn = time.Time{}
-	kept := p.ejected[:0]
-	for _, t := range p.ejected {
-		if !now.Before(t.ejectedUntil) {
-			t.readmit()
-			p.settle(t)
-			continue
-		}
-		kept = append(kept, t)
-		if p.nextReturn.IsZero() || t.ejectedUntil.Before(p.nextReturn) {
-			p.nextReturn = t.ejectedUntil
-		}
-	}
-	p.ejected = kept
-}
-
 // settle puts a target in or out of the available ones and counts its capacity,
 // after anything about it changed.
 func (p *Pool) settle(t *target) {
@@ -415,18 +286,6 @@
 	}
 }
 
-// TryRetry takes one retry from the budget, which successful calls fill, and tells
-// whether there was one.
-func (p *Pool) TryRetry() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.retries < 1 {
-		return false
-	}
-	p.retries--
-	return true
-}
-
 // Untried tells whether there is a live endpoint beside those named.
 func (p *Pool) Untried(names []string) bool {
 	p.mu.Lock()
--- a/pkg/decision/pool_test.go
+++ b/pkg/decision/pool_test.go
@@ -268,3 +268,37 @@
 		granted(p.Acquire(start, work("a")))
 	})
 })
+
+var _ = Describe("a model", func() {
+	with := func(model string) decision.Work {
+		w := work("a")
+		w.Model = model
+		return w
+	}
+
+	It("is not asked for again where it was lacking, until its endpoint may hold it", func() {
+		p := newPool(decision.Adaptive, 4, endpoints(2, "here")...)
+		g := granted(p.Acquire(start, with("m")))
+		p.Finish(start, g, decision.Lacking, nil)
+		for range 4 {
+			Expect(granted(p.Acquire(start, with("m"))).Endpoint.Name).NotTo(Equal(g.Endpoint.Name))
+		}
+		granted(p.Acquire(start, with("other")))
+		later := start.Add(6 * time.Second)
+		found := false
+		for range 4 {
+			v := p.Acquire(later, with("m"))
+			found = found || v.Grant != nil && v.Grant.Endpoint.Name == g.Endpoint.Name
+		}
+		Expect(found).To(BeTrue())
+	})
+
+	It("is refused at once where all lack it", func() {
+		p := newPool(decision.Adaptive, 4, endpoints(2, "here")...)
+		for range 2 {
+			p.Finish(start, granted(p.Acquire(start, with("m"))), decision.Lacking, nil)
+		}
+		refusedFor(p.Acquire(start, with("m")), decision.NoEndpoint)
+		granted(p.Acquire(start, with("other")))
+	})
+})
