traffic, decision: kinds of failed calls, and work that has become too late

Causes, found in reading and by a mutant that survived: a stage whose call failed for good gave the endpoint's error as it was, which callers saw as 'internal'; now it is unavailable, with the remedy. And while nothing was in flight, work with too little time left was neither refused nor run, but waited for its deadline; it runs now, as the comment said. Both tests failed before.

--- a/pkg/decision/choose.go
+++ b/pkg/decision/choose.go
@@ -72,12 +72,13 @@
 	return best
 }
 
-// fit tells whether a target may do the work and would usually be in time.
+// fit tells whether a target may do the work and would usually be in time. While
+// nothing is in flight all would be: see hopeless.
 func (p *Pool) fit(now time.Time, t *target, work *Work, poolMean float64) bool {
 	if work.excludes(t.Name) || now.Before(p.lacking[work.Model][t]) {
 		return false
 	}
-	if t.latency.samples == 0 {
+	if t.latency.samples == 0 || p.inFlight == 0 {
 		return true
 	}
 	return seconds(t.mean(now, poolMean)) <= work.Deadline.Sub(now)
--- a/pkg/decision/pool_test.go
+++ b/pkg/decision/pool_test.go
@@ -73,6 +73,31 @@
 		Expect(waiting.Done).To(Receive(HaveField("Refusal.Reason", decision.TooLate)))
 	})
 
+	It("refuses at once what has become too late, and serves what waits behind it", func() {
+		p := newPool(decision.Adaptive, 1, endpoints(2, "here")...)
+		for range 20 {
+			finish(p, granted(p.Acquire(start, work("a"))), 100*time.Millisecond)
+		}
+		first := granted(p.Acquire(start, work("a")))
+		second := granted(p.Acquire(start, work("a")))
+		short, long := work("a"), work("a")
+		short.Deadline = start.Add(150 * time.Millisecond)
+		tooLate := p.Acquire(start, short).Waiter
+		behind := p.Acquire(start, long).Waiter
+		finish(p, first, 80*time.Millisecond)
+		Expect(tooLate.Done).To(Receive(HaveField("Refusal.Reason", decision.TooLate)))
+		Expect(behind.Done).To(Receive(HaveField("Grant", Not(BeNil()))))
+		By("and runs it all the same while nothing is in flight")
+		finish(p, second, 80*time.Millisecond)
+		p = newPool(decision.Adaptive, 1, endpoints(2, "here")...)
+		for range 20 {
+			finish(p, granted(p.Acquire(start, work("a"))), 100*time.Millisecond)
+		}
+		short.Deadline = start.Add(50 * time.Millisecond)
+		granted(p.Acquire(start, short))
+		refusedFor(p.Acquire(start, short), decision.TooLate)
+	})
+
 	It("bounds the queue for one class while another has room", func() {
 		p := newPool(decision.Adaptive, 1, endpoints(1, "here")...)
 		granted(p.Acquire(start, work("a")))
--- a/pkg/traffic/outcome_test.go
+++ b/pkg/traffic/outcome_test.go
@@ -247,6 +247,8 @@
 			b.fault("alert", f)
 			result := b.run(alert())
 			Expect(result.Outcome).To(Equal(outcome), "%+v", result.Problem)
+			Expect(result.Problem.Kind).To(Or(Equal(problem.Unavailable), Equal(problem.Deadline)))
+			Expect(result.Problem.Remedy).NotTo(BeEmpty())
 			Expect(b.endpoint("alert", "1").Calls() + b.endpoint("alert", "2").Calls()).To(Equal(1))
 		},
 		Entry("the endpoint dies after receiving it", standin.EndpointFaults{DieBefore: true}, request.Unknown),
--- a/pkg/traffic/stage.go
+++ b/pkg/traffic/stage.go
@@ -91,12 +91,15 @@
 		select {
 		case end := <-ends:
 			running--
-			if end.err == nil || (running == 0 && !s.mayRetry(end.err)) {
+			if end.err == nil {
 				return end
 			}
 			if running > 0 {
 				continue
 			}
+			if !s.mayRetry(end.err) {
+				return attemptEnd{err: callProblem(end.err, s.stage.Name)}
+			}
 			next, err := s.acquire(ctx, end.err)
 			if err != nil {
 				return attemptEnd{err: err}
