once, callers: never 'not run' of a request that may have run elsewhere

Cause, found in reading: a copy of a not-repeatable request that could not be claimed, since the key-value service was out, was answered 'not_run', and so was one that came to a stopping instance, or to a full table; though an earlier copy may have run at another instance. Who believed it would ask again with a new id. Change: such copies are answered 'unknown'; the problem says that nothing of this copy ran. Two tests that expected 'not_run' in an outage were wrong in that, and now expect 'unknown' and that nothing runs; new ones let the request run elsewhere first, and failed before.

--- a/pkg/once/gate.go
+++ b/pkg/once/gate.go
@@ -112,11 +112,12 @@
 	return result
 }
 
-// unclaimed refuses a request that can't be bound. No ticket is offered with the
-// refusal: an earlier copy may have run elsewhere, which only the caller can rule out.
+// unclaimed answers a request that can't be bound. An earlier copy may have run
+// elsewhere, so that the outcome is unknown, though this copy runs nothing; and no
+// ticket is offered, since only the caller can know that there was no earlier copy.
 func unclaimed(r request.Request, cause error) request.Result {
-	const remedy = "ask again when the key-value service answers; or, if every copy so far was answered not_run, take a ticket (POST /v1/tickets) and send it along"
-	return request.Refuse(r.ID, problem.Wrap(cause, problem.Unavailable, remedy, "the request can't be bound in the key-value service; nothing of this copy ran"))
+	const remedy = "ask again when the key-value service answers; or, if this was the first copy, take a ticket (POST /v1/tickets) and send it along"
+	return request.Uncertain(r.ID, problem.Wrap(cause, problem.Unavailable, remedy, "the request can't be bound in the key-value service; nothing of this copy ran"))
 }
 
 func endedHolder(id string, holder Holder) error {
--- a/pkg/once/table.go
+++ b/pkg/once/table.go
@@ -64,6 +64,10 @@
 // copy from another request that wrongly has the same key.
 func (t *Table) Do(ctx context.Context, key Key, fingerprint uint64, run func(again bool) Ran) request.Result {
 	e, begun, err := t.begin(key, fingerprint)
+	if err != nil && problem.KindOf(err) == problem.Overloaded {
+		// A copy may have run elsewhere, or here and be forgotten.
+		return request.Uncertain(key.ID, err)
+	}
 	if err != nil {
 		return request.Refuse(key.ID, err)
 	}
@@ -104,7 +108,7 @@
 		return before, copyOf, nil
 	}
 	if before == nil && len(t.entries) >= MaxEntries {
-		return nil, copyOf, problem.New(problem.Overloaded, "ask again later or at another instance; nothing ran", "%d not-repeatable requests are remembered here", MaxEntries)
+		return nil, copyOf, problem.New(problem.Overloaded, "ask again later or at another instance; nothing of this copy ran", "%d not-repeatable requests are remembered here", MaxEntries)
 	}
 	e := &entry{fingerprint: fingerprint, done: make(chan struct{})}
 	t.entries[key] = e
--- a/service/callers/callers.go
+++ b/service/callers/callers.go
@@ -26,8 +26,9 @@
 )
 
 const (
+	// maxRequestID bounds a request id, in bytes.
 	maxRequestID = 128
-	// statusClientClosed is the customary status for a caller that went away.
+	// maxTicketBody bounds the body of a request for a ticket, in bytes.
 	maxTicketBody = 4 << 10
 )
 
@@ -114,7 +115,7 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	req, err := f.accept(call, r.Param("pipeline"), now)
 	if err != nil {
-		return respond(w, request.Refuse(call.RequestID, err))
+		return respond(w, refuse(call, err))
 	}
 	if call.Stream {
 		return f.stream(w, r, req)
@@ -122,6 +123,16 @@
 	return respond(w, f.run(r.Context(), req, nil))
 }
 
+// refuse answers a call that is not taken in. If it must run at most once, an earlier
+// copy of it may have run elsewhere, unless the call itself is wrong.
+func refuse(call api.Call, err error) request.Result {
+	once := call.Repeatable != nil && !*call.Repeatable
+	if once && problem.KindOf(err) == problem.Unavailable {
+		return request.Uncertain(call.RequestID, err)
+	}
+	return request.Refuse(call.RequestID, err)
+}
+
 // run runs a request; a not-repeatable one through the gate. The tokens of one that
 // is not repeatable come all at the end: a copy of it may be answered from memory.
 func (f *Face) run(ctx context.Context, r request.Request, sink func(endpoint.Token) error) request.Result {
@@ -166,7 +177,7 @@
 }
 
 func errStopping() error {
-	return problem.New(problem.Unavailable, "ask another instance; nothing ran", "this instance is stopping")
+	return problem.New(problem.Unavailable, "ask another instance; nothing of this copy ran", "this instance is stopping")
 }
 
 // decode reads one JSON object of at most limit bytes.
