cmd, standin, logging: one table writer, and code that nothing calls taken out

Found in reading the whole change: four commands of the tool made the same table writer by hand; a stand-in's outage switch and its removal of entries, and a logger's constructor, had no caller. Behaviour is as before; tests unchanged. Ruled out: the look-ups at the start of services and the two heaps of the queue, which are alike in shape only; the plans made anew when the number of instances changes, nine small objects now and then.

--- a/cmd/cobaltcroft/cmds/cmds.go
+++ b/cmd/cobaltcroft/cmds/cmds.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"text/tabwriter"
 	"time"
 
 	"connectrpc.com/connect"
@@ -129,6 +130,12 @@
 	return problem.Wrap(err, problem.Unknown, "ask again with the same change id", "the call had no answer")
 }
 
+// table returns a writer whose tab-separated lines come out as aligned columns, once
+// it is flushed.
+func (g *globals) table() *tabwriter.Writer {
+	return tabwriter.NewWriter(g.out, 0, 0, 2, ' ', 0)
+}
+
 // printJSON prints a message of the schema as JSON.
 func (g *globals) printJSON(m proto.Message) error {
 	data, err := protojson.MarshalOptions{Multiline: true}.Marshal(m)
--- a/cmd/cobaltcroft/cmds/configuration.go
+++ b/cmd/cobaltcroft/cmds/configuration.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"connectrpc.com/connect"
@@ -163,7 +162,7 @@
 	if g.Output == "json" {
 		return g.printJSON(resp.Msg)
 	}
-	w := tabwriter.NewWriter(g.out, 0, 0, 2, ' ', 0)
+	w := g.table()
 	fmt.Fprintf(w, "KIND\tNAME\tREVISION\tVALUE\n")
 	for _, o := range resp.Msg.Objects {
 		key := convert.ObjectKey(o)
@@ -237,7 +236,7 @@
 	if g.Output == "json" {
 		return g.printJSON(resp.Msg)
 	}
-	w := tabwriter.NewWriter(g.out, 0, 0, 2, ' ', 0)
+	w := g.table()
 	fmt.Fprintf(w, "REVISION\tTIME\tAUTHOR\tCHANGE\tOBJECTS\n")
 	for _, change := range resp.Msg.Changes {
 		at := time.UnixMilli(change.TimeUnixMs).UTC().Format(time.RFC3339)
--- a/cmd/cobaltcroft/cmds/state.go
+++ b/cmd/cobaltcroft/cmds/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"text/tabwriter"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,7 +25,7 @@
 	}
 	s := resp.Msg
 	fmt.Fprintf(g.out, "instance %s, revision %d, key-value service reached: %t\n\n", s.Instance, s.Revision, s.PlatformReachable)
-	w := tabwriter.NewWriter(g.out, 0, 0, 2, ' ', 0)
+	w := g.table()
 	fmt.Fprintf(w, "INSTANCE\tFAILURE DOMAIN\tSTATE\tREVISION\tREACHED\n")
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\n", i.Name, i.FailureDomain, i.State, i.Revision, i.Reached)
@@ -56,7 +55,7 @@
 	if g.Output == "json" {
 		return g.printJSON(resp.Msg)
 	}
-	w := tabwriter.NewWriter(g.out, 0, 0, 2, ' ', 0)
+	w := g.table()
 	fmt.Fprintf(w, "TIME\tINSTANCE\tEVENT\tREQUEST\tSTAGE\tENDPOINT\tDETAIL\n")
 	for _, e := range resp.Msg.Events {
 		at := time.UnixMilli(e.WallMs).UTC().Format("15:04:05.000")
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -4,7 +4,6 @@
 
 import (
 	"io"
-	"os"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -40,12 +39,6 @@
 	return l
 }
 
-// Standard returns Logs that write to standard error at the default level.
-func Standard() *Logs {
-	l, _ := New(os.Stderr, nil)
-	return l
-}
-
 // For returns the logger of a layer; the same one at each call.
 func (l *Logs) For(layer string) *logrus.Entry {
 	l.mu.Lock()
--- a/pkg/standin/instancelist.go
+++ b/pkg/standin/instancelist.go
@@ -25,7 +25,6 @@
 type InstanceList struct {
 	mu      sync.Mutex
 	lag     time.Duration
-	outage  bool
 	current map[string]Instance
 	history []listVersion
 }
@@ -60,14 +59,6 @@
 	l.record()
 }
 
-// Remove takes an entry out.
-func (l *InstanceList) Remove(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.current, name)
-	l.record()
-}
-
 // SetLag sets after what time changes show.
 func (l *InstanceList) SetLag(lag time.Duration) {
 	l.mu.Lock()
@@ -76,13 +67,6 @@
 	l.trim()
 }
 
-// SetOutage makes the list refuse reads.
-func (l *InstanceList) SetOutage(outage bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.outage = outage
-}
-
 func (l *InstanceList) record() {
 	groups := make([]httpsd.Group, 0, len(l.current))
 	for _, i := range l.current {
@@ -118,12 +102,8 @@
 func (l *InstanceList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	l.trim()
-	body, outage := l.history[0].body, l.outage
+	body := l.history[0].body
 	l.mu.Unlock()
-	if outage {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	tag := `"` + digest(string(body)) + `"`
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
