pipeline: one planner makes whole pipelines, refuses by forecast; engines by subject

Ruled out: processor time (0.03 cores at most), the model engines (far from full). Change: the owner of a part makes whole pipelines; it forecasts from all work ahead and refuses at once what would be late, with when to come back; pieces are ordered by what is left after the later stages; independent stages start when the chain's end starts; the engine is first for the last shared part over all zones, and pieces prefer its zone.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
@@ -157,14 +158,24 @@
 	g.balancer = balance.New(g.clock)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower}, g.budget, g.clock, g.metrics, g.logs.For("batch"))
-	router := handover.NewRouter(self, g.group.Live, g.client, g.batcher, g.endpoints, g.clock, g.logs.For("handover"))
+	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
+	router := handover.NewRouter(handover.Options{
+		Self:      self,
+		Live:      g.group.Live,
+		Client:    g.client,
+		Planner:   planner,
+		Batcher:   g.batcher,
+		Endpoints: g.leastEndpoints,
+		Clock:     g.clock,
+		Log:       g.logs.For("handover"),
+	})
 	g.executor = pkggateway.New(pkggateway.Options{
 		View:      g.follower.View,
 		Dialect:   platform.Dialect{},
 		Conns:     g.conns,
 		Balancer:  g.balancer,
 		Budget:    g.budget,
-		Pieces:    router,
+		Stages:    router,
 		Clock:     g.clock,
 		Log:       g.logs.For("request"),
 		Metrics:   g.metrics,
@@ -172,7 +183,7 @@
 		Instances: g.instances,
 	})
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.server = peers.NewServer(handover.NewHandler(g.batcher, g.follower, g.clock), s.PeerToken, g.logs.For("peers"))
+	g.server = peers.NewServer(handover.NewHandler(planner, g.batcher, g.follower, g.clock), s.PeerToken, g.logs.For("peers"))
 }
 
 func budgetBounds(s settings.Gateway) retry.Bounds {
@@ -182,7 +193,21 @@
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
-func (g *Gateway) endpoints(service string) int { return len(g.follower.View().Fleet.Ready(service)) }
+// leastEndpoints is how many endpoints the least service that takes pieces has.
+func (g *Gateway) leastEndpoints() int {
+	view := g.follower.View()
+	if view.Table == nil {
+		return 0
+	}
+	least := 0
+	for name, service := range view.Table.Services() {
+		n := len(view.Fleet.Ready(name))
+		if service.Batching != nil && n > 0 && (least == 0 || n < least) {
+			least = n
+		}
+	}
+	return least
+}
 
 func (g *Gateway) limits() (route.Limits, bool) {
 	table := g.follower.View().Table
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -123,23 +123,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	best, _ := b.best(now, candidates, need)
+	if best == nil {
+		return nil
+	}
+	return b.begin(now, *best, need)
+}
+
+// best returns the endpoint with the least cost, or nil.
+func (b *Balancer) best(now time.Time, candidates []fleet.Endpoint, need Need) (*fleet.Endpoint, float64) {
 	var best *fleet.Endpoint
 	bestCost := math.MaxFloat64
-	home := homes(candidates, need)
+	home := b.homeOf(now, candidates, need)
 	for i := range candidates {
 		e := &candidates[i]
 		if need.Exclude[e.ID] {
 			continue
 		}
-		cost := b.cost(now, e, need, home)
-		if cost < bestCost {
+		if cost := b.cost(now, e, need, e.ID == home); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return b.begin(now, *best, need)
+	return best, bestCost
 }
 
 func (b *Balancer) begin(now time.Time, e fleet.Endpoint, need Need) *Call {
@@ -168,11 +173,11 @@
 
 // cost is the expected time of the call at an endpoint, in milliseconds, with what
 // speaks against it added.
-func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, need Need, home map[string]bool) float64 {
+func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, need Need, home bool) float64 {
 	s := b.seen(e.ID)
 	var d time.Duration
 	if need.Engine {
-		d = s.engineCost(need, home[e.ID])
+		d = s.engineCost(need, home)
 	} else {
 		d = s.simpleCost(now, max(need.Slots, e.Slots, 1))
 	}
@@ -201,15 +206,22 @@
 	return time.Duration(float64(s.smoothed) * turns)
 }
 
+// engineCost is the time to the first event at an engine. Shared parts that have to be read
+// count readAgainCost times: they are read at the cost of all others there.
 func (s *seen) engineCost(need Need, home bool) time.Duration {
-	unread := need.tokens() - s.kept.match(need.Parts)
-	if home && unread == need.tokens() && len(need.Parts) > 1 {
-		// Other instances send its kin there, so that its shared parts are likely kept.
-		unread = need.Parts[len(need.Parts)-1].Tokens
+	kept := s.kept.match(need.Parts)
+	unread := need.tokens() - kept
+	shared := 0
+	if !home && len(need.Parts) > 1 {
+		shared = max(0, need.tokens()-need.Parts[len(need.Parts)-1].Tokens-kept)
 	}
-	return s.readTime(s.reading+unread) + time.Duration(len(s.calls))*batchCost
+	return s.readTime(s.reading+unread+readAgainCost*shared) + time.Duration(len(s.calls))*batchCost
 }
 
+// readAgainCost is by how much the reading of shared parts that are kept elsewhere is
+// weighed over that of a request's own part.
+const readAgainCost = 6
+
 func (s *seen) readTime(tokens int) time.Duration {
 	return time.Duration(s.slowness * float64(tokens) / tokensPerSecond * float64(time.Second))
 }
@@ -224,31 +236,45 @@
 	return false
 }
 
-// homes returns the endpoints that are first for the shared parts of a prompt, one in
-// each failure domain, so that all instances send kindred requests to the same ones.
-func homes(candidates []fleet.Endpoint, need Need) map[string]bool {
+// homeOf returns the endpoint that is first for the shared parts of a prompt, so that all
+// instances send kindred requests to the same one; empty if there is none. The last part
+// is the request's own.
+func (b *Balancer) homeOf(now time.Time, candidates []fleet.Endpoint, need Need) string {
 	if !need.Engine || len(need.Parts) < 2 {
-		return nil
+		return ""
 	}
-	type first struct {
-		id     string
-		weight uint64
-	}
-	byDomain := map[string]first{}
-	shared := need.Parts[0].ID
+	shared := need.Parts[len(need.Parts)-2].ID
+	home, most := "", uint64(0)
 	for _, e := range candidates {
-		weight := xxhash.Sum64String(shared + "/" + e.ID)
-		if f, ok := byDomain[e.FailureDomain]; !ok || weight > f.weight {
-			byDomain[e.FailureDomain] = first{e.ID, weight}
+		if now.Before(b.seen(e.ID).outUntil) {
+			continue
+		}
+		if weight := xxhash.Sum64String(shared + "/" + e.ID); home == "" || weight > most {
+			home, most = e.ID, weight
 		}
-	}
-	home := make(map[string]bool, len(byDomain))
-	for _, f := range byDomain {
-		home[f.id] = true
 	}
 	return home
 }
 
+// Expect returns the time to the first event, and the failure domain of the endpoint, that
+// a call which is made some time later is likely to have.
+func (b *Balancer) Expect(candidates []fleet.Endpoint, need Need) (time.Duration, string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, _ := b.best(b.clock.Now(), candidates, need)
+	if best == nil {
+		return 0, need.Domain
+	}
+	s := b.seen(best.ID)
+	if !need.Engine {
+		return s.smoothed, best.FailureDomain
+	}
+	return firstEventTime + s.readTime(need.tokens()-s.kept.match(need.Parts)), best.FailureDomain
+}
+
+// firstEventTime is the time to the first event of a prompt that is kept whole.
+const firstEventTime = 60 * time.Millisecond
+
 // Begun says that the first event came, or the answer's head for other calls.
 func (c *Call) Begun() {
 	b := c.balancer
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -23,7 +23,8 @@
 	Inputs []string `json:"inputs,omitempty"`
 	// Bytes is the approximate size of the result.
 	Bytes int64 `json:"bytes"`
-	// Due is when the request's objective ends; Deadline is when it is given up.
+	// Due is when it has to be made for the request to be in time; Deadline is when
+	// the request is given up.
 	Due      time.Time `json:"-"`
 	Deadline time.Time `json:"-"`
 	// Priority is the request's rank; 0 is the highest.
@@ -39,10 +40,10 @@
 	Endpoint string `json:"endpoint,omitempty"`
 	Domain   string `json:"domain,omitempty"`
 	Reason   Reason `json:"reason,omitempty"`
-	// Queue is where the piece waited, and Owner the peer address of the instance
-	// that had it made; empty: this one.
-	Queue Queue  `json:"queue"`
-	Owner string `json:"-"`
+	// Bytes is the approximate size.
+	Bytes int64 `json:"bytes,omitempty"`
+	// Queue is where the piece waited.
+	Queue Queue `json:"queue"`
 }
 
 // Queue names where pieces wait: at a service, or at one of the equal parts into which its
@@ -54,17 +55,14 @@
 	Parts int `json:"parts,omitempty"`
 }
 
-// endpoints returns those of the queue's part. The list is sorted by ID, and so are the
-// parts at all instances that know the same endpoints.
-func (q Queue) endpoints(ready []fleet.Endpoint) []fleet.Endpoint {
-	if q.Parts <= 1 {
-		return ready
-	}
-	var part []fleet.Endpoint
-	for i := q.Part; i < len(ready); i += q.Parts {
-		part = append(part, ready[i])
-	}
-	return part
+// Capacity is what the endpoints of a queue can do.
+type Capacity struct {
+	// PerSecond is how many pieces they make in full calls, AtOnce how many are in
+	// calls when all work on full ones.
+	PerSecond float64
+	AtOnce    int
+	// Call is the time that a call takes that is made now.
+	Call time.Duration
 }
 
 // Reason says why a piece was not made.
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -38,6 +38,8 @@
 
 	mu       sync.Mutex
 	services map[Queue]*service
+	// freeing has the results to be freed, by maker.
+	freeing map[string][]Result
 }
 
 // service is the state of one service's pieces.
@@ -60,6 +62,7 @@
 		again:    set.NewCounter("cobaltcroft_stage_pieces_again_total"),
 		wasted:   set.NewCounter("cobaltcroft_stage_results_unused_total"),
 		services: map[Queue]*service{},
+		freeing:  map[string][]Result{},
 	}
 }
 
@@ -92,7 +95,7 @@
 	b.mu.Unlock()
 	for i := range made {
 		if made[i].Handle != "" {
-			b.Free(at, made[i:i+1])
+			b.Free(made[i : i+1])
 		}
 	}
 	none := make([]Result, len(made))
@@ -111,9 +114,10 @@
 	return s
 }
 
-// Tick drops what is too late and sends what can be sent: endpoints come, go and end
-// their rests.
+// Tick frees results, drops what is too late and sends what can be sent: endpoints come,
+// go and end their rests.
 func (b *Batcher) Tick() {
+	b.flush()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.services {
@@ -260,7 +264,7 @@
 		"ms": now.Sub(begin).Milliseconds(), "expected_ms": call.Milliseconds(), "outcome": int(outcome),
 	}).Info()
 	if len(unused) > 0 {
-		b.Free(s.at, unused)
+		b.Free(unused)
 	}
 }
 
@@ -281,6 +285,7 @@
 		r.Endpoint = w.endpoint.ID
 		r.Domain = w.endpoint.FailureDomain
 		r.Queue = s.at
+		r.Bytes = it.piece.Bytes
 		w.held[r.Handle] = heldResult{bytes: it.piece.Bytes, until: now.Add(batching.Retention)}
 		if it.group.abandoned {
 			unused = append(unused, r)
@@ -332,35 +337,77 @@
 	s.queue.add(it)
 }
 
-// Free gives results up at their makers.
-func (b *Batcher) Free(at Queue, results []Result) {
-	byMaker := map[string][]string{}
+// Free gives results up at their makers, those of some time together.
+func (b *Batcher) Free(results []Result) {
 	b.mu.Lock()
-	s := b.service(at)
+	defer b.mu.Unlock()
 	for _, r := range results {
-		if r.Handle == "" {
-			continue
+		if r.Handle != "" {
+			b.freeing[r.Endpoint] = append(b.freeing[r.Endpoint], r)
 		}
-		byMaker[r.Endpoint] = append(byMaker[r.Endpoint], r.Handle)
-		if w := s.workers[r.Endpoint]; w != nil {
-			delete(w.held, r.Handle)
-		}
-	}
-	if len(s.queue.items) > 0 {
-		b.dispatch(s)
 	}
+}
+
+// flush sends the results that are to be freed to their makers.
+func (b *Batcher) flush() {
+	b.mu.Lock()
+	freeing := b.freeing
+	b.freeing = map[string][]Result{}
 	b.mu.Unlock()
-	for id, handles := range byMaker {
+	for id, results := range freeing {
 		if e, ok := b.known.Endpoint(id); ok {
-			go b.free(e, handles)
+			go b.free(e, results)
 		}
 	}
 }
 
-func (b *Batcher) free(e fleet.Endpoint, handles []string) {
+func (b *Batcher) free(e fleet.Endpoint, results []Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.Handle
+	}
 	if err := b.caller.Free(ctx, e, handles); err != nil {
-		b.log.WithFields(logrus.Fields{"event": "results_not_freed", "endpoint": e.ID, "results": len(handles)}).Debug(err)
+		b.log.WithFields(logrus.Fields{"event": "results_not_freed", "endpoint": e.ID, "results": len(handles)}).Info(err)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range results {
+		s := b.services[r.Queue]
+		if s == nil || s.workers[e.ID] == nil {
+			continue
+		}
+		delete(s.workers[e.ID].held, r.Handle)
+	}
+}
+
+// Capacity returns what the endpoints of a queue can do, as they are now.
+func (b *Batcher) Capacity(at Queue) Capacity {
+	batching := b.known.Batching(at.Service)
+	if batching == nil {
+		return Capacity{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(at)
+	workers := s.update(at.endpoints(b.known.Ready(at.Service)))
+	now := b.clock.Now()
+	full := batching.CallTime(batching.Size).Seconds()
+	var c Capacity
+	slots := 0
+	for _, w := range workers {
+		if now.Before(w.restUntil.Add(-fullRest)) {
+			continue
+		}
+		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slowness)
+		c.AtOnce += batching.Size * max(1, batching.Slots)
+		slots += max(1, batching.Slots)
+	}
+	if slots > 0 {
+		size := min(batching.Size, 1+len(s.queue.items)/slots)
+		c.Call = batching.CallTime(size) + batching.CallTime(size)/time.Duration(2*slots)
 	}
+	return c
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -104,15 +105,22 @@
 
 // pick chooses the endpoint of the next attempt.
 func (u *run) pick() *balance.Call {
-	view := u.View()
-	domain, bytes := u.inputDomain()
-	return u.Balancer.Pick(view.Fleet.Ready(u.service.Name), balance.Need{
-		Domain:     domain,
-		DomainCost: time.Duration(bytes) * bytesCost,
-		Exclude:    u.tried,
-		Engine:     u.service.Engine != nil,
-		Parts:      u.request.Parts,
-	})
+	need := u.need()
+	if len(u.inputs) > 0 {
+		need.Domain = pipeline.HeaviestDomain(u.inputs)
+		need.DomainCost = time.Duration(u.inputBytes()) * bytesCost
+	}
+	return u.Balancer.Pick(u.View().Fleet.Ready(u.service.Name), need)
+}
+
+// need is what the request needs of its endpoint.
+func (u *run) need() balance.Need {
+	return balance.Need{
+		Domain:  u.Domain,
+		Exclude: u.tried,
+		Engine:  u.service.Engine != nil,
+		Parts:   u.request.Parts,
+	}
 }
 
 // outbound is what the endpoint of an attempt is told.
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -34,14 +34,6 @@
 	lateMargin = 5 * time.Millisecond
 )
 
-// Pieces has the pieces of a stage made.
-type Pieces interface {
-	// Make returns a result for each piece, when all are settled.
-	Make(ctx context.Context, service string, pieces []batch.Piece) []batch.Result
-	// Free gives results up.
-	Free(results []batch.Result)
-}
-
 // Options of an executor.
 type Options struct {
 	View     func() *discovery.View
@@ -49,7 +41,7 @@
 	Conns    *httpconn.Pool
 	Balancer *balance.Balancer
 	Budget   *retry.Budget
-	Pieces   Pieces
+	Stages   Stages
 	Clock    clockwork.Clock
 	Log      *logrus.Entry
 	Metrics  *metrics.Set
@@ -68,16 +60,18 @@
 // run is one request under way.
 type run struct {
 	*Executor
-	request      *Request
-	responder    Responder
-	view         *discovery.View
+	request   *Request
+	responder Responder
+	view      *discovery.View
+	// age is the view's when the request came.
+	age          time.Duration
 	route        *route.Route
 	service      *route.Service
 	organisation *route.Organisation
 	// deadline is when the client leaves or the route's time is over.
 	deadline time.Time
-	// inputs are the results that the request reads, and where they are.
-	inputs []stageResults
+	// inputs are the results of stages that the request reads.
+	inputs []batch.Result
 	// tried has the endpoints that the request was sent to.
 	tried    map[string]bool
 	attempts int
@@ -93,7 +87,8 @@
 
 // Run answers a request. The context ends when the client leaves.
 func (x *Executor) Run(ctx context.Context, r *Request, responder Responder) {
-	u := &run{Executor: x, request: r, responder: responder, view: x.View(), tried: map[string]bool{}, lastEvent: r.LastEvent}
+	view := x.View()
+	u := &run{Executor: x, request: r, responder: responder, view: view, age: view.Age(x.Clock.Now()), tried: map[string]bool{}, lastEvent: r.LastEvent}
 	if refusal := u.admit(); refusal != nil {
 		u.refuse(refusal)
 		return
@@ -117,7 +112,7 @@
 	if table == nil {
 		return refuseUnready()
 	}
-	unsure := u.view.Age(u.Clock.Now()) > cautiousAfter
+	unsure := u.age > cautiousAfter
 	u.route = table.Route(u.request.Host, u.request.Path)
 	if u.route == nil {
 		return choose(unsure, refuseUnsure(), refuseNoRoute())
@@ -199,8 +194,8 @@
 		fields["route"] = u.route.Name
 		fields["version"] = u.view.Table.Version
 	}
-	if u.view != nil {
-		fields["view_age_ms"] = u.view.Age(u.Clock.Now()).Milliseconds()
+	if u.view.Table != nil {
+		fields["view_age_ms"] = u.age.Milliseconds()
 	}
 	u.Log.WithFields(fields).Info()
 	u.Metrics.GetOrCreateCounter(`cobaltcroft_requests_total{outcome="` + reason + `"}`).Inc()
--- /dev/null
+++ b/pkg/pipeline/planner.go
@@ -0,0 +1,265 @@
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+)
+
+// Pieces has pieces made.
+type Pieces interface {
+	// Make returns a result for each piece, when all are settled.
+	Make(ctx context.Context, at batch.Queue, pieces []batch.Piece) []batch.Result
+	// Free gives results up.
+	Free(results []batch.Result)
+	// Capacity returns what the endpoints of a queue can do.
+	Capacity(at batch.Queue) batch.Capacity
+}
+
+// Planner makes the stages of requests. Safe for concurrent use.
+type Planner struct {
+	pieces Pieces
+	clock  clockwork.Clock
+	log    *logrus.Entry
+
+	admitted *metrics.Counter
+	refused  *metrics.Counter
+
+	mu sync.Mutex
+	// ahead counts the pieces of admitted plans that are not made yet.
+	ahead map[batch.Queue]int
+}
+
+// NewPlanner returns a planner without work. Counters are made in set.
+func NewPlanner(pieces Pieces, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Planner {
+	return &Planner{
+		pieces:   pieces,
+		clock:    clock,
+		log:      log,
+		admitted: set.NewCounter(`cobaltcroft_plans_total{outcome="admitted"}`),
+		refused:  set.NewCounter(`cobaltcroft_plans_total{outcome="refused"}`),
+		ahead:    map[batch.Queue]int{},
+	}
+}
+
+func (part Part) queue(service string) batch.Queue {
+	return batch.Queue{Service: service, Part: part.Number, Parts: part.Of}
+}
+
+// Run makes the stages of a plan, unless they would not be done in time. If ctx ends
+// before, what was made is freed.
+func (p *Planner) Run(ctx context.Context, part Part, plan Plan) Outcome {
+	forecast, admitted := p.admit(part, &plan)
+	p.log.WithFields(logrus.Fields{
+		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": forecast.Milliseconds(),
+		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "admitted": admitted, "domain": plan.Domain,
+	}).Info()
+	if !admitted {
+		p.refused.Inc()
+		return Outcome{Reason: Busy, RetryAfter: comeBack(forecast - plan.Due.Sub(p.clock.Now()))}
+	}
+	p.admitted.Inc()
+	w := newWork(p, part, &plan)
+	return w.run(ctx)
+}
+
+// work is a plan under way.
+type work struct {
+	*Planner
+	part   Part
+	plan   *Plan
+	read   []bool
+	waits  [][]int
+	tails  []int
+	cancel context.CancelFunc
+	done   []chan struct{}
+
+	mu     sync.Mutex
+	made   [][]batch.Result
+	reason batch.Reason
+}
+
+func newWork(p *Planner, part Part, plan *Plan) *work {
+	w := &work{
+		Planner: p,
+		part:    part,
+		plan:    plan,
+		read:    plan.read(),
+		waits:   plan.waits(),
+		tails:   plan.tails(),
+		done:    make([]chan struct{}, len(plan.Stages)),
+		made:    make([][]batch.Result, len(plan.Stages)),
+	}
+	for i := range w.done {
+		w.done[i] = make(chan struct{})
+	}
+	return w
+}
+
+func (w *work) run(ctx context.Context) Outcome {
+	ctx, w.cancel = context.WithCancel(ctx)
+	defer w.cancel()
+	var group sync.WaitGroup
+	for i := range w.plan.Stages {
+		group.Go(func() { w.stage(ctx, i) })
+	}
+	group.Wait()
+	if w.reason == "" && ctx.Err() != nil {
+		w.reason = batch.Late
+	}
+	if w.reason != "" {
+		for _, results := range w.made {
+			w.pieces.Free(results)
+		}
+		return Outcome{Reason: w.reason}
+	}
+	var outcome Outcome
+	for i, results := range w.made {
+		if !w.read[i] {
+			outcome.Results = append(outcome.Results, results...)
+		}
+	}
+	return outcome
+}
+
+// stage makes one stage when those that it waits for are done.
+func (w *work) stage(ctx context.Context, i int) {
+	defer close(w.done[i])
+	stage := &w.plan.Stages[i]
+	queue := w.part.queue(stage.Service)
+	defer w.finished(queue, stage.Pieces)
+	for _, before := range w.waits[i] {
+		<-w.done[before]
+	}
+	if stage.Pieces == 0 || ctx.Err() != nil || w.failed() {
+		return
+	}
+	begin := w.clock.Now()
+	results := w.pieces.Make(ctx, queue, w.stagePieces(i, stage))
+	reason := firstReason(results)
+	w.log.WithFields(logrus.Fields{
+		"event": "stage", "id": w.plan.Request, "stage": i, "service": stage.Service, "pieces": stage.Pieces,
+		"ms": w.clock.Since(begin).Milliseconds(), "reason": string(reason), "made_in": results[0].Domain,
+	}).Info()
+	w.mu.Lock()
+	w.made[i] = results
+	if reason != "" && w.reason == "" {
+		w.reason = reason
+		w.cancel()
+	}
+	w.mu.Unlock()
+	if reason == "" {
+		w.freeRead(i)
+	}
+}
+
+func firstReason(results []batch.Result) batch.Reason {
+	for _, r := range results {
+		if r.Handle == "" {
+			if r.Reason == "" {
+				return batch.Failed
+			}
+			return r.Reason
+		}
+	}
+	return ""
+}
+
+func (w *work) failed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reason != ""
+}
+
+func (w *work) stagePieces(i int, stage *Stage) []batch.Piece {
+	var inputs []string
+	domain := w.plan.Domain
+	w.mu.Lock()
+	for _, before := range stage.After {
+		for _, r := range w.made[before] {
+			inputs = append(inputs, r.Handle)
+		}
+	}
+	if len(stage.After) > 0 {
+		if heaviest := HeaviestDomain(w.results(stage.After)); heaviest != "" {
+			domain = heaviest
+		}
+	}
+	w.mu.Unlock()
+	later := time.Duration(0)
+	if w.tails[i] > 1 {
+		later = time.Duration(w.tails[i]-1) * w.pieces.Capacity(w.part.queue(stage.Service)).Call
+	}
+	pieces := make([]batch.Piece, stage.Pieces)
+	for n := range pieces {
+		pieces[n] = batch.Piece{
+			Request:  w.plan.Request,
+			Stage:    i,
+			Index:    n,
+			Inputs:   inputs,
+			Bytes:    stage.Bytes,
+			Due:      w.plan.Due.Add(-later),
+			Deadline: w.plan.Deadline,
+			Priority: w.plan.Priority,
+			Domain:   domain,
+		}
+		if len(stage.After) == 0 {
+			pieces[n].Key = w.plan.Key
+		}
+	}
+	return pieces
+}
+
+func (w *work) results(stages []int) []batch.Result {
+	var all []batch.Result
+	for _, i := range stages {
+		all = append(all, w.made[i]...)
+	}
+	return all
+}
+
+// HeaviestDomain returns the failure domain that holds the most bytes of results; empty
+// if there are none.
+func HeaviestDomain(results []batch.Result) string {
+	weights := map[string]int64{}
+	best, most := "", int64(-1)
+	for _, r := range results {
+		weights[r.Domain] += r.Bytes
+		if weights[r.Domain] > most {
+			best, most = r.Domain, weights[r.Domain]
+		}
+	}
+	return best
+}
+
+// freeRead frees the results that stage i has read, where no other stage reads them.
+func (w *work) freeRead(i int) {
+	for _, before := range w.plan.Stages[i].After {
+		if w.readers(before) > 1 {
+			continue
+		}
+		w.mu.Lock()
+		results := w.made[before]
+		w.made[before] = nil
+		w.mu.Unlock()
+		w.pieces.Free(results)
+	}
+}
+
+func (w *work) readers(i int) int {
+	n := 0
+	for _, stage := range w.plan.Stages {
+		for _, before := range stage.After {
+			if before == i && stage.Pieces > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
 
 // The methods of the peers' jsonrpc2 face. A connection begins with MethodHello.
@@ -14,9 +15,9 @@
 	MethodStatus   = "instance.status"
 	MethodTimeline = "timeline.select"
 	MethodState    = "discovery.state"
-	MethodMake     = "batch.make"
-	MethodCancel   = "batch.cancel"
-	MethodFree     = "batch.free"
+	MethodRun      = "pipeline.run"
+	MethodCancel   = "pipeline.cancel"
+	MethodFree     = "pipeline.free"
 )
 
 // Hello presents the peers' token.
@@ -95,33 +96,23 @@
 	AgeMs int64 `json:"age_ms"`
 }
 
-// Make has pieces made; the answer is Made.
-type Make struct {
-	// Call names the call for MethodCancel; unique to the caller's connection.
-	Call   string      `json:"call"`
-	Queue  batch.Queue `json:"queue"`
-	Pieces []Piece     `json:"pieces"`
-}
-
-// Piece is a batch.Piece whose times are told as times left, in milliseconds.
-type Piece struct {
-	batch.Piece
+// Run has the stages of a plan made; the answer is a pipeline.Outcome.
+type Run struct {
+	// Call names the call for MethodCancel; unique among all callers.
+	Call string        `json:"call"`
+	Part pipeline.Part `json:"part"`
+	Plan pipeline.Plan `json:"plan"`
+	// DueMs and DeadlineMs are the plan's times as times left, in milliseconds.
 	DueMs      int64 `json:"due_ms"`
 	DeadlineMs int64 `json:"deadline_ms"`
 }
 
-// Made answers MethodMake, in the order of the pieces.
-type Made struct {
-	Results []batch.Result `json:"results"`
-}
-
-// Cancel gives a call of MethodMake up. It has no answer.
+// Cancel gives a call of MethodRun up. It has no answer.
 type Cancel struct {
 	Call string `json:"call"`
 }
 
 // Free gives results up. It has no answer.
 type Free struct {
-	Queue   batch.Queue    `json:"queue"`
 	Results []batch.Result `json:"results"`
 }
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -10,12 +10,14 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
 // Handler answers the calls of other instances' routers and followers.
 type Handler struct {
+	planner  *pipeline.Planner
 	local    *batch.Batcher
 	follower *discovery.Follower
 	clock    clockwork.Clock
@@ -26,20 +28,20 @@
 
 var _ peers.Handler = (*Handler)(nil)
 
-// NewHandler returns a handler that has pieces made by a batcher.
-func NewHandler(local *batch.Batcher, follower *discovery.Follower, clock clockwork.Clock) *Handler {
-	return &Handler{local: local, follower: follower, clock: clock, calls: map[string]context.CancelFunc{}}
+// NewHandler returns a handler that has stages made by a planner.
+func NewHandler(planner *pipeline.Planner, local *batch.Batcher, follower *discovery.Follower, clock clockwork.Clock) *Handler {
+	return &Handler{planner: planner, local: local, follower: follower, clock: clock, calls: map[string]context.CancelFunc{}}
 }
 
 // Answer implements peers.Handler.
 func (h *Handler) Answer(ctx context.Context, method string, raw json.RawMessage) (any, error) {
 	switch method {
-	case api.MethodMake:
-		call, err := peers.Params[api.Make](method, raw)
+	case api.MethodRun:
+		call, err := peers.Params[api.Run](method, raw)
 		if err != nil {
 			return nil, err
 		}
-		return h.makePieces(ctx, call), nil
+		return h.run(ctx, call), nil
 	case api.MethodCancel:
 		call, err := peers.Params[api.Cancel](method, raw)
 		if err != nil {
@@ -52,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h.local.Free(call.Queue, call.Results)
+		h.local.Free(call.Results)
 		return struct{}{}, nil
 	case api.MethodState:
 		call, err := peers.Params[api.StateSelect](method, raw)
@@ -64,9 +66,9 @@
 	return nil, peers.UnknownMethod(method)
 }
 
-// makePieces has pieces made until the caller cancels or its connection breaks. Results
-// that come after that are freed.
-func (h *Handler) makePieces(ctx context.Context, call api.Make) api.Made {
+// run has stages made until the caller cancels or its connection breaks. What was made
+// until then is freed.
+func (h *Handler) run(ctx context.Context, call api.Run) pipeline.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.mu.Lock()
@@ -77,18 +79,10 @@
 		delete(h.calls, call.Call)
 		h.mu.Unlock()
 	}()
-	return api.Made{Results: h.local.Make(ctx, call.Queue, h.fromWire(call.Pieces))}
-}
-
-func (h *Handler) fromWire(wire []api.Piece) []batch.Piece {
 	now := h.clock.Now()
-	pieces := make([]batch.Piece, len(wire))
-	for i, w := range wire {
-		pieces[i] = w.Piece
-		pieces[i].Due = now.Add(time.Duration(w.DueMs) * time.Millisecond)
-		pieces[i].Deadline = now.Add(time.Duration(w.DeadlineMs) * time.Millisecond)
-	}
-	return pieces
+	call.Plan.Due = now.Add(time.Duration(call.DueMs) * time.Millisecond)
+	call.Plan.Deadline = now.Add(time.Duration(call.DeadlineMs) * time.Millisecond)
+	return h.planner.Run(ctx, call.Part, call.Plan)
 }
 
 func (h *Handler) cancel(call string) {
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -1,10 +1,10 @@
-// Package handover hands pieces over between instances, so that the pieces of all
-// instances' requests wait together at one of them, and tells peers what is known of
+// Package handover hands the stages of requests over between instances, so that those of
+// all instances' requests are made by one planner, and tells peers what is known of
 // configuration and endpoints.
 //
-// For each queue one live instance is the owner, by rendezvous hashing. Owning is a
-// preference, not a right: two owners at once only send smaller batches, and an instance
-// whose owner is silent has its pieces made itself.
+// For each part of the endpoints one live instance is the owner, by rendezvous hashing.
+// Owning is a preference, not a right: two owners at once only send smaller batches, and an
+// instance whose owner is silent makes its stages itself.
 package handover
 
 import (
@@ -17,18 +17,19 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
 
 const (
-	// endpointsPerQueue is how many endpoints one owner serves at most.
-	endpointsPerQueue = 8
-	// suspectFor is how long an owner that did not answer gets no pieces.
+	// endpointsPerPart is how many endpoints of each service a part has at least: with
+	// fewer, pieces wait longer for one to be free.
+	endpointsPerPart = 5
+	// suspectFor is how long an owner that did not answer gets no plans.
 	suspectFor = 2 * time.Second
 )
 
-// owners chooses the owner of each queue among the live members.
+// owners chooses the owner of each part among the live members.
 type owners struct {
 	clock clockwork.Clock
 	self  membership.Self
@@ -38,25 +39,23 @@
 	suspects map[string]time.Time
 }
 
-// queueOf returns the queue of a request's pieces at a service with so many endpoints.
-func queueOf(service, request string, endpoints int) batch.Queue {
-	parts := (endpoints + endpointsPerQueue - 1) / endpointsPerQueue
-	if parts <= 1 {
-		return batch.Queue{Service: service}
-	}
-	return batch.Queue{Service: service, Part: int(xxhash.Sum64String(request) % uint64(parts)), Parts: parts}
+// partOf returns the part that a request falls to, where the least service that takes
+// pieces has so many endpoints.
+func partOf(request string, endpoints int) pipeline.Part {
+	of := max(1, endpoints/endpointsPerPart)
+	return pipeline.Part{Number: int(xxhash.Sum64String(request) % uint64(of)), Of: of}
 }
 
-// owner is an instance that may own a queue.
+// owner is an instance that may own a part.
 type owner struct {
 	address string
 	weight  uint64
 }
 
-// of returns the peer addresses that a queue's pieces are handed to, in turn; this
+// of returns the peer addresses that a part's plans are handed to, in turn; this
 // instance's own stands for the end of the list.
-func (o *owners) of(queue batch.Queue) []string {
-	name := queue.Service + "/" + strconv.Itoa(queue.Part) + "/"
+func (o *owners) of(part pipeline.Part) []string {
+	name := strconv.Itoa(part.Number) + "/"
 	list := []owner{{o.self.PeerAddress, xxhash.Sum64String(name + o.self.Name)}}
 	for _, m := range o.live() {
 		if !o.suspected(m.PeerAddress) {
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,92 +12,100 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/gateway"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
 const (
-	// maxHandovers bounds the owners that pieces are handed to before they are made
-	// by this instance itself.
+	// maxHandovers bounds the owners that a plan is handed to before this instance
+	// makes the stages itself.
 	maxHandovers  = 2
 	notifyTimeout = 300 * time.Millisecond
 )
 
-// Router has pieces made by the owner of their queue. Safe for concurrent use.
+// Router has the stages of requests made by the owner of their part. Safe for concurrent
+// use.
 type Router struct {
 	owners    owners
 	client    *peers.Client
+	planner   *pipeline.Planner
 	local     *batch.Batcher
-	endpoints func(service string) int
+	endpoints func() int
 	clock     clockwork.Clock
 	log       *logrus.Entry
+
+	mu sync.Mutex
+	// makers has, by handle, the peer address of the instance that had a result made.
+	makers map[string]string
 }
 
-var _ gateway.Pieces = (*Router)(nil)
+var _ gateway.Stages = (*Router)(nil)
+
+// Options of a router.
+type Options struct {
+	Self membership.Self
+	// Live returns the other live members.
+	Live    func() []membership.Member
+	Client  *peers.Client
+	Planner *pipeline.Planner
+	Batcher *batch.Batcher
+	// Endpoints returns how many endpoints the least service that takes pieces has.
+	Endpoints func() int
+	Clock     clockwork.Clock
+	Log       *logrus.Entry
+}
 
-// NewRouter returns a router of the instance self. The function live returns the other
-// live members; endpoints returns how many endpoints a service has.
-func NewRouter(self membership.Self, live func() []membership.Member, client *peers.Client, local *batch.Batcher, endpoints func(string) int, clock clockwork.Clock, log *logrus.Entry) *Router {
+// NewRouter returns a router.
+func NewRouter(o Options) *Router {
 	return &Router{
-		owners:    owners{clock: clock, self: self, live: live, suspects: map[string]time.Time{}},
-		client:    client,
-		local:     local,
-		endpoints: endpoints,
-		clock:     clock,
-		log:       log,
+		owners:    owners{clock: o.Clock, self: o.Self, live: o.Live, suspects: map[string]time.Time{}},
+		client:    o.Client,
+		planner:   o.Planner,
+		local:     o.Batcher,
+		endpoints: o.Endpoints,
+		clock:     o.Clock,
+		log:       o.Log,
+		makers:    map[string]string{},
 	}
 }
 
-// Make implements gateway.Pieces.
-func (r *Router) Make(ctx context.Context, service string, pieces []batch.Piece) []batch.Result {
-	queue := queueOf(service, pieces[0].Request, r.endpoints(service))
-	for i, address := range r.owners.of(queue) {
+// Run implements gateway.Stages.
+func (r *Router) Run(ctx context.Context, plan pipeline.Plan) pipeline.Outcome {
+	part := partOf(plan.Request, r.endpoints())
+	for i, address := range r.owners.of(part) {
 		if address == r.owners.self.PeerAddress || i >= maxHandovers || ctx.Err() != nil {
 			break
 		}
-		results, ok := r.handOver(ctx, address, queue, pieces)
+		outcome, ok := r.handOver(ctx, address, part, plan)
 		if ok {
-			return results
+			return outcome
 		}
 	}
-	return r.local.Make(ctx, queue, pieces)
+	return r.planner.Run(ctx, part, plan)
 }
 
-// handOver has pieces made by the owner at an address, and tells whether it answered.
-func (r *Router) handOver(ctx context.Context, address string, queue batch.Queue, pieces []batch.Piece) ([]batch.Result, bool) {
-	call := api.Make{Call: uuid.NewString(), Queue: queue, Pieces: r.toWire(pieces)}
-	var made api.Made
-	err := r.client.Call(ctx, address, api.MethodMake, call, &made)
+// handOver has the stages made by the owner at an address, and tells whether it answered.
+func (r *Router) handOver(ctx context.Context, address string, part pipeline.Part, plan pipeline.Plan) (pipeline.Outcome, bool) {
+	now := r.clock.Now()
+	call := api.Run{Call: uuid.NewString(), Part: part, Plan: plan, DueMs: plan.Due.Sub(now).Milliseconds(), DeadlineMs: plan.Deadline.Sub(now).Milliseconds()}
+	var outcome pipeline.Outcome
+	err := r.client.Call(ctx, address, api.MethodRun, call, &outcome)
 	if ctx.Err() != nil {
 		r.cancel(address, call.Call)
-		return lateResults(len(pieces)), true
+		return pipeline.Outcome{Reason: batch.Late}, true
 	}
-	if err != nil || len(made.Results) != len(pieces) {
+	if err != nil {
 		r.owners.suspect(address)
-		r.log.WithFields(logrus.Fields{"event": "owner_silent", "id": pieces[0].Request, "owner": address, "service": queue.Service}).Warn(err)
-		return nil, false
-	}
-	for i := range made.Results {
-		made.Results[i].Owner = address
-	}
-	return made.Results, true
-}
-
-func lateResults(n int) []batch.Result {
-	results := make([]batch.Result, n)
-	for i := range results {
-		results[i].Reason = batch.Late
+		r.log.WithFields(logrus.Fields{"event": "owner_silent", "id": plan.Request, "owner": address}).Warn(err)
+		return pipeline.Outcome{}, false
 	}
-	return results
-}
-
-func (r *Router) toWire(pieces []batch.Piece) []api.Piece {
-	now := r.clock.Now()
-	wire := make([]api.Piece, len(pieces))
-	for i, p := range pieces {
-		wire[i] = api.Piece{Piece: p, DueMs: p.Due.Sub(now).Milliseconds(), DeadlineMs: p.Deadline.Sub(now).Milliseconds()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, result := range outcome.Results {
+		r.makers[result.Handle] = address
 	}
-	return wire
+	return outcome, true
 }
 
 func (r *Router) cancel(address, call string) {
@@ -107,17 +116,19 @@
 	}
 }
 
-// Free implements gateway.Pieces.
+// Free implements gateway.Stages.
 func (r *Router) Free(results []batch.Result) {
 	byOwner := map[string][]batch.Result{}
+	r.mu.Lock()
 	for _, result := range results {
-		if result.Handle != "" {
-			byOwner[result.Owner] = append(byOwner[result.Owner], result)
-		}
+		address := r.makers[result.Handle]
+		delete(r.makers, result.Handle)
+		byOwner[address] = append(byOwner[address], result)
 	}
+	r.mu.Unlock()
 	for address, own := range byOwner {
 		if address == "" {
-			r.local.Free(own[0].Queue, own)
+			r.local.Free(own)
 			continue
 		}
 		go r.freeAt(address, own)
@@ -128,8 +139,7 @@
 func (r *Router) freeAt(address string, results []batch.Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	err := r.client.Notify(ctx, address, api.MethodFree, api.Free{Queue: results[0].Queue, Results: results})
-	if err != nil {
-		r.local.Free(results[0].Queue, results)
+	if err := r.client.Notify(ctx, address, api.MethodFree, api.Free{Results: results}); err != nil {
+		r.local.Free(results)
 	}
 }
