batch, pipeline: room given back when inputs are fetched; large results made where they are read

Two owners were at work at once, since instances of other domains hear each other in turn and suspected each other falsely. Change: where room is scarce, results are given up 80 ms after the call that reads them was sent to a free endpoint; room keeps a margin that is learnt; small calls wait for room; pieces with large results wait for an endpoint where they will be read; heartbeats go to all of up to 16 instances of other domains.

--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -63,6 +63,18 @@
 	AtOnce    int
 	// Call is the time that a call takes that is made now.
 	Call time.Duration
+	// RoomBytes is an endpoint's memory for results, and Size the pieces of a full call.
+	RoomBytes int64
+	Size      int
+}
+
+// scarceCalls is how many full calls' results an endpoint has room for where room is not
+// scarce: those of the call at work, and those that wait to be read.
+const scarceCalls = 3
+
+// Scarce tells whether room is scarce for results of a size.
+func (c Capacity) Scarce(bytes int64) bool {
+	return c.RoomBytes < scarceCalls*int64(c.Size)*bytes
 }
 
 // Reason says why a piece was not made.
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -21,6 +21,16 @@
 	overdueFactor = 2
 	overdueSlack  = 400 * time.Millisecond
 	freeTimeout   = 500 * time.Millisecond
+	// fetchTime is how long after a call was sent its endpoint has fetched the inputs,
+	// if it had no other call.
+	fetchTime = 80 * time.Millisecond
+	// byteCost is the time that a byte of a result is worth which is made in another
+	// failure domain than the one where it will be read.
+	byteCost = 500 * time.Nanosecond
+	// smallCall is the part of a full call, or of what waits, below which a call for
+	// which there is too little room waits up to roomWait for more.
+	smallCall = 0.5
+	roomWait  = 150 * time.Millisecond
 )
 
 // Batcher makes the pieces of all services here. Safe for concurrent use.
@@ -68,9 +78,10 @@
 
 // Make has pieces of one service made, and returns their results in the same order
 // when all are settled. If ctx ends before, pieces that wait are dropped, and results
-// that come after are freed.
-func (b *Batcher) Make(ctx context.Context, at Queue, pieces []Piece) []Result {
-	g := newGroup(len(pieces))
+// that come after are freed. If read is not nil, it is called, once at most, when the
+// endpoints have fetched the inputs of all pieces; none is made again after that.
+func (b *Batcher) Make(ctx context.Context, at Queue, pieces []Piece, read func()) []Result {
+	g := newGroup(len(pieces), read)
 	b.mu.Lock()
 	s := b.service(at)
 	for slot, piece := range pieces {
@@ -142,12 +153,56 @@
 		if w == nil {
 			return
 		}
-		items := s.queue.take(batching.Size, w.room(now, batching))
-		if len(items) == 0 {
+		if !b.fill(s, w, workers, batching, now) {
 			w.restUntil = now.Add(fullRest)
-			continue
 		}
-		b.send(s, w, items, batching)
+	}
+}
+
+// fill sends a call to a worker, unless it should wait for room or has nothing to do.
+func (b *Batcher) fill(s *service, w *worker, workers []*worker, batching *route.Batching, now time.Time) bool {
+	all := s.queue.items
+	room := w.room(now, batching)
+	items := s.queue.take(batching.Size, room, s.wanted(now, w, workers, batching))
+	if len(items) == 0 {
+		return false
+	}
+	few := float64(len(items)) < smallCall*float64(min(len(all), batching.Size))
+	short := room < batching.RoomBytes/2
+	if few && short && now.Sub(w.idleSince) < roomWait {
+		s.queue.items = all
+		return false
+	}
+	b.send(s, w, items, batching)
+	return true
+}
+
+// wanted tells which pieces a worker takes: not those whose result is large enough that it
+// is better made in the failure domain where it will be read, though it is made later there.
+func (s *service) wanted(now time.Time, w *worker, workers []*worker, batching *route.Batching) func(*item) bool {
+	call := batching.CallTime(batching.Size)
+	own := now.Add(w.expected(call))
+	local := map[string]time.Time{}
+	for _, other := range workers {
+		finish := other.finish(now, call)
+		if best, ok := local[other.endpoint.FailureDomain]; !ok || finish.Before(best) {
+			local[other.endpoint.FailureDomain] = finish
+		}
+	}
+	ahead := map[string]int{}
+	return func(i *item) bool {
+		domain := i.piece.Domain
+		if domain == "" || domain == w.endpoint.FailureDomain {
+			return true
+		}
+		there, ok := local[domain]
+		if !ok {
+			return true
+		}
+		there = there.Add(time.Duration(ahead[domain]/batching.Size) * call)
+		ahead[domain]++
+		saved := time.Duration(i.piece.Bytes) * byteCost
+		return there.After(own.Add(saved)) || there.After(i.piece.Due) && !own.After(i.piece.Due)
 	}
 }
 
@@ -231,6 +286,7 @@
 	w.running++
 	w.busyUntil = now.Add(expected)
 	w.reserved += bytes
+	b.watchFetch(w, items)
 	b.calls.Inc()
 	b.pieces.Add(len(items))
 	limit := now.Add(overdueFactor*expected + overdueSlack)
@@ -240,6 +296,32 @@
 	go b.run(s, w, items, pieces, bytes, batching, call, limit)
 }
 
+// watchFetch notes, some time after a call was sent, that the endpoint has fetched the
+// inputs of its pieces.
+func (b *Batcher) watchFetch(w *worker, items []*item) {
+	if w.shared || w.running > 1 || items[0].group.read == nil {
+		return
+	}
+	b.clock.AfterFunc(fetchTime, func() {
+		var read []func()
+		b.mu.Lock()
+		for _, it := range items {
+			g := it.group
+			if it.fetched || g.read == nil || g.abandoned {
+				continue
+			}
+			it.fetched = true
+			if g.unread--; g.unread == 0 {
+				read = append(read, g.read)
+			}
+		}
+		b.mu.Unlock()
+		for _, call := range read {
+			call()
+		}
+	})
+}
+
 // run makes one call and deals with what comes of it.
 func (b *Batcher) run(s *service, w *worker, items []*item, pieces []Piece, bytes int64, batching *route.Batching, call time.Duration, limit time.Time) {
 	begin := b.clock.Now()
@@ -249,25 +331,40 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	w.running--
+	w.idleSince = now
+	room := w.room(now, batching)
 	w.reserved -= bytes
+	waiting := len(s.queue.items)
 	unused := b.settle(s, w, items, results, outcome, batching, now)
 	if outcome == Made {
 		w.learn(now.Sub(begin), call)
 	}
 	if outcome == Lost {
 		w.slowness = max(w.slowness, float64(now.Sub(begin))/float64(call))
+		w.shared = true
 	}
 	b.dispatch(s)
 	b.mu.Unlock()
 	b.log.WithFields(logrus.Fields{
 		"event": "stage_call", "service": s.at.Service, "endpoint": w.endpoint.ID, "pieces": len(pieces),
 		"ms": now.Sub(begin).Milliseconds(), "expected_ms": call.Milliseconds(), "outcome": int(outcome),
+		"domain": w.endpoint.FailureDomain, "not_made": countFailed(results), "waiting": waiting, "room": room, "bytes": bytes,
 	}).Info()
 	if len(unused) > 0 {
 		b.Free(unused)
 	}
 }
 
+func countFailed(results []Result) int {
+	n := 0
+	for _, r := range results {
+		if r.Handle == "" {
+			n++
+		}
+	}
+	return n
+}
+
 // settle hands results out, puts pieces back that may be tried again, and returns the
 // results that nobody waits for.
 func (b *Batcher) settle(s *service, w *worker, items []*item, results []Result, outcome CallOutcome, batching *route.Batching, now time.Time) []Result {
@@ -315,7 +412,7 @@
 func (b *Batcher) pieceFailed(s *service, w *worker, it *item, reason Reason, now time.Time) {
 	switch reason {
 	case NoRoom:
-		w.restUntil = now.Add(fullRest)
+		w.noRoom(now)
 		b.putBack(s, it)
 	case Gone, Late:
 		it.group.settle(it.slot, Result{Reason: reason})
@@ -329,6 +426,14 @@
 	if it.group.abandoned {
 		return
 	}
+	if it.group.inputsGone() {
+		it.group.settle(it.slot, Result{Reason: Gone})
+		return
+	}
+	if it.fetched {
+		it.fetched = false
+		it.group.unread++
+	}
 	if it.tries >= maxTries || !b.budget.Take(s.at.Service, 1) {
 		it.group.settle(it.slot, Result{Reason: Exhausted})
 		return
@@ -395,7 +500,7 @@
 	workers := s.update(at.endpoints(b.known.Ready(at.Service)))
 	now := b.clock.Now()
 	full := batching.CallTime(batching.Size).Seconds()
-	var c Capacity
+	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
 	slots := 0
 	for _, w := range workers {
 		if now.Before(w.restUntil.Add(-fullRest)) {
--- a/pkg/batch/queue.go
+++ b/pkg/batch/queue.go
@@ -14,6 +14,8 @@
 	group *group
 	// slot is the index of the result in the group.
 	slot int
+	// fetched says that its endpoint has fetched its inputs.
+	fetched bool
 }
 
 // group is what was submitted together: the pieces of one stage of one request.
@@ -23,12 +25,19 @@
 	done    chan struct{}
 	// abandoned says that nobody waits for the results any more.
 	abandoned bool
+	// unread counts the pieces whose inputs their endpoints have not fetched yet. When
+	// none is left, read is called, and none of the pieces can be made again.
+	unread int
+	read   func()
 }
 
-func newGroup(n int) *group {
-	return &group{results: make([]Result, n), left: n, done: make(chan struct{})}
+func newGroup(n int, read func()) *group {
+	return &group{results: make([]Result, n), left: n, done: make(chan struct{}), unread: n, read: read}
 }
 
+// inputsGone tells whether the inputs have been given up.
+func (g *group) inputsGone() bool { return g.read != nil && g.unread == 0 }
+
 // settle sets the result of one piece.
 func (g *group) settle(slot int, r Result) {
 	g.results[slot] = r
@@ -83,19 +92,19 @@
 	})
 }
 
-// take removes the first pieces that fit: at most size of them, of at most room bytes.
-func (q *queue) take(size int, room int64) []*item {
+// take removes the first pieces that fit: at most size of them, of at most room bytes, of
+// those that wanted holds for.
+func (q *queue) take(size int, room int64, wanted func(*item) bool) []*item {
 	var taken []*item
-	rest := q.items[:0]
+	rest := make([]*item, 0, len(q.items))
 	for _, i := range q.items {
-		if len(taken) < size && i.piece.Bytes <= room {
+		if len(taken) < size && i.piece.Bytes <= room && wanted(i) {
 			taken = append(taken, i)
 			room -= i.piece.Bytes
 			continue
 		}
 		rest = append(rest, i)
 	}
-	clear(q.items[len(rest):])
 	q.items = rest
 	return taken
 }
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -15,6 +15,13 @@
 	lastRest  = 3 * time.Second
 	// fullRest is how long a worker rests that had no room or was full.
 	fullRest = 30 * time.Millisecond
+	// marginStep is by how much the part of the room left free grows each time that
+	// there was no room; it shrinks by marginDecay with each call that went well.
+	marginStep  = 0.04
+	marginDecay = 0.005
+	maxMargin   = 0.4
+	// sharedFactor is by how much a call is longer than expected that waited for others.
+	sharedFactor = 1.4
 )
 
 // worker is an endpoint as the batcher sees it.
@@ -32,6 +39,14 @@
 	// held are the results that it keeps, and reserved the room of calls under way.
 	held     map[string]heldResult
 	reserved int64
+	// margin is the part of the room that is left free, since results are larger than
+	// they were said to be.
+	margin float64
+	// shared says that its last call took so long that it must have waited for a call
+	// of another instance, or for one that was given up.
+	shared bool
+	// idleSince is when it last became free of calls.
+	idleSince time.Time
 }
 
 type heldResult struct {
@@ -53,7 +68,13 @@
 		}
 		used += r.bytes
 	}
-	return batching.RoomBytes - used
+	return int64(float64(batching.RoomBytes)*(1-w.margin)) - used
+}
+
+// noRoom notes that the endpoint had less room than was thought.
+func (w *worker) noRoom(now time.Time) {
+	w.margin = min(maxMargin, w.margin+marginStep)
+	w.restUntil = now.Add(fullRest)
 }
 
 // usable tells whether it can take a call now.
@@ -85,6 +106,8 @@
 		return
 	}
 	ratio := float64(took) / float64(configured)
+	w.shared = ratio > sharedFactor*w.slowness
+	w.margin = max(0, w.margin-marginDecay)
 	w.slowness += speedWeight * (ratio - w.slowness)
 	w.rest = 0
 }
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -29,6 +29,8 @@
 	forgetFactor = 10
 	// bridgesOut is how many instances of other failure domains get each heartbeat.
 	bridgesOut = 2
+	// fewOthers is how many instances of other failure domains all get each heartbeat.
+	fewOthers = 16
 	// contactLife is how long an address that someone named is tried.
 	contactLife = time.Minute
 	// maxKnown bounds the members named in one heartbeat.
@@ -240,10 +242,19 @@
 	if m.neighbour(member) {
 		return m.suspectAfter
 	}
-	turns := max(2, (len(m.members)+bridgesOut-1)/bridgesOut)
+	out := bridges(len(m.members))
+	turns := max(2, (len(m.members)+out-1)/out)
 	return m.suspectAfter * time.Duration(turns)
 }
 
+// bridges is how many of the instances of other failure domains get each heartbeat.
+func bridges(others int) int {
+	if others <= fewOthers {
+		return max(1, others)
+	}
+	return bridgesOut
+}
+
 // possibleWitnesses counts the others that could witness: live ones of the own domain.
 func (m *Members) possibleWitnesses(member *Member) int {
 	n := 0
@@ -275,7 +286,7 @@
 			h.Suspects = append(h.Suspects, member.Name)
 		}
 	}
-	for _, member := range pick(others, bridgesOut, random) {
+	for _, member := range pick(others, bridges(len(others)), random) {
 		to = append(to, member.PeerAddress)
 	}
 	to = append(to, m.greet...)
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -10,7 +10,7 @@
 const (
 	// firstComeBack and lastComeBack bound the time after which a refused request may
 	// come back.
-	firstComeBack = 300 * time.Millisecond
+	firstComeBack = 700 * time.Millisecond
 	lastComeBack  = 4 * time.Second
 )
 
@@ -24,10 +24,21 @@
 	if forecast > left {
 		return forecast, false
 	}
+	p.countLocked(part, plan)
+	return forecast, true
+}
+
+// count counts the pieces of a plan in.
+func (p *Planner) count(part Part, plan *Plan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countLocked(part, plan)
+}
+
+func (p *Planner) countLocked(part Part, plan *Plan) {
 	for _, stage := range plan.Stages {
 		p.ahead[part.queue(stage.Service)] += stage.Pieces
 	}
-	return forecast, true
 }
 
 // finished counts pieces out.
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -15,7 +15,8 @@
 // Pieces has pieces made.
 type Pieces interface {
 	// Make returns a result for each piece, when all are settled.
-	Make(ctx context.Context, at batch.Queue, pieces []batch.Piece) []batch.Result
+	// If read is not nil, it is called when the pieces' inputs have been read.
+	Make(ctx context.Context, at batch.Queue, pieces []batch.Piece, read func()) []batch.Result
 	// Free gives results up.
 	Free(results []batch.Result)
 	// Capacity returns what the endpoints of a queue can do.
@@ -65,8 +66,13 @@
 		return Outcome{Reason: Busy, RetryAfter: comeBack(forecast - plan.Due.Sub(p.clock.Now()))}
 	}
 	p.admitted.Inc()
-	w := newWork(p, part, &plan)
-	return w.run(ctx)
+	outcome := newWork(p, part, &plan).run(ctx)
+	if outcome.Reason != batch.Gone || !p.clock.Now().Before(plan.Due) {
+		return outcome
+	}
+	p.log.WithFields(logrus.Fields{"event": "plan_again", "id": plan.Request}).Info()
+	p.count(part, &plan)
+	return newWork(p, part, &plan).run(ctx)
 }
 
 // work is a plan under way.
@@ -141,7 +147,7 @@
 		return
 	}
 	begin := w.clock.Now()
-	results := w.pieces.Make(ctx, queue, w.stagePieces(i, stage))
+	results := w.pieces.Make(ctx, queue, w.stagePieces(i, stage), w.whenRead(i))
 	reason := firstReason(results)
 	w.log.WithFields(logrus.Fields{
 		"event": "stage", "id": w.plan.Request, "stage": i, "service": stage.Service, "pieces": stage.Pieces,
@@ -238,6 +244,22 @@
 	return best
 }
 
+// whenRead returns what is done when stage i has read its inputs. They are given up at once
+// where they take up room that is scarce, and kept until the stage is done elsewhere, so
+// that a piece that fails can be made again.
+func (w *work) whenRead(i int) func() {
+	stage := &w.plan.Stages[i]
+	scarce := false
+	for _, before := range stage.After {
+		read := &w.plan.Stages[before]
+		scarce = scarce || w.pieces.Capacity(w.part.queue(read.Service)).Scarce(read.Bytes)
+	}
+	if !scarce {
+		return nil
+	}
+	return func() { w.freeRead(i) }
+}
+
 // freeRead frees the results that stage i has read, where no other stage reads them.
 func (w *work) freeRead(i int) {
 	for _, before := range w.plan.Stages[i].After {
