peers, logging: the heartbeats' loop ends with its socket; a log that closes safely

Found by 'stopping' lines without 'stopped' ones. Ruled out: requests in flight (the last one had ended 2 s before). Change: the loop ends on a closed socket; the log's writer no longer closes the channel that others may still send to.

--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -63,6 +63,7 @@
 }
 
 func (g *Gateway) close() {
+	g.tomb.Kill(nil)
 	g.face.Close()
 	_ = g.listeners.peers.Close()
 	g.server.Close()
@@ -70,6 +71,5 @@
 	g.conns.Close()
 	g.store.Close()
 	g.gossip.Close()
-	g.tomb.Kill(nil)
 	g.output.Close()
 }
--- a/pkg/logging/async.go
+++ b/pkg/logging/async.go
@@ -19,22 +19,19 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	closing chan struct{}
 	done    sync.WaitGroup
-	closed  atomic.Bool
 }
 
 // NewAsync returns a writer that writes to out from a goroutine of its own.
 func NewAsync(out io.Writer) *Async {
-	a := &Async{out: out, lines: make(chan []byte, asyncLines)}
+	a := &Async{out: out, lines: make(chan []byte, asyncLines), closing: make(chan struct{})}
 	a.done.Go(a.run)
 	return a
 }
 
 // Write implements io.Writer. It takes one line at a time.
 func (a *Async) Write(line []byte) (int, error) {
-	if a.closed.Load() {
-		return len(line), nil
-	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -48,33 +45,47 @@
 
 func (a *Async) run() {
 	buffer := make([]byte, 0, asyncBatch)
-	for line := range a.lines {
-		buffer = append(buffer[:0], line...)
-		buffer = a.gather(buffer)
-		// Nothing can be done about a log that can't be written.
-		_, _ = a.out.Write(buffer)
+	for {
+		select {
+		case line := <-a.lines:
+			buffer = a.write(buffer, line)
+		case <-a.closing:
+			a.writeRest(buffer)
+			return
+		}
 	}
 }
 
-// gather adds the lines that wait.
-func (a *Async) gather(buffer []byte) []byte {
+// write writes a line and those that wait behind it.
+func (a *Async) write(buffer, line []byte) []byte {
+	buffer = append(buffer[:0], line...)
 	for len(buffer) < asyncBatch {
 		select {
-		case line, ok := <-a.lines:
-			if !ok {
-				return buffer
-			}
-			buffer = append(buffer, line...)
+		case next := <-a.lines:
+			buffer = append(buffer, next...)
+			continue
 		default:
-			return buffer
 		}
+		break
 	}
+	// Nothing can be done about a log that can't be written.
+	_, _ = a.out.Write(buffer)
 	return buffer
 }
 
-// Close writes what waits and ends the writer. No Write may come after it.
+func (a *Async) writeRest(buffer []byte) {
+	for {
+		select {
+		case line := <-a.lines:
+			buffer = a.write(buffer, line)
+		default:
+			return
+		}
+	}
+}
+
+// Close writes what waits and ends the writer. Lines that come later are dropped.
 func (a *Async) Close() {
-	a.closed.Store(true)
-	close(a.lines)
+	close(a.closing)
 	a.done.Wait()
 }
--- a/service/peers/gossip.go
+++ b/service/peers/gossip.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 
@@ -81,12 +82,12 @@
 	Heard(h membership.Heartbeat, leaving []control.LeavingEndpoint)
 }
 
-// Run gives received heartbeats to a listener until t dies.
+// Run gives received heartbeats to a listener until t dies or the gossip is closed.
 func (g *Gossip) Run(t *tomb.Tomb, c Listener) error {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
-		if !t.Alive() {
+		if !t.Alive() || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
