--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -117,21 +117,54 @@
 
 func (g *Gateway) listen() error {
 	l := g.settings.Listen
-	udp, err := net.ResolveUDPAddr("udp", l.Peers)
-	if err != nil {
-		return problem.Wrap(err, problem.Invalid, "use IP:port", "listen.peers %s", l.Peers)
-	}
-	var errs [5]error
+	var errs [4]error
 	g.listeners.requests, errs[0] = listenTCP("requests", l.Requests)
 	g.listeners.readiness, errs[1] = listenTCP("readiness", l.Readiness)
-	g.listeners.peers, errs[2] = listenTCP("peers", l.Peers)
-	g.listeners.heartbeat, errs[3] = net.ListenUDP("udp", udp)
+	g.listeners.peers, g.listeners.heartbeat, errs[2] = listenPeers(l.Peers)
 	if l.Metrics != "" {
-		g.listeners.metrics, errs[4] = listenTCP("metrics", l.Metrics)
+		g.listeners.metrics, errs[3] = listenTCP("metrics", l.Metrics)
 	}
 	return errors.Join(errs[:]...)
 }
 
+// peerPortTries bounds the search for a port that is free for TCP and UDP alike, where the
+// settings leave the choice to the system.
+const peerPortTries = 20
+
+func listenPeers(address string) (net.Listener, *net.UDPConn, error) {
+	var last error
+	for range peerPortTries {
+		listener, err := listenTCP("peers", address)
+		if err != nil {
+			return nil, nil, err
+		}
+		tcp := listener.Addr().(*net.TCPAddr)
+		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: tcp.IP, Port: tcp.Port})
+		if err == nil {
+			return listener, udp, nil
+		}
+		last = err
+		_ = listener.Close()
+	}
+	return nil, nil, problem.Wrap(last, problem.Invalid, "use an address whose port is free for UDP too", "listen.peers %s", address)
+}
+
+// Addresses are those at which an instance listens.
+type Addresses struct {
+	Requests  string
+	Readiness string
+	Peers     string
+}
+
+// Addresses returns where the instance listens.
+func (g *Gateway) Addresses() Addresses {
+	return Addresses{
+		Requests:  g.listeners.requests.Addr().String(),
+		Readiness: g.listeners.readiness.Addr().String(),
+		Peers:     g.listeners.peers.Addr().String(),
+	}
+}
+
 func listenTCP(face, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -240,7 +273,7 @@
 // Run runs the instance until it has stopped as planned.
 func (g *Gateway) Run(signals <-chan os.Signal) error {
 	g.log.WithFields(logrus.Fields{"event": "started", "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain, "requests": g.settings.Listen.Requests, "peers": g.settings.Listen.Peers, "store": g.settings.Store}).Info()
-	ctx := g.tomb.Context(nil)
+	ctx := g.tomb.Context(context.Background())
 	g.tomb.Go(func() error { return g.follower.Run(&g.tomb) })
 	g.tomb.Go(func() error { return g.group.Run(&g.tomb) })
 	g.tomb.Go(func() error { return g.gossip.Run(&g.tomb, g.group) })
--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/life_test.go
@@ -0,0 +1,197 @@
+package gateway_test
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+var _ = Describe("an instance's life", func() {
+	var d *platformtest.Deployment
+
+	BeforeEach(func() { d = deploy(2) })
+
+	status := func(i *instance, route string) func() int {
+		return func() int {
+			_, got := i.ask(route)
+			return got.Status
+		}
+	}
+
+	It("is unready, and answers 503, until it knows a configuration", func() {
+		d.Store.SetFault(platformtest.StoreBusy)
+		i := launch(d.Address())
+		_, got := i.ask("once")
+		Expect(got).To(SatisfyAll(HaveField("Status", http.StatusServiceUnavailable), HaveField("Body", ContainSubstring("no_configuration"))))
+		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(i.ready()).To(BeFalse())
+		d.Store.SetFault(platformtest.StoreWell)
+		Eventually(i.ready).Should(BeTrue())
+		Eventually(status(i, "once")).Should(Equal(http.StatusOK))
+	})
+
+	It("puts new versions in force, and drops what they drop", func() {
+		i := start(d.Address())
+		d.Config.Routes[0].PathPrefix = "/moved/"
+		d.Put()
+		Eventually(status(i, "moved")).WithTimeout(2 * time.Second).Should(Equal(http.StatusOK))
+		Expect(status(i, "once")()).To(Equal(http.StatusNotFound))
+		d.Config.Tenants = []map[string]any{{"Name": "other", "ApiKeys": []string{"another key"}}}
+		d.Put()
+		Eventually(status(i, "moved")).WithTimeout(2 * time.Second).Should(Equal(http.StatusUnauthorized))
+	})
+
+	DescribeTable("keeps the last good configuration",
+		func(document string) {
+			i := start(d.Address())
+			d.Store.PutRaw("op/config", []byte(document))
+			Consistently(status(i, "once")).WithTimeout(500 * time.Millisecond).Should(Equal(http.StatusOK))
+			Expect(i.ready()).To(BeTrue())
+		},
+		Entry("after one that does not parse", `{"Version": `),
+		Entry("after one whose routes name no service", `{"Version": 99, "Routes": [{"Name": "r", "Host": "h", "PathPrefix": "/x/"}]}`),
+		Entry("after an older version", `{"Version": 1, "Routes": [], "Services": []}`),
+	)
+
+	DescribeTable("serves on while the store fails, and learns what changed after",
+		func(fault platformtest.StoreFault) {
+			i := start(d.Address())
+			d.Store.SetFault(fault)
+			Consistently(status(i, "once")).WithTimeout(300 * time.Millisecond).Should(Equal(http.StatusOK))
+			d.Config.Routes[0].PathPrefix = "/moved/"
+			d.Put()
+			d.Store.SetFault(platformtest.StoreWell)
+			Eventually(status(i, "moved")).WithTimeout(4 * time.Second).Should(Equal(http.StatusOK))
+		},
+		Entry("with 503", platformtest.StoreBusy),
+		Entry("with 429", platformtest.StoreMany),
+		Entry("in silence", platformtest.StoreSilent),
+		Entry("with resets", platformtest.StoreReset),
+	)
+
+	It("reads all anew when the store has lost its history", func() {
+		i := start(d.Address())
+		leaving := d.Of("simple")[0]
+		d.Store.SetFault(platformtest.StoreReset)
+		d.Store.Put("servers/"+leaving.ID, leaving.Entry("draining"))
+		d.Store.Forget()
+		d.Store.SetFault(platformtest.StoreWell)
+		time.Sleep(time.Second)
+		arrived := leaving.Arrived()
+		for range 6 {
+			Expect(status(i, "once")()).To(Equal(http.StatusOK))
+		}
+		Expect(leaving.Arrived()).To(Equal(arrived))
+	})
+
+	It("reads a list of many pages", func() {
+		d.Store.SetPage(2)
+		i := start(d.Address())
+		Eventually(status(i, "once")).Should(Equal(http.StatusOK))
+		Eventually(status(i, "stream")).Should(Equal(http.StatusOK))
+	})
+
+	It("sends a leaving engine nothing new, and lets it end what it has", func() {
+		i := start(d.Address())
+		leaving := d.Of("simple")[0]
+		d.Store.Put("servers/"+leaving.ID, leaving.Entry("draining"))
+		Eventually(func() int {
+			before := leaving.Arrived()
+			for range 4 {
+				Expect(status(i, "once")()).To(Equal(http.StatusOK))
+			}
+			return leaving.Arrived() - before
+		}).WithTimeout(2 * time.Second).Should(BeZero())
+	})
+
+	It("learns the configuration from a peer when it can't reach the store", func() {
+		a := start(d.Address())
+		b := launch(unheard(), a.Peers)
+		Eventually(b.ready).Should(BeTrue())
+		Eventually(status(b, "once")).Should(Equal(http.StatusOK))
+		d.Config.Routes[0].PathPrefix = "/moved/"
+		d.Put()
+		Eventually(status(b, "moved")).WithTimeout(4 * time.Second).Should(Equal(http.StatusOK))
+	})
+
+	It("does not deny on knowledge that may be old", func() {
+		i := start(d.Address())
+		d.Store.SetFault(platformtest.StoreReset)
+		Eventually(status(i, "unknown")).Should(Equal(http.StatusServiceUnavailable))
+		Expect(status(i, "once")()).To(Equal(http.StatusOK))
+	})
+
+	It("stops as planned: unready at once, and nothing in flight is cut", func() {
+		for _, e := range d.Of("model") {
+			e.SetTimes(time.Millisecond, 150*time.Millisecond)
+		}
+		i := start(d.Address())
+		id := newID()
+		done := make(chan answer, 1)
+		go func() { done <- send(i.request(http.MethodPost, "stream", id, "")) }()
+		Eventually(func() int { return d.Of("model")[0].Working() + d.Of("model")[1].Working() }).Should(Equal(1))
+		i.signals <- syscall.SIGTERM
+		Eventually(i.ready).WithTimeout(time.Second).Should(BeFalse())
+		// The balancer may still send some.
+		_, got := i.ask("once")
+		Expect(got.Status).To(Equal(http.StatusOK))
+		Expect(<-done).To(SatisfyAll(HaveField("Body", events(id, 8)), HaveField("Whole", true)))
+		Eventually(i.ended).Should(BeClosed())
+	})
+
+	It("refuses, not run, what comes late in a planned stop", func() {
+		for _, e := range d.Of("model") {
+			e.SetTimes(time.Millisecond, 500*time.Millisecond)
+		}
+		i := start(d.Address())
+		go send(i.request(http.MethodPost, "stream", newID(), ""))
+		Eventually(func() int { return d.Of("model")[0].Working() + d.Of("model")[1].Working() }).Should(Equal(1))
+		i.signals <- syscall.SIGTERM
+		var id string
+		Eventually(func() int {
+			var got answer
+			id, got = i.ask("once")
+			return got.Status
+		}).Should(Equal(http.StatusServiceUnavailable))
+		Expect(d.Runs("simple", id)).To(BeEmpty())
+	})
+
+	It("takes changed settings in, by signal and without one, and refuses bad ones", func() {
+		i := start(d.Address())
+		i.signals <- syscall.SIGHUP
+		Expect(os.WriteFile(i.path, []byte("{"), 0o600)).To(Succeed())
+		i.signals <- syscall.SIGHUP
+		Consistently(status(i, "once")).WithTimeout(200 * time.Millisecond).Should(Equal(http.StatusOK))
+	})
+
+	It("bears idle connections", func() {
+		i := start(d.Address())
+		for range 200 {
+			i.raw("")
+		}
+		Expect(status(i, "once")()).To(Equal(http.StatusOK))
+	})
+
+	It("answers bytes that are no request with 400", func() {
+		i := start(d.Address())
+		_, reader := i.raw("\x16\x03\x01 nonsense\r\n\r\n")
+		line, err := reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(ContainSubstring("400"))
+	})
+
+	It("refuses heads that are too long", func() {
+		i := start(d.Address())
+		_, reader := i.raw("GET /once/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Long: " + strings.Repeat("x", 100<<10) + "\r\n\r\n")
+		line, err := reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(ContainSubstring("431"))
+	})
+})
--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/stages_test.go
@@ -0,0 +1,167 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+var _ = Describe("requests with stages", func() {
+	var d *platformtest.Deployment
+
+	BeforeEach(func() { d = deploy(2) })
+
+	// staged sends a request with pieces in a chain of three stages and one beside it.
+	staged := func(i *instance) (string, answer) {
+		id := newID()
+		r := i.request(http.MethodPost, "staged", id, "")
+		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+		r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
+		return id, send(r)
+	}
+
+	served := func(id string, got answer) {
+		GinkgoHelper()
+		Expect(got).To(SatisfyAll(HaveField("Status", http.StatusOK), HaveField("Body", events(id, 8)), HaveField("Whole", true)))
+	}
+
+	kept := func() int {
+		n := 0
+		for _, e := range d.Engines {
+			n += e.Kept()
+		}
+		return n
+	}
+
+	calls := func(service string) int {
+		n := 0
+		for _, e := range d.Of(service) {
+			n += e.Arrived()
+		}
+		return n
+	}
+
+	It("have each piece made of its own key or inputs, and results are freed at their makers", func() {
+		i := start(d.Address())
+		id, got := staged(i)
+		served(id, got)
+		first, second, third := d.Runs("first", id), d.Runs("second", id), d.Runs("third", id)
+		Expect(first).To(HaveLen(3))
+		Expect(second).To(HaveLen(3))
+		Expect(third).To(HaveLen(2))
+		for _, piece := range first {
+			Expect(piece).To(SatisfyAll(HaveField("Body", "key-of-"+id), HaveField("Inputs", BeEmpty())))
+		}
+		for _, piece := range second {
+			Expect(piece).To(SatisfyAll(HaveField("Body", ""), HaveField("Inputs", HaveLen(1))))
+		}
+		for _, piece := range third {
+			Expect(piece.Inputs).To(HaveLen(3))
+		}
+		run := d.Runs("model", id)
+		Expect(run).To(HaveLen(1))
+		Expect(run[0].Header.Get("Cobaltcroft-Inputs")).To(MatchRegexp("^[^,]+,[^,]+,[^,]+,[^,]+$"))
+		Eventually(kept).Should(BeZero())
+		for _, e := range d.Engines {
+			Expect(e.Broken()).To(BeEmpty())
+		}
+	})
+
+	DescribeTable("are served though an endpoint fails",
+		func(service string, fault platformtest.Fault) {
+			i := start(d.Address())
+			for _, e := range d.Of(service) {
+				e.Next(fault)
+			}
+			id, got := staged(i)
+			served(id, got)
+			Eventually(kept).Should(BeNumerically("<=", 6))
+		},
+		Entry("that has no room", "second", platformtest.NoRoom),
+		Entry("that is full", "first", platformtest.Full),
+		Entry("whose answer is lost", "second", platformtest.LoseAnswer),
+		Entry("that answers with a failure", "third", platformtest.Fail),
+	)
+
+	It("are made again when an engine says that an input is gone", func() {
+		i := start(d.Address())
+		d.Of("model")[0].Next(platformtest.InputGone)
+		for range 4 {
+			id, got := staged(i)
+			served(id, got)
+		}
+	})
+
+	It("of several instances leave in calls of one owner", func() {
+		a := start(d.Address())
+		b := start(d.Address(), a.Peers)
+		// They know each other when both hand over to the same owner; until then each
+		// makes its own calls, which is allowed.
+		for _, e := range append(d.Of("first"), d.Of("second")...) {
+			e.SetTimes(60*time.Millisecond, 0)
+		}
+		var group sync.WaitGroup
+		const each = 12
+		for n := range 2 * each {
+			group.Go(func() {
+				defer GinkgoRecover()
+				id, got := staged([]*instance{a, b}[n%2])
+				if got.Status == http.StatusServiceUnavailable {
+					return
+				}
+				served(id, got)
+			})
+		}
+		group.Wait()
+		Expect(calls("second")).To(BeNumerically("<", 2*each), "pieces of many requests share calls")
+	})
+
+	It("go on when the instance that makes their stages dies", func() {
+		a := start(d.Address())
+		b := start(d.Address(), a.Peers)
+		for _, e := range append(d.Of("first"), d.Of("second")...) {
+			e.SetTimes(100*time.Millisecond, 0)
+		}
+		var ok atomic.Int32
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				id, got := staged(b)
+				served(id, got)
+				ok.Add(1)
+			})
+		}
+		Eventually(func() int { return calls("first") }).Should(BeNumerically(">", 0))
+		a.kill()
+		group.Wait()
+		Expect(ok.Load()).To(Equal(int32(4)))
+	})
+
+	It("are refused at once, not run, when they would not be done in time", func() {
+		i := start(d.Address())
+		for _, service := range d.Config.Services[2:] {
+			service["Segments"].(map[string]any)["CallMs"] = 2000.0
+		}
+		d.Put()
+		Eventually(func() int {
+			id := newID()
+			r := i.request(http.MethodPost, "staged", id, "")
+			r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+			begin := time.Now()
+			got := send(r)
+			if got.Status == http.StatusServiceUnavailable {
+				Expect(time.Since(begin)).To(BeNumerically("<", 250*time.Millisecond))
+				Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+				Expect(d.Runs("model", id)).To(BeEmpty())
+			}
+			return got.Status
+		}).Should(Equal(http.StatusServiceUnavailable))
+	})
+})
--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -0,0 +1,178 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/cmd/cobaltcroftd/gateway"
+	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second)
+	RunSpecs(t, "gateway")
+}
+
+// instance is a gateway under test.
+type instance struct {
+	gateway.Addresses
+	signals chan os.Signal
+	ended   chan struct{}
+	path    string
+}
+
+// start starts an instance with the store at an address, and waits until it is ready unless
+// the store is not to be reached.
+func start(store string, peers ...string) *instance {
+	i := launch(store, peers...)
+	Eventually(i.ready).Should(BeTrue())
+	return i
+}
+
+func launch(store string, peers ...string) *instance {
+	path := filepath.Join(GinkgoT().TempDir(), "settings.json")
+	s := settings.GatewayDefaults()
+	s.Instance = fmt.Sprintf("instance-%d", time.Now().UnixNano())
+	s.FailureDomain = "zone-a"
+	s.Listen = settings.GatewayListen{Requests: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	s.Peers, s.PeerToken, s.Store = peers, "a shared token", store
+	s.Retries = settings.GatewayRetries{Ratio: 1, Slack: 100, WindowSeconds: 10}
+	data, err := json.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+	read, err := settings.ReadGateway(path)
+	Expect(err).NotTo(HaveOccurred())
+	g, err := gateway.New(path, read, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	i := &instance{Addresses: g.Addresses(), signals: make(chan os.Signal, 4), ended: make(chan struct{}), path: path}
+	go func() {
+		defer close(i.ended)
+		_ = g.Run(i.signals)
+	}()
+	DeferCleanup(i.kill)
+	return i
+}
+
+// kill ends the instance at once.
+func (i *instance) kill() {
+	select {
+	case i.signals <- syscall.SIGTERM:
+	case <-i.ended:
+	}
+	select {
+	case i.signals <- syscall.SIGTERM:
+	case <-i.ended:
+	}
+	<-i.ended
+}
+
+func (i *instance) ready() bool {
+	response, err := http.Get("http://" + i.Readiness + "/cobaltcroft/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// answer is what a client got.
+type answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Whole says that the answer ended as it should.
+	Whole bool
+}
+
+var requestNumber atomic.Int64
+
+func newID() string { return fmt.Sprintf("request-%d", requestNumber.Add(1)) }
+
+// request returns a client's request for a route.
+func (i *instance) request(method, route, id, body string) *http.Request {
+	r, err := http.NewRequest(method, "http://"+i.Requests+"/"+route+"/x", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = platformtest.Host
+	r.Header.Set("Authorization", "Bearer "+platformtest.Key)
+	r.Header.Set("Cobaltcroft-Request-Id", id)
+	r.Header.Set("Cobaltcroft-Deadline-Ms", "5000")
+	return r
+}
+
+func send(r *http.Request) answer {
+	// A connection for each request, so that nothing is sent again by the client.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return answer{}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{Status: response.StatusCode, Header: response.Header, Body: string(body), Whole: err == nil}
+}
+
+// ask sends a request of a route and returns its id and answer.
+func (i *instance) ask(route string) (string, answer) {
+	id := newID()
+	return id, send(i.request(http.MethodPost, route, id, "the body"))
+}
+
+// events is what a client gets of a whole stream.
+func events(id string, n int) string {
+	var b strings.Builder
+	for e := 1; e <= n; e++ {
+		b.WriteString(platformtest.Event(id, e))
+	}
+	return b.String()
+}
+
+// deploy starts a deployment with so many engines of each service.
+func deploy(each int) *platformtest.Deployment {
+	d, err := platformtest.NewDeployment(each)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	return d
+}
+
+// unheard is an address at which nobody answers.
+func unheard() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	// It is kept bound, so that nobody else gets it, and accepts nothing.
+	DeferCleanup(listener.Close)
+	return listener.Addr().String()
+}
+
+// raw sends bytes on one connection and returns a reader of what comes back.
+func (i *instance) raw(bytes string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", i.Requests)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	_, err = io.WriteString(c, bytes)
+	Expect(err).NotTo(HaveOccurred())
+	return c, bufio.NewReader(c)
+}
+
+// withCancel returns the request with a context that the test ends.
+func withCancel(r *http.Request) (*http.Request, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return r.WithContext(ctx), cancel
+}
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -93,12 +93,12 @@
 	case <-g.done:
 		return g.results
 	case <-ctx.Done():
-		return b.abandon(at, g)
+		return b.abandon(g)
 	}
 }
 
 // abandon gives a group up, frees its results and returns none.
-func (b *Batcher) abandon(at Queue, g *group) []Result {
+func (b *Batcher) abandon(g *group) []Result {
 	b.mu.Lock()
 	g.abandoned = true
 	made := g.results
@@ -159,53 +159,6 @@
 	}
 }
 
-// fill sends a call to a worker, unless it should wait for room or has nothing to do.
-func (b *Batcher) fill(s *service, w *worker, workers []*worker, batching *route.Batching, now time.Time) bool {
-	all := s.queue.items
-	room := w.room(now, batching)
-	items := s.queue.take(batching.Size, room, s.wanted(now, w, workers, batching))
-	if len(items) == 0 {
-		return false
-	}
-	few := float64(len(items)) < smallCall*float64(min(len(all), batching.Size))
-	short := room < batching.RoomBytes/2
-	if few && short && now.Sub(w.idleSince) < roomWait {
-		s.queue.items = all
-		return false
-	}
-	b.send(s, w, items, batching)
-	return true
-}
-
-// wanted tells which pieces a worker takes: not those whose result is large enough that it
-// is better made in the failure domain where it will be read, though it is made later there.
-func (s *service) wanted(now time.Time, w *worker, workers []*worker, batching *route.Batching) func(*item) bool {
-	call := batching.CallTime(batching.Size)
-	own := now.Add(w.expected(call))
-	local := map[string]time.Time{}
-	for _, other := range workers {
-		finish := other.finish(now, call)
-		if best, ok := local[other.endpoint.FailureDomain]; !ok || finish.Before(best) {
-			local[other.endpoint.FailureDomain] = finish
-		}
-	}
-	ahead := map[string]int{}
-	return func(i *item) bool {
-		domain := i.piece.Domain
-		if domain == "" || domain == w.endpoint.FailureDomain {
-			return true
-		}
-		there, ok := local[domain]
-		if !ok {
-			return true
-		}
-		there = there.Add(time.Duration(ahead[domain]/batching.Size) * call)
-		ahead[domain]++
-		saved := time.Duration(i.piece.Bytes) * byteCost
-		return there.After(own.Add(saved)) || there.After(i.piece.Due) && !own.After(i.piece.Due)
-	}
-}
-
 // update returns the workers of the endpoints that may get work, and forgets those of
 // endpoints that are not known any more.
 func (s *service) update(ready []fleet.Endpoint) []*worker {
@@ -228,46 +181,6 @@
 	return workers
 }
 
-// choose returns the worker that the next call goes to, or nil if it should wait. A
-// worker that would end the call later than others could is left out while those others
-// can take all that waits. Of the rest, one in the failure domain of the first piece is
-// preferred.
-func (s *service) choose(now time.Time, workers []*worker, batching *route.Batching) *worker {
-	waiting := len(s.queue.items)
-	size := min(waiting, batching.Size)
-	call := batching.CallTime(size)
-	calls := (waiting + batching.Size - 1) / batching.Size
-	domain := s.queue.items[0].piece.Domain
-	need := s.queue.items[0].piece.Bytes
-	var best *worker
-	var bestLocal bool
-	for _, w := range workers {
-		if !w.usable(now, batching) || w.room(now, batching) < need {
-			continue
-		}
-		if fasterThan(now, w, workers, call) >= calls {
-			continue
-		}
-		local := domain != "" && w.endpoint.FailureDomain == domain
-		if best == nil || local && !bestLocal || local == bestLocal && w.slowness < best.slowness {
-			best, bestLocal = w, local
-		}
-	}
-	return best
-}
-
-// fasterThan counts the workers that would end a call before w, though they may be busy.
-func fasterThan(now time.Time, w *worker, workers []*worker, call time.Duration) int {
-	own := w.finish(now, call)
-	n := 0
-	for _, other := range workers {
-		if other != w && other.finish(now, call).Before(own) {
-			n++
-		}
-	}
-	return n
-}
-
 func (b *Batcher) send(s *service, w *worker, items []*item, batching *route.Batching) {
 	pieces := make([]Piece, len(items))
 	deadline := items[0].piece.Deadline
@@ -441,78 +354,3 @@
 	b.again.Inc()
 	s.queue.add(it)
 }
-
-// Free gives results up at their makers, those of some time together.
-func (b *Batcher) Free(results []Result) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, r := range results {
-		if r.Handle != "" {
-			b.freeing[r.Endpoint] = append(b.freeing[r.Endpoint], r)
-		}
-	}
-}
-
-// flush sends the results that are to be freed to their makers.
-func (b *Batcher) flush() {
-	b.mu.Lock()
-	freeing := b.freeing
-	b.freeing = map[string][]Result{}
-	b.mu.Unlock()
-	for id, results := range freeing {
-		if e, ok := b.known.Endpoint(id); ok {
-			go b.free(e, results)
-		}
-	}
-}
-
-func (b *Batcher) free(e fleet.Endpoint, results []Result) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	handles := make([]string, len(results))
-	for i, r := range results {
-		handles[i] = r.Handle
-	}
-	if err := b.caller.Free(ctx, e, handles); err != nil {
-		b.log.WithFields(logrus.Fields{"event": "results_not_freed", "endpoint": e.ID, "results": len(handles)}).Info(err)
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, r := range results {
-		s := b.services[r.Queue]
-		if s == nil || s.workers[e.ID] == nil {
-			continue
-		}
-		delete(s.workers[e.ID].held, r.Handle)
-	}
-}
-
-// Capacity returns what the endpoints of a queue can do, as they are now.
-func (b *Batcher) Capacity(at Queue) Capacity {
-	batching := b.known.Batching(at.Service)
-	if batching == nil {
-		return Capacity{}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.service(at)
-	workers := s.update(at.endpoints(b.known.Ready(at.Service)))
-	now := b.clock.Now()
-	full := batching.CallTime(batching.Size).Seconds()
-	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
-	slots := 0
-	for _, w := range workers {
-		if now.Before(w.restUntil.Add(-fullRest)) {
-			continue
-		}
-		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slowness)
-		c.AtOnce += batching.Size * max(1, batching.Slots)
-		slots += max(1, batching.Slots)
-	}
-	if slots > 0 {
-		size := min(batching.Size, 1+len(s.queue.items)/slots)
-		c.Call = batching.CallTime(size) + batching.CallTime(size)/time.Duration(2*slots)
-	}
-	return c
-}
--- /dev/null
+++ b/pkg/batch/choice.go
@@ -0,0 +1,94 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+// fill sends a call to a worker, unless it should wait for room or has nothing to do.
+func (b *Batcher) fill(s *service, w *worker, workers []*worker, batching *route.Batching, now time.Time) bool {
+	all := s.queue.items
+	room := w.room(now, batching)
+	items := s.queue.take(batching.Size, room, s.wanted(now, w, workers, batching))
+	if len(items) == 0 {
+		return false
+	}
+	few := float64(len(items)) < smallCall*float64(min(len(all), batching.Size))
+	short := room < batching.RoomBytes/2
+	if few && short && now.Sub(w.idleSince) < roomWait {
+		s.queue.items = all
+		return false
+	}
+	b.send(s, w, items, batching)
+	return true
+}
+
+// wanted tells which pieces a worker takes: not those whose result is large enough that it
+// is better made in the failure domain where it will be read, though it is made later there.
+func (s *service) wanted(now time.Time, w *worker, workers []*worker, batching *route.Batching) func(*item) bool {
+	call := batching.CallTime(batching.Size)
+	own := now.Add(w.expected(call))
+	local := map[string]time.Time{}
+	for _, other := range workers {
+		finish := other.finish(now, call)
+		if best, ok := local[other.endpoint.FailureDomain]; !ok || finish.Before(best) {
+			local[other.endpoint.FailureDomain] = finish
+		}
+	}
+	ahead := map[string]int{}
+	return func(i *item) bool {
+		domain := i.piece.Domain
+		if domain == "" || domain == w.endpoint.FailureDomain {
+			return true
+		}
+		there, ok := local[domain]
+		if !ok {
+			return true
+		}
+		there = there.Add(time.Duration(ahead[domain]/batching.Size) * call)
+		ahead[domain]++
+		saved := time.Duration(i.piece.Bytes) * byteCost
+		return there.After(own.Add(saved)) || there.After(i.piece.Due) && !own.After(i.piece.Due)
+	}
+}
+
+// choose returns the worker that the next call goes to, or nil if it should wait. A
+// worker that would end the call later than others could is left out while those others
+// can take all that waits. Of the rest, one in the failure domain of the first piece is
+// preferred.
+func (s *service) choose(now time.Time, workers []*worker, batching *route.Batching) *worker {
+	waiting := len(s.queue.items)
+	size := min(waiting, batching.Size)
+	call := batching.CallTime(size)
+	calls := (waiting + batching.Size - 1) / batching.Size
+	domain := s.queue.items[0].piece.Domain
+	need := s.queue.items[0].piece.Bytes
+	var best *worker
+	var bestLocal bool
+	for _, w := range workers {
+		if !w.usable(now, batching) || w.room(now, batching) < need {
+			continue
+		}
+		if fasterThan(now, w, workers, call) >= calls {
+			continue
+		}
+		local := domain != "" && w.endpoint.FailureDomain == domain
+		if best == nil || local && !bestLocal || local == bestLocal && w.slowness < best.slowness {
+			best, bestLocal = w, local
+		}
+	}
+	return best
+}
+
+// fasterThan counts the workers that would end a call before w, though they may be busy.
+func fasterThan(now time.Time, w *worker, workers []*worker, call time.Duration) int {
+	own := w.finish(now, call)
+	n := 0
+	for _, other := range workers {
+		if other != w && other.finish(now, call).Before(own) {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -76,7 +76,7 @@
 
 // Run follows source and peers until t dies.
 func (f *Follower) Run(t *tomb.Tomb) error {
-	ctx := t.Context(nil)
+	ctx := t.Context(context.Background())
 	t.Go(func() error { f.followSource(ctx); return nil })
 	t.Go(func() error { f.followPeers(ctx); return nil })
 	for {
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -31,6 +31,9 @@
 	bodyBytes     = 4 << 20
 	// bodyTimeout bounds how long a body may take.
 	bodyTimeout = 15 * time.Second
+	// drainTimeout and drainBytes bound what is read of a body that is refused.
+	drainTimeout = 2 * time.Second
+	drainBytes   = 16 << 20
 	// idleTimeout is how long a connection may rest until a configuration says
 	// otherwise.
 	idleTimeout = 30 * time.Second
@@ -198,6 +201,7 @@
 		limit = limits.BodyBytes
 	}
 	if r.ContentLength > limit {
+		drain(writer, r)
 		return refuseBody(limit)
 	}
 	if refusal := readBody(writer, r, request, limit); refusal != nil {
@@ -211,6 +215,13 @@
 	return nil
 }
 
+// drain reads what a client still sends of a body that is refused, within bounds: a client
+// whose bytes are not read sees a reset instead of the answer.
+func drain(writer *responder, r *http.Request) {
+	_ = writer.control.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)
+}
+
 func readBody(writer *responder, r *http.Request, request *gateway.Request, limit int64) *gateway.Refusal {
 	if r.ContentLength == 0 {
 		return nil
@@ -220,6 +231,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
+		drain(writer, r)
 		return refuseBody(limit)
 	case err != nil:
 		return &gateway.Refusal{Status: http.StatusBadRequest, Reason: "bad_body", Message: "the body broke off; send it whole"}
