discovery, handover: two relays a failure domain watch the store for the others

Change: in a failure domain of more than four instances the first two by rendezvous hashing watch; others long-poll them, and go to the store when what a relay tells is older than 0.9 s. Changes of 150 ms come in one watch.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -186,7 +186,7 @@
 	g.client = peers.NewClient(s.Instance, s.PeerToken)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
 	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter}, g.gossip, g.clock, g.logs.For("peers"))
-	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Live: g.group.Live, Contacts: s.Peers}, g.clock, g.logs.For("discovery"))
+	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers}, g.clock, g.logs.For("discovery"))
 	g.conns = httpconn.NewPool(g.clock, g.metrics)
 	g.balancer = balance.New(g.clock)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -20,7 +20,17 @@
 	// noticed after watchWait and answerSlack.
 	watchWait   = 1500 * time.Millisecond
 	answerSlack = 500 * time.Millisecond
-	readTimeout = time.Second
+	// relayWatchWait is how long the watches of those wait that relay to others, and
+	// relayWait is how long a call to a relay waits. What a relay tells that is older
+	// than maxRelayAge is not relied on.
+	relayWatchWait = 400 * time.Millisecond
+	relayWait      = 400 * time.Millisecond
+	relayTimeout   = 200 * time.Millisecond
+	maxRelayAge    = 900 * time.Millisecond
+	readTimeout    = time.Second
+	// watchPause is the least time between two watches: what changes meanwhile comes
+	// together.
+	watchPause = 150 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call to the source.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
@@ -41,6 +51,10 @@
 	log    *logrus.Entry
 	view   atomic.Pointer[View]
 	events chan event
+	// history is what changed last, for those to whom this instance relays.
+	history *history
+	// relaying is until when this instance relays to others, by the steady clock.
+	relaying atomic.Pointer[time.Time]
 	// refused is the revision of a document that does not compile, so that it is
 	// told once. It belongs to the goroutine of Run.
 	refused uint64
@@ -60,7 +74,7 @@
 
 // New returns a follower with an empty view.
 func New(source Source, peers Peers, clock clockwork.Clock, log *logrus.Entry) *Follower {
-	f := &Follower{source: source, peers: peers, clock: clock, log: log, events: make(chan event)}
+	f := &Follower{source: source, peers: peers, clock: clock, log: log, events: make(chan event), history: newHistory()}
 	f.view.Store(&View{Fleet: fleet.New(0, nil)})
 	return f
 }
@@ -107,11 +121,17 @@
 	reached := true
 	since := uint64(0)
 	for ctx.Err() == nil {
+		if next, ok := f.relayed(ctx, since); ok {
+			since = next
+			continue
+		}
+		begin := f.clock.Now()
 		next, err := f.step(ctx, since)
 		if err == nil {
 			since = next
 			pause.Reset()
 			reached = f.tellReached(reached, nil)
+			sleep(ctx, f.clock, watchPause-f.clock.Since(begin))
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
@@ -154,9 +174,10 @@
 		f.deliver(ctx, event{state: &state, at: at, from: "source"})
 		return state.Revision, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerSlack)
+	wait := f.watchWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	changes, err := f.source.Watch(ctx, since, watchWait)
+	changes, err := f.source.Watch(ctx, since, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -164,6 +185,45 @@
 	return changes.Revision, nil
 }
 
+// watchWait is how long a watch waits: less while others rely on this instance.
+func (f *Follower) watchWait() time.Duration {
+	if until := f.relaying.Load(); until != nil && f.clock.Now().Before(*until) {
+		return relayWatchWait
+	}
+	return watchWait
+}
+
+// relayingFor is how long an instance takes itself to be a relay after it was asked.
+const relayingFor = 5 * time.Second
+
+// Relay answers an instance that relies on this one: as Since.
+func (f *Follower) Relay(revision uint64, wait time.Duration) (Changes, time.Duration, error) {
+	until := f.clock.Now().Add(relayingFor)
+	f.relaying.Store(&until)
+	return f.Since(revision, wait)
+}
+
+// relayed takes the changes after a revision from a relay, and tells whether one gave them
+// fresh enough.
+func (f *Follower) relayed(ctx context.Context, since uint64) (uint64, bool) {
+	relays := f.peers.Relays()
+	if since == 0 || len(relays) == 0 {
+		return 0, false
+	}
+	for _, relay := range relays {
+		callCtx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
+		changes, age, err := f.peers.Relay(callCtx, relay, since, relayWait)
+		cancel()
+		if err != nil || age > maxRelayAge {
+			f.log.WithFields(logrus.Fields{"event": "relay_refused", "relay": relay, "revision": since, "age_ms": age.Milliseconds()}).Info(err)
+			continue
+		}
+		f.deliver(ctx, event{changes: &changes, since: since, at: f.clock.Now().Add(-age), from: "relay"})
+		return changes.Revision, true
+	}
+	return 0, false
+}
+
 // followPeers asks peers while the source does not confirm the view.
 func (f *Follower) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -199,9 +259,13 @@
 	view := *f.View()
 	switch {
 	case e.state != nil && e.state.Revision >= view.Fleet.Revision:
+		if e.state.Revision > view.Fleet.Revision {
+			defer f.history.restart()
+		}
 		view.Fleet = fleet.New(e.state.Revision, e.state.Endpoints)
 		f.applyDocument(&view, e.state.Document, e.from)
 	case e.changes != nil && e.since <= view.Fleet.Revision && e.changes.Revision >= view.Fleet.Revision:
+		defer f.history.add(view.Fleet.Revision, *e.changes)
 		view.Fleet = view.Fleet.With(e.changes.Revision, e.changes.Endpoints)
 		f.applyDocument(&view, e.changes.Document, e.from)
 	case e.state != nil:
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -32,10 +32,10 @@
 
 // Changes is what has changed up to a revision.
 type Changes struct {
-	Revision uint64
+	Revision uint64 `json:"revision"`
 	// Document is the newest configuration among the changes; revision 0 if none is.
-	Document  Document
-	Endpoints []fleet.Change
+	Document  Document       `json:"document"`
+	Endpoints []fleet.Change `json:"endpoints,omitempty"`
 }
 
 // Source gives configuration and endpoints. Its calls end with their contexts.
@@ -51,9 +51,15 @@
 
 // Peers gives what other instances know.
 type Peers interface {
-	// State asks some live instance for all that it knows. The age is how long
-	// before the answer the source confirmed it there.
+	// State asks some live instance for all that it knows, if that is newer than a
+	// revision or as new. The age is how long before the answer the source confirmed it.
 	State(ctx context.Context, newerThan uint64) (state State, age time.Duration, err error)
+	// Relay returns the changes after a revision that a relay knows, as soon as there is
+	// one, or none after the time to wait. It fails with ErrHistoryGone as a source does.
+	Relay(ctx context.Context, relay string, since uint64, wait time.Duration) (changes Changes, age time.Duration, err error)
+	// Relays returns the peer addresses of the instances that may relay the source's
+	// changes to this one, in order; none if this one watches the source itself.
+	Relays() []string
 }
 
 // View is what an instance knows. It is immutable.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -27,9 +27,9 @@
 
 // Change is one endpoint's entry as it is now, or its end.
 type Change struct {
-	Endpoint Endpoint
+	Endpoint Endpoint `json:"endpoint"`
 	// Gone says that the entry with the endpoint's ID has been removed.
-	Gone bool
+	Gone bool `json:"gone,omitempty"`
 }
 
 // New returns the snapshot with the endpoints given.
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -15,6 +15,7 @@
 	MethodStatus   = "instance.status"
 	MethodTimeline = "timeline.select"
 	MethodState    = "discovery.state"
+	MethodRelay    = "discovery.relay"
 	MethodRun      = "pipeline.run"
 	MethodCancel   = "pipeline.cancel"
 	MethodFree     = "pipeline.free"
@@ -99,6 +100,23 @@
 	AgeMs int64 `json:"age_ms"`
 }
 
+// RelaySelect asks for the changes after a revision, and waits for them; the answer is
+// Relayed.
+type RelaySelect struct {
+	Since uint64 `json:"since"`
+	// WaitMs is how long to wait, in milliseconds.
+	WaitMs int64 `json:"wait_ms"`
+}
+
+// Relayed answers MethodRelay.
+type Relayed struct {
+	Changes discovery.Changes `json:"changes"`
+	// Gone says that the changes are not kept: all has to be read anew.
+	Gone bool `json:"gone,omitempty"`
+	// AgeMs is how long before the answer the source confirmed it, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
+}
+
 // Run has the stages of a plan made; the answer is a pipeline.Outcome.
 type Run struct {
 	// Call names the call for MethodCancel; unique among all callers.
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -56,6 +56,12 @@
 		}
 		h.local.Free(call.Results)
 		return struct{}{}, nil
+	case api.MethodRelay:
+		call, err := peers.Params[api.RelaySelect](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		return h.relay(call), nil
 	case api.MethodState:
 		call, err := peers.Params[api.StateSelect](method, raw)
 		if err != nil {
@@ -101,3 +107,13 @@
 	}
 	return api.KnownState{State: state, AgeMs: age.Milliseconds()}
 }
+
+// maxRelayWait bounds how long a call for changes waits.
+const maxRelayWait = 2 * time.Second
+
+// relay returns the changes that an instance asks for which does not watch the source.
+func (h *Handler) relay(call api.RelaySelect) api.Relayed {
+	wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
+	changes, age, err := h.follower.Relay(call.Since, wait)
+	return api.Relayed{Changes: changes, Gone: err != nil, AgeMs: age.Milliseconds()}
+}
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -28,6 +28,7 @@
 // link is a connection to a peer.
 type link struct {
 	*jsonrpc2.Conn
+	// calls counts those under way that may outlast a ping.
 	calls atomic.Int64
 }
 
@@ -95,8 +96,10 @@
 	if err != nil {
 		return problem.Wrap(err, problem.Unavailable, "check the peer and the network to it", "peer %s is not reached", address)
 	}
-	rpc.calls.Add(1)
-	defer rpc.calls.Add(-1)
+	if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) > pingTimeout {
+		rpc.calls.Add(1)
+		defer rpc.calls.Add(-1)
+	}
 	if err := rpc.Call(ctx, method, params, result); err != nil {
 		return problem.Wrap(err, problem.Unknown, "ask again", "peer %s did not answer %s", address, method)
 	}
