balance: what sets an endpoint apart is forgotten; tests of the new packages

Cause: an endpoint that had been slow, or had never been called, kept its figure for ever and got nothing while others were free; found by the tests of the balancer. Change: smoothed times move towards the service's mean, half of the difference in 2 s.

--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,152 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
+
+var _ = Describe("a balancer", func() {
+	var (
+		clock *clockwork.FakeClock
+		b     *balance.Balancer
+		all   []fleet.Endpoint
+	)
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		b = balance.New(clock)
+		all = []fleet.Endpoint{
+			{ID: "a1", FailureDomain: "a", Slots: 4},
+			{ID: "a2", FailureDomain: "a", Slots: 4},
+			{ID: "b1", FailureDomain: "b", Slots: 4},
+			{ID: "b2", FailureDomain: "b", Slots: 4},
+		}
+	})
+
+	need := balance.Need{Domain: "a"}
+
+	picks := func(n int, need balance.Need) map[string]int {
+		chosen := map[string]int{}
+		for range n {
+			c := b.Pick(all, need)
+			chosen[c.Endpoint.ID]++
+			clock.Advance(2 * time.Millisecond)
+			c.Begun()
+			c.End(balance.Well, nil)
+		}
+		return chosen
+	}
+
+	prompt := func(subject, own string) balance.Need {
+		return balance.Need{Engine: true, Parts: []balance.Part{{ID: "system", Tokens: 500}, {ID: subject, Tokens: 5000}, {ID: own, Tokens: 1000}}}
+	}
+
+	It("prefers its own failure domain, and spreads calls there", func() {
+		chosen := picks(40, need)
+		Expect(chosen["b1"] + chosen["b2"]).To(BeZero())
+		Expect(chosen["a1"]).To(BeNumerically(">", 5))
+		Expect(chosen["a2"]).To(BeNumerically(">", 5))
+	})
+
+	It("goes to others when those of its own have much in flight", func() {
+		for range 40 {
+			b.Pick(all, need)
+		}
+		Expect(b.InFlight("b1") + b.InFlight("b2")).To(BeNumerically(">", 0))
+	})
+
+	It("heeds the load that an endpoint told, for a while", func() {
+		c := b.Pick(all[:1], need)
+		c.End(balance.Well, &balance.Load{Running: 4, Waiting: 40, Slots: 4})
+		Expect(picks(10, need)["a1"]).To(BeZero())
+		clock.Advance(time.Second)
+		Expect(picks(40, need)["a1"]).To(BeNumerically(">", 0))
+	})
+
+	It("chooses none that is excluded, and none if all are", func() {
+		exclude := map[string]bool{"a1": true, "b1": true, "b2": true}
+		Expect(b.Pick(all, balance.Need{Exclude: exclude}).Endpoint.ID).To(Equal("a2"))
+		exclude["a2"] = true
+		Expect(b.Pick(all, balance.Need{Exclude: exclude})).To(BeNil())
+	})
+
+	DescribeTable("leaves an endpoint out for a while that",
+		func(outcomes ...balance.Outcome) {
+			for _, o := range outcomes {
+				b.Pick(all[:1], need).End(o, nil)
+			}
+			Expect(picks(20, need)["a1"]).To(BeZero())
+			clock.Advance(time.Minute)
+			Expect(picks(40, need)["a1"]).To(BeNumerically(">", 0))
+		},
+		Entry("was not reached", balance.Unreachable),
+		Entry("failed twice", balance.Bad, balance.Bad),
+		Entry("refused a call", balance.Refused),
+	)
+
+	It("uses those left out when there is no other", func() {
+		for range 3 {
+			b.Pick(all[:1], need).End(balance.Unreachable, nil)
+		}
+		Expect(b.Pick(all[:1], need)).NotTo(BeNil())
+	})
+
+	It("avoids an endpoint with a call that has not begun for far too long", func() {
+		b.Pick(all[:1], need)
+		clock.Advance(5 * time.Second)
+		Expect(picks(20, need)["a1"]).To(BeZero())
+	})
+
+	It("sends kindred prompts to one engine, over all failure domains, at each instance", func() {
+		other := balance.New(clock)
+		for _, subject := range []string{"s1", "s2", "s3", "s4", "s5"} {
+			c := b.Pick(all, prompt(subject, "own"))
+			c.Begun()
+			c.End(balance.Well, nil)
+			Expect(b.Pick(all, prompt(subject, "other")).Endpoint.ID).To(Equal(c.Endpoint.ID))
+			Expect(other.Pick(all, prompt(subject, "third")).Endpoint.ID).To(Equal(c.Endpoint.ID))
+		}
+	})
+
+	It("spreads a subject that all ask for", func() {
+		for range 40 {
+			b.Pick(all, prompt("hot", "own"))
+		}
+		used := 0
+		for _, e := range all {
+			if b.InFlight(e.ID) > 0 {
+				used++
+			}
+		}
+		Expect(used).To(BeNumerically(">", 1))
+	})
+
+	It("expects a shorter time where the shared parts are kept, and says where that is", func() {
+		cold, domain := b.Expect(all, prompt("s", "own"))
+		c := b.Pick(all, prompt("s", "own"))
+		Expect(c.Endpoint.FailureDomain).To(Equal(domain))
+		c.Begun()
+		c.End(balance.Well, nil)
+		warm, again := b.Expect(all, prompt("s", "other"))
+		Expect(again).To(Equal(domain))
+		Expect(warm).To(BeNumerically("<", cold))
+	})
+
+	It("forgets endpoints that are gone", func() {
+		b.Pick(all[:1], need).End(balance.Unreachable, nil)
+		b.Forget(func(string) bool { return false })
+		Expect(picks(40, need)["a1"]).To(BeNumerically(">", 0))
+	})
+})
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -88,9 +88,11 @@
 	reading int
 	// slowness multiplies the expected time of reading, smoothed.
 	slowness float64
-	kept     *keptParts
-	load     Load
-	loadAt   time.Time
+	// sampled is when the smoothed values last learnt something; zero if never.
+	sampled time.Time
+	kept    *keptParts
+	load    Load
+	loadAt  time.Time
 }
 
 // Load is what an endpoint tells of itself in an answer.
@@ -135,24 +137,66 @@
 	var best *fleet.Endpoint
 	bestCost := math.MaxFloat64
 	home := b.homeOf(now, candidates, need)
+	usual := b.usual(candidates)
 	for i := range candidates {
 		e := &candidates[i]
 		if need.Exclude[e.ID] {
 			continue
 		}
-		if cost := b.cost(now, e, need, e.ID == home); cost < bestCost {
+		if cost := b.cost(now, e, need, usual, e.ID == home); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	return best, bestCost
 }
 
+// usual is what calls take at the endpoints of a service, on average.
+type usual struct {
+	smoothed time.Duration
+	slowness float64
+}
+
+// usual returns the means over the endpoints that have been called.
+func (b *Balancer) usual(candidates []fleet.Endpoint) usual {
+	u := usual{smoothed: firstTime, slowness: 1}
+	var n time.Duration
+	var smoothed time.Duration
+	slowness := 0.0
+	for _, e := range candidates {
+		s := b.seen(e.ID)
+		if !s.sampled.IsZero() {
+			n++
+			smoothed += s.smoothed
+			slowness += s.slowness
+		}
+	}
+	if n > 0 {
+		u.smoothed, u.slowness = smoothed/n, slowness/float64(n)
+	}
+	return u
+}
+
+// forgetting is the time in which half of what sets an endpoint apart from the others is
+// forgotten, so that one that was slow is tried again.
+const forgetting = 2 * time.Second
+
+// at returns the smoothed time and slowness, moved towards the usual ones by the time
+// since something was learnt.
+func (s *seen) at(now time.Time, u usual) (time.Duration, float64) {
+	if s.sampled.IsZero() {
+		return u.smoothed, u.slowness
+	}
+	known := math.Exp2(-float64(now.Sub(s.sampled)) / float64(forgetting))
+	smoothed := u.smoothed + time.Duration(known*float64(s.smoothed-u.smoothed))
+	return smoothed, u.slowness + known*(s.slowness-u.slowness)
+}
+
 func (b *Balancer) begin(now time.Time, e fleet.Endpoint, need Need) *Call {
 	s := b.seen(e.ID)
 	c := &Call{Endpoint: e, balancer: b, begin: now, parts: need.Parts}
 	if need.Engine {
 		c.unread = need.tokens() - s.kept.match(need.Parts)
-		c.expected = s.readTime(c.unread + s.reading)
+		c.expected = readTime(c.unread+s.reading, s.slowness)
 		s.reading += c.unread
 	}
 	s.calls[c] = struct{}{}
@@ -173,13 +217,14 @@
 
 // cost is the expected time of the call at an endpoint, in milliseconds, with what
 // speaks against it added.
-func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, need Need, home bool) float64 {
+func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, need Need, u usual, home bool) float64 {
 	s := b.seen(e.ID)
 	var d time.Duration
+	smoothed, slowness := s.at(now, u)
 	if need.Engine {
-		d = s.engineCost(need, home)
+		d = s.engineCost(need, slowness, home)
 	} else {
-		d = s.simpleCost(now, max(need.Slots, e.Slots, 1))
+		d = s.simpleCost(now, smoothed, max(need.Slots, e.Slots, 1))
 	}
 	if need.Domain != "" && e.FailureDomain != need.Domain {
 		d += otherDomain + need.DomainCost
@@ -197,33 +242,33 @@
 // loadLife is how long the load that an endpoint told is taken to hold.
 const loadLife = 300 * time.Millisecond
 
-func (s *seen) simpleCost(now time.Time, slots int) time.Duration {
+func (s *seen) simpleCost(now time.Time, smoothed time.Duration, slots int) time.Duration {
 	ahead := len(s.calls)
 	if now.Sub(s.loadAt) < loadLife {
 		ahead = max(ahead, s.load.Running+s.load.Waiting)
 	}
 	turns := 1 + float64(ahead)/float64(slots)
-	return time.Duration(float64(s.smoothed) * turns)
+	return time.Duration(float64(smoothed) * turns)
 }
 
 // engineCost is the time to the first event at an engine. Shared parts that have to be read
 // count readAgainCost times: they are read at the cost of all others there.
-func (s *seen) engineCost(need Need, home bool) time.Duration {
+func (s *seen) engineCost(need Need, slowness float64, home bool) time.Duration {
 	kept := s.kept.match(need.Parts)
 	unread := need.tokens() - kept
 	shared := 0
 	if !home && len(need.Parts) > 1 {
 		shared = max(0, need.tokens()-need.Parts[len(need.Parts)-1].Tokens-kept)
 	}
-	return s.readTime(s.reading+unread+readAgainCost*shared) + time.Duration(len(s.calls))*batchCost
+	return readTime(s.reading+unread+readAgainCost*shared, slowness) + time.Duration(len(s.calls))*batchCost
 }
 
 // readAgainCost is by how much the reading of shared parts that are kept elsewhere is
 // weighed over that of a request's own part.
 const readAgainCost = 6
 
-func (s *seen) readTime(tokens int) time.Duration {
-	return time.Duration(s.slowness * float64(tokens) / tokensPerSecond * float64(time.Second))
+func readTime(tokens int, slowness float64) time.Duration {
+	return time.Duration(slowness * float64(tokens) / tokensPerSecond * float64(time.Second))
 }
 
 func (s *seen) overdue(now time.Time) bool {
@@ -269,7 +314,7 @@
 	if !need.Engine {
 		return s.smoothed, best.FailureDomain
 	}
-	return firstEventTime + s.readTime(need.tokens()-s.kept.match(need.Parts)), best.FailureDomain
+	return firstEventTime + readTime(need.tokens()-s.kept.match(need.Parts), s.slowness), best.FailureDomain
 }
 
 // firstEventTime is the time to the first event of a prompt that is kept whole.
@@ -286,7 +331,11 @@
 	c.begun = true
 	s := b.seen(c.Endpoint.ID)
 	took := b.clock.Since(c.begin)
+	if s.sampled.IsZero() {
+		s.smoothed = took
+	}
 	s.smoothed += time.Duration(sampleWeight * float64(took-s.smoothed))
+	s.sampled = b.clock.Now()
 	s.reading -= c.unread
 	s.kept.add(c.parts)
 	if c.expected > minReadSample {
--- /dev/null
+++ b/pkg/discovery/discovery_test.go
@@ -0,0 +1,238 @@
+package discovery_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+func TestDiscovery(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(5 * time.Second)
+	RunSpecs(t, "discovery")
+}
+
+var errOut = errors.New("out")
+
+// source is a source, or the peers, whose state the test sets.
+type source struct {
+	mu      sync.Mutex
+	state   discovery.State
+	out     bool
+	gone    bool
+	relays  []string
+	watches int
+	relayed int
+	age     time.Duration
+}
+
+func (s *source) set(change func(*source)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *source) read() (discovery.State, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state, s.out
+}
+
+func (s *source) State(context.Context) (discovery.State, error) {
+	state, out := s.read()
+	if out {
+		return discovery.State{}, errOut
+	}
+	return state, nil
+}
+
+func (s *source) Watch(ctx context.Context, since uint64, wait time.Duration) (discovery.Changes, error) {
+	s.set(func(s *source) { s.watches++ })
+	until := time.Now().Add(wait)
+	for {
+		state, out := s.read()
+		if out {
+			return discovery.Changes{}, errOut
+		}
+		if s.takeGone() {
+			return discovery.Changes{}, discovery.ErrHistoryGone
+		}
+		if state.Revision > since || time.Now().After(until) {
+			changes := discovery.Changes{Revision: state.Revision, Document: state.Document}
+			for _, e := range state.Endpoints {
+				changes.Endpoints = append(changes.Endpoints, fleet.Change{Endpoint: e})
+			}
+			return changes, ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (s *source) takeGone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gone := s.gone
+	s.gone = false
+	return gone
+}
+
+func (*source) Decode(d discovery.Document) (route.Config, error) {
+	var config route.Config
+	err := json.Unmarshal(d.Data, &config)
+	return config, err
+}
+
+// peersOf gives what a source holds, as peers.
+type peersOf struct{ *source }
+
+func (p peersOf) State(ctx context.Context, newerThan uint64) (discovery.State, time.Duration, error) {
+	state, err := p.source.State(ctx)
+	if state.Revision < newerThan {
+		state = discovery.State{}
+	}
+	return state, p.age, err
+}
+
+func (p peersOf) Relay(ctx context.Context, _ string, since uint64, wait time.Duration) (discovery.Changes, time.Duration, error) {
+	p.set(func(s *source) { s.relayed++ })
+	changes, err := p.Watch(ctx, since, wait)
+	return changes, p.age, err
+}
+
+func (p peersOf) Relays() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relays
+}
+
+func document(revision, version uint64) discovery.Document {
+	data, err := json.Marshal(route.Config{Version: version})
+	Expect(err).NotTo(HaveOccurred())
+	return discovery.Document{Revision: revision, Data: data}
+}
+
+func state(revision, documentRevision, version uint64, endpoints ...string) discovery.State {
+	s := discovery.State{Revision: revision, Document: document(documentRevision, version)}
+	for _, id := range endpoints {
+		s.Endpoints = append(s.Endpoints, fleet.Endpoint{ID: id, Service: "s"})
+	}
+	return s
+}
+
+var _ = Describe("a follower", func() {
+	var (
+		store, peers *source
+		f            *discovery.Follower
+	)
+
+	BeforeEach(func() {
+		store, peers = &source{}, &source{out: true}
+		f = discovery.New(store, peersOf{peers}, clockwork.NewRealClock(), logging.Discard().For("discovery"))
+		var t tomb.Tomb
+		t.Go(func() error { return f.Run(&t) })
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+	})
+
+	version := func() uint64 {
+		if f.View().Table == nil {
+			return 0
+		}
+		return f.View().Table.Version
+	}
+	ready := func() int { return len(f.View().Fleet.Ready("s")) }
+	put := func(s *source, new discovery.State) { s.set(func(s *source) { s.state = new }) }
+
+	It("takes versions and endpoints in as they come, never backward", func() {
+		put(store, state(5, 4, 3, "a"))
+		Eventually(version).Should(Equal(uint64(3)))
+		put(store, state(9, 8, 7, "a", "b"))
+		Eventually(version).Should(Equal(uint64(7)))
+		Eventually(ready).Should(Equal(2))
+		put(store, state(12, 12, 6))
+		Consistently(version).WithTimeout(300 * time.Millisecond).Should(Equal(uint64(7)))
+	})
+
+	It("takes no older state from a peer", func() {
+		put(store, state(9, 8, 7, "a"))
+		Eventually(version).Should(Equal(uint64(7)))
+		store.set(func(s *source) { s.out = true })
+		peers.set(func(s *source) { s.out, s.state = false, state(5, 4, 3) })
+		Consistently(version).WithTimeout(2500 * time.Millisecond).Should(Equal(uint64(7)))
+		Expect(ready()).To(Equal(1))
+	})
+
+	It("learns from peers while the source is out, with the peers' age", func() {
+		store.set(func(s *source) { s.out = true })
+		peers.set(func(s *source) { s.out, s.state, s.age = false, state(5, 4, 3, "a"), time.Second })
+		Eventually(version).Should(Equal(uint64(3)))
+		Expect(f.View().Age(time.Now())).To(BeNumerically(">=", time.Second))
+		Expect(f.View().Age(time.Now())).To(BeNumerically("<", 3*time.Second))
+	})
+
+	It("does not rely on a peer that has not heard of the source itself", func() {
+		store.set(func(s *source) { s.out = true })
+		peers.set(func(s *source) { s.out, s.state, s.age = false, state(5, 4, 3, "a"), time.Minute })
+		Consistently(version).WithTimeout(800 * time.Millisecond).Should(BeZero())
+	})
+
+	It("reads all anew when the history is gone", func() {
+		put(store, state(5, 4, 3, "a"))
+		Eventually(ready).Should(Equal(1))
+		store.set(func(s *source) { s.gone, s.state = true, state(9, 8, 7, "b") })
+		Eventually(func() bool { return f.View().Fleet.MayGetWork("a") }).Should(BeFalse())
+		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
+	})
+
+	It("leaves the watching to a relay, and goes back to the source when that is out or old", func() {
+		put(store, state(5, 4, 3, "a"))
+		Eventually(ready).Should(Equal(1))
+		peers.set(func(s *source) { s.out, s.state, s.relays = false, state(5, 4, 3, "a"), []string{"relay"} })
+		relayed := func() int {
+			peers.mu.Lock()
+			defer peers.mu.Unlock()
+			return peers.relayed
+		}
+		Eventually(relayed).Should(BeNumerically(">", 0))
+		put(peers, state(9, 8, 7, "a", "b"))
+		Eventually(version).Should(Equal(uint64(7)))
+		peers.set(func(s *source) { s.age = 5 * time.Second })
+		put(store, state(12, 11, 10, "a"))
+		Eventually(version).Should(Equal(uint64(10)))
+		peers.set(func(s *source) { s.out = true })
+		put(store, state(15, 14, 13, "a"))
+		Eventually(version).Should(Equal(uint64(13)))
+	})
+
+	It("relays what comes, as soon as it comes, or says that it is not kept", func() {
+		put(store, state(5, 4, 3, "a"))
+		Eventually(ready).Should(Equal(1))
+		changes, _, err := f.Relay(5, 10*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes.Revision).To(Equal(uint64(5)))
+		got := make(chan discovery.Changes, 1)
+		go func() {
+			changes, _, _ := f.Relay(5, 5*time.Second)
+			got <- changes
+		}()
+		put(store, state(9, 8, 7, "a", "b"))
+		Eventually(got).Should(Receive(SatisfyAll(HaveField("Revision", uint64(9)), HaveField("Document.Revision", uint64(8)))))
+		_, _, err = f.Relay(3, time.Second)
+		Expect(err).To(MatchError(discovery.ErrHistoryGone))
+	})
+})
--- /dev/null
+++ b/pkg/httpconn/httpconn_test.go
@@ -0,0 +1,226 @@
+package httpconn_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+)
+
+func TestHTTPConn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "httpconn")
+}
+
+// server answers each request on a connection with what the test says.
+type server struct {
+	net.Listener
+	conns atomic.Int32
+	// answer returns the bytes sent for a request, and whether the connection goes on.
+	answer func(n int, r *http.Request) (string, bool)
+}
+
+func serve(answer func(n int, r *http.Request) (string, bool)) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &server{Listener: listener, answer: answer}
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		bytes, more := s.answer(n, r)
+		_, _ = io.WriteString(c, bytes)
+		if !more {
+			return
+		}
+	}
+}
+
+func plain(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+var _ = Describe("a pool of connections", func() {
+	var (
+		clock *clockwork.FakeClock
+		pool  *httpconn.Pool
+	)
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		pool = httpconn.NewPool(clock, metrics.NewSet())
+		DeferCleanup(pool.Close)
+	})
+
+	call := func(s *server, id string) httpconn.Call {
+		return httpconn.Call{
+			Target: httpconn.Target{ID: "e", Address: s.Addr().String()},
+			Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}},
+			ID: id, IDHeader: "X-Id", MaxRest: time.Second,
+		}
+	}
+
+	do := func(c httpconn.Call) (string, error) {
+		answer, err := pool.Do(context.Background(), c)
+		if err != nil {
+			return "", err
+		}
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		return string(body), err
+	}
+
+	echo := func(_ int, r *http.Request) (string, bool) {
+		return plain(r.Header.Get("X-Id"), "for "+r.Header.Get("X-Id")), true
+	}
+
+	It("keeps connections, for as long as is allowed", func() {
+		s := serve(echo)
+		for n := range 3 {
+			Expect(do(call(s, fmt.Sprint(n)))).To(Equal(fmt.Sprint("for ", n)))
+		}
+		Expect(s.conns.Load()).To(Equal(int32(1)))
+		clock.Advance(2 * time.Second)
+		Expect(do(call(s, "a"))).To(Equal("for a"))
+		Expect(s.conns.Load()).To(Equal(int32(2)), "it rested longer than the call allows")
+		fresh := call(s, "b")
+		fresh.MaxRest = -1
+		Expect(do(fresh)).To(Equal("for b"))
+		Expect(s.conns.Load()).To(Equal(int32(3)))
+	})
+
+	It("gives connections up that the endpoint will close, or has closed", func() {
+		s := serve(func(_ int, r *http.Request) (string, bool) {
+			id := r.Header.Get("X-Id")
+			return strings.Replace(plain(id, "x"), "\r\n", "\r\nKeep-Alive: timeout=2\r\n", 1), id != "closes"
+		})
+		Expect(do(call(s, "1"))).To(Equal("x"))
+		clock.Advance(900 * time.Millisecond)
+		Expect(do(call(s, "2"))).To(Equal("x"))
+		Expect(s.conns.Load()).To(Equal(int32(1)))
+		clock.Advance(999 * time.Millisecond)
+		pool.Sweep(func(string) bool { return true })
+		Expect(do(call(s, "closes"))).To(Equal("x"))
+		Eventually(func() error {
+			_, err := do(call(s, "after"))
+			return err
+		}).Should(Succeed())
+	})
+
+	It("never uses a connection on which bytes came unasked", func() {
+		s := serve(func(n int, r *http.Request) (string, bool) {
+			id := r.Header.Get("X-Id")
+			if n == 0 {
+				return plain(id, "own") + plain(id, "surplus"), true
+			}
+			return plain(id, "own"), true
+		})
+		for n := range 4 {
+			Expect(do(call(s, fmt.Sprint(n)))).To(Equal("own"))
+		}
+	})
+
+	It("passes answers to other calls over", func() {
+		s := serve(func(_ int, r *http.Request) (string, bool) {
+			return plain("other", "crossed") + "HTTP/1.1 103 Early Hints\r\n\r\n" + plain(r.Header.Get("X-Id"), "own"), true
+		})
+		Expect(do(call(s, "1"))).To(Equal("own"))
+	})
+
+	DescribeTable("never takes an answer for whole that is not",
+		func(bytes string) {
+			s := serve(func(int, *http.Request) (string, bool) { return bytes, false })
+			_, err := do(call(s, "1"))
+			Expect(err).To(HaveOccurred())
+			Expect(httpconn.NotSent(err)).To(BeFalse())
+		},
+		Entry("nothing", ""),
+		Entry("no answer", "\x00\x01\x02\r\n\r\n"),
+		Entry("half a head", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"),
+		Entry("half a body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\nhalf"),
+		Entry("half a chunk", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf"),
+		Entry("no last chunk", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+		Entry("only another's", plain("2", "x")),
+	)
+
+	It("says that nothing was sent when there is no connection", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		s := &server{Listener: listener}
+		c := call(s, "1")
+		Expect(listener.Close()).To(Succeed())
+		_, err = do(c)
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+	})
+
+	It("keeps to its part of the endpoint's connections", func() {
+		hold := make(chan struct{})
+		s := serve(func(int, *http.Request) (string, bool) {
+			<-hold
+			return plain("1", "x"), true
+		})
+		c := call(s, "1")
+		c.Target.MaxConnections = 1
+		done := make(chan error, 1)
+		go func() {
+			_, err := do(c)
+			done <- err
+		}()
+		Eventually(s.conns.Load).Should(Equal(int32(1)))
+		_, err := do(c)
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+		close(hold)
+		Eventually(done).Should(Receive(BeNil()))
+		Expect(do(c)).To(Equal("x"))
+	})
+
+	It("ends a call with its context", func() {
+		s := serve(func(_ int, r *http.Request) (string, bool) { select {} })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			_, err := pool.Do(ctx, call(s, "1"))
+			done <- err
+		}()
+		Eventually(s.conns.Load).Should(Equal(int32(1)))
+		cancel()
+		Eventually(done).Should(Receive(HaveOccurred()))
+	})
+
+	It("drops what concerns one connection", func() {
+		h := http.Header{"Connection": {"X-Hop, close"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"}, "X-Own": {"1"}}
+		Expect(httpconn.EndToEnd(h)).To(Equal(http.Header{"X-Own": {"1"}}))
+	})
+})
--- /dev/null
+++ b/service/peers/gossip_test.go
@@ -0,0 +1,45 @@
+package peers
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+)
+
+type deaf struct{}
+
+func (deaf) Self() membership.Self                                 { return membership.Self{} }
+func (deaf) Heard(membership.Heartbeat, []control.LeavingEndpoint) {}
+
+// A loop that goes on after its socket is closed spins, and keeps a process with one
+// processor from ending.
+func TestRunEndsWithItsSocketThoughItsTombLives(t *testing.T) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := clockwork.NewRealClock()
+	g := NewGossip(conn, "a shared token", timeline.NewClock(clock), limits.NewShares(clock), metrics.NewSet(), logging.Discard().For("peers"), nil)
+	var alive tomb.Tomb
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = g.Run(&alive, deaf{})
+	}()
+	g.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the loop goes on")
+	}
+}
