soak, gateway: a fault soak of real processes; a resumed stream gets its inputs again

Cause: results of stages are given up at a stream's first event; when the stream broke off later, the engine that took it up got the request without inputs. Change: the stages are made once more, as for a request that came now; the test failed before. test/soak with cobaltcroft-soak: proxies that delay, reset, cut one way or both; instances killed, paused, stopped as planned; store and engine faults; checks from what callers and engines see.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README; docs/ says more.
-.PHONY: build run test race lint bench measure measure-quick scale mutants
+.PHONY: build run run-platform test race lint bench measure measure-quick scale mutants soak soak-seeds soak-short
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,13 @@
 
 mutants:
 	./_scripts/mutants.sh
+
+# A fault soak of real processes: fresh seeds; the seeds that ever failed; a short one.
+soak: build
+	bin/cobaltcroft-soak --seeds 10
+
+soak-seeds: build
+	bin/cobaltcroft-soak --seed 1 --length 10s
+
+soak-short: build
+	bin/cobaltcroft-soak --seed 7 --length 6s --instances 3 --clients 8
--- a/cmd/cobaltcroftd/gateway/stages_test.go
+++ b/cmd/cobaltcroftd/gateway/stages_test.go
@@ -98,6 +98,19 @@
 		}
 	})
 
+	It("go on at another engine with inputs made anew, when the stream breaks off", func() {
+		i := start(d.Address())
+		d.Of("model")[0].Always(platformtest.BreakOff)
+		for range 4 {
+			id, got := staged(i)
+			served(id, got)
+			for _, run := range d.Runs("model", id) {
+				Expect(run.Header.Get("Cobaltcroft-Inputs")).To(MatchRegexp("^[^,]+,[^,]+,[^,]+,[^,]+$"))
+			}
+		}
+		Eventually(kept).Should(BeZero())
+	})
+
 	It("of several instances leave in calls of one owner", func() {
 		a := start(d.Address())
 		b := start(d.Address(), a.Peers)
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -156,7 +156,7 @@
 		return f.View().Table.Version
 	}
 	ready := func() int { return len(f.View().Fleet.Ready("s")) }
-	put := func(s *source, new discovery.State) { s.set(func(s *source) { s.state = new }) }
+	put := func(s *source, next discovery.State) { s.set(func(s *source) { s.state = next }) }
 
 	It("takes versions and endpoints in as they come, never backward", func() {
 		put(store, state(5, 4, 3, "a"))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -67,6 +67,9 @@
 			if !u.route.Repeatable() {
 				return failLost()
 			}
+			if refusal := u.restoreInputs(ctx); refusal != nil {
+				return u.giveUp(refusal)
+			}
 		case redo:
 			if refusal := u.remakeInputs(ctx); refusal != nil {
 				return u.giveUp(refusal)
@@ -93,13 +96,23 @@
 	return u.Budget.Take(u.service.Name, 1)
 }
 
-// remakeInputs makes the stages once more.
+// restoreInputs makes the stages once more if their results were given up when the first
+// event came: the engine that takes the stream up reads them too.
+func (u *run) restoreInputs(ctx context.Context) *Refusal {
+	if len(u.inputs) > 0 || !u.readInputs || u.attempts >= max(1, u.route.MaxAttempts) {
+		return nil
+	}
+	return u.remakeInputs(ctx)
+}
+
+// remakeInputs makes the stages once more, as for a request that came now.
 func (u *run) remakeInputs(ctx context.Context) *Refusal {
 	if u.redone {
 		return refusePieces(u.comeBack())
 	}
 	u.redone = true
 	u.freeInputs()
+	u.restarted = u.Clock.Now()
 	return u.makeStages(ctx)
 }
 
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -81,8 +81,11 @@
 	begun     bool
 	// mayHaveRun says that some endpoint may have run the request.
 	mayHaveRun bool
-	// redone says that the stages were made a second time.
-	redone bool
+	// redone says that the stages were made a second time, restarted since when.
+	redone    bool
+	restarted time.Time
+	// readInputs says that the request reads results of stages.
+	readInputs bool
 }
 
 // Run answers a request. The context ends when the client leaves.
@@ -147,8 +150,13 @@
 	return limit
 }
 
-// due is when the request's objective ends.
-func (u *run) due() time.Time { return u.request.Arrived.Add(u.route.Objective) }
+// due is when the request's objective ends, or that of its second start.
+func (u *run) due() time.Time {
+	if u.redone {
+		return u.restarted.Add(u.route.Objective)
+	}
+	return u.request.Arrived.Add(u.route.Objective)
+}
 
 // priority is the rank of the request; 0 is the highest.
 func (u *run) priority() int {
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -32,6 +32,7 @@
 		"left_ms": plan.Due.Sub(begin).Milliseconds(), "results": len(outcome.Results), "domain": plan.Domain,
 	}).Info()
 	u.inputs = outcome.Results
+	u.readInputs = u.readInputs || len(u.inputs) > 0
 	switch {
 	case outcome.Reason == pipeline.Busy:
 		return refuseBusy(outcome.RetryAfter)
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -207,7 +207,7 @@
 	})
 
 	It("ends a call with its context", func() {
-		s := serve(func(_ int, r *http.Request) (string, bool) { select {} })
+		s := serve(func(int, *http.Request) (string, bool) { select {} })
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() {
--- /dev/null
+++ b/test/soak/faults.go
@@ -0,0 +1,212 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+const (
+	// maxActive bounds the faults that are under way at once.
+	maxActive    = 3
+	longestFault = 3 * time.Second
+	betweenLeast = 150 * time.Millisecond
+	betweenMost  = 900 * time.Millisecond
+	// stopLimit is how long a planned stop may take: the grace time and some more.
+	stopLimit = 5 * time.Second
+	// leavingServes is how long an engine serves on after it said that it leaves.
+	leavingServes = 4 * time.Second
+)
+
+// faults plays faults until a time, and waits for the last to end.
+func (s *Soak) faults(until time.Time) {
+	kinds := []func() (string, func()){s.storeFault, s.storeLink, s.engineLink, s.engineFault, s.kill, s.pause, s.planned, s.hangUp, s.leave, s.configuration, s.forget}
+	for time.Now().Before(until) {
+		time.Sleep(betweenLeast + time.Duration(s.random.Int64N(int64(betweenMost-betweenLeast))))
+		if s.activeNow() >= maxActive {
+			continue
+		}
+		begin := kinds[s.random.IntN(len(kinds))]
+		lasts := time.Duration(s.random.Int64N(int64(longestFault)))
+		name, end := begin()
+		if end == nil {
+			continue
+		}
+		s.tell("%s, %s", name, lasts.Round(time.Millisecond))
+		s.began()
+		go func() {
+			time.Sleep(lasts)
+			end()
+			s.over()
+		}()
+	}
+	for s.activeNow() > 0 {
+		time.Sleep(proxyPoll)
+	}
+	s.tell("no fault any more")
+}
+
+func (s *Soak) activeNow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+func (s *Soak) began() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active++
+}
+
+func (s *Soak) over() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	s.calm = time.Now()
+}
+
+func (s *Soak) storeFault() (string, func()) {
+	faults := []platformtest.StoreFault{platformtest.StoreBusy, platformtest.StoreMany, platformtest.StoreSilent, platformtest.StoreReset}
+	s.deployment.Store.SetFault(faults[s.random.IntN(len(faults))])
+	return "the store fails", func() { s.deployment.Store.SetFault(platformtest.StoreWell) }
+}
+
+func (s *Soak) storeLink() (string, func()) {
+	s.store.Set(Link(1 + s.random.IntN(int(links)-1)))
+	return "the link to the store is harmed", func() { s.store.Set(Open) }
+}
+
+// engine returns some engine that has not been told to leave.
+func (s *Soak) engine() *platformtest.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range 100 {
+		e := s.deployment.Engines[s.random.IntN(len(s.deployment.Engines))]
+		if _, leaving := s.drained[e]; !leaving {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *Soak) engineLink() (string, func()) {
+	e := s.engine()
+	if e == nil {
+		return "", nil
+	}
+	s.engines[e].Set(Link(1 + s.random.IntN(int(links)-1)))
+	return "the link to an engine of " + e.Service + " is harmed", func() { s.engines[e].Set(Open) }
+}
+
+func (s *Soak) engineFault() (string, func()) {
+	e := s.engine()
+	if e == nil {
+		return "", nil
+	}
+	faults := []platformtest.Fault{
+		platformtest.Full, platformtest.Fail, platformtest.LoseAnswer, platformtest.BreakOff, platformtest.Mute,
+		platformtest.Surplus, platformtest.Crossed, platformtest.Spoiled, platformtest.Early, platformtest.NoSeal,
+		platformtest.InputGone, platformtest.NoRoom,
+	}
+	for range 1 + s.random.IntN(5) {
+		e.Next(faults[s.random.IntN(len(faults))])
+	}
+	return "an engine of " + e.Service + " fails some requests", func() {}
+}
+
+// instance returns some instance that runs as usual, or nil.
+func (s *Soak) instance() *process {
+	for range 20 {
+		p := s.processes[s.random.IntN(len(s.processes))]
+		if _, steady := p.state(); steady {
+			return p
+		}
+	}
+	return nil
+}
+
+func (s *Soak) kill() (string, func()) {
+	p := s.instance()
+	if p == nil {
+		return "", nil
+	}
+	p.signal(syscall.SIGKILL)
+	p.wait(time.Second)
+	return p.name + " is killed", func() { s.restart(p) }
+}
+
+func (s *Soak) pause() (string, func()) {
+	p := s.instance()
+	if p == nil {
+		return "", nil
+	}
+	p.signal(syscall.SIGSTOP)
+	return p.name + " is paused", func() { p.signal(syscall.SIGCONT) }
+}
+
+// planned stops an instance as planned and starts it again.
+func (s *Soak) planned() (string, func()) {
+	p := s.instance()
+	if p == nil {
+		return "", nil
+	}
+	p.signal(syscall.SIGTERM)
+	return p.name + " is stopped as planned", func() {
+		if !p.wait(stopLimit) {
+			s.breach("%s was still there %s after SIGTERM", p.name, stopLimit)
+		}
+		s.restart(p)
+	}
+}
+
+func (s *Soak) restart(p *process) {
+	if err := p.start(); err != nil {
+		s.breach("%s does not start: %v", p.name, err)
+	}
+}
+
+func (s *Soak) hangUp() (string, func()) {
+	p := s.instance()
+	if p == nil {
+		return "", nil
+	}
+	p.signal(syscall.SIGHUP)
+	return p.name + " gets SIGHUP", func() {}
+}
+
+// leave has an engine leave, and another take its place.
+func (s *Soak) leave() (string, func()) {
+	e := s.engine()
+	if e == nil {
+		return "", nil
+	}
+	settings := e.Settings()
+	if err := s.addEngine(settings); err != nil {
+		s.breach("harness: %v", err)
+	}
+	s.deployment.Store.Put("servers/"+e.ID, e.EntryAt(s.engines[e].Address(), "draining"))
+	s.mu.Lock()
+	s.drained[e] = time.Now()
+	s.mu.Unlock()
+	return "an engine of " + e.Service + " leaves", func() {
+		time.Sleep(leavingServes)
+		s.deployment.Store.Remove("servers/" + e.ID)
+		e.Close()
+	}
+}
+
+// configuration adds a route that nobody uses, so that the version rises.
+func (s *Soak) configuration() (string, func()) {
+	routes := s.deployment.Config.Routes
+	extra := routes[0]
+	extra.Name, extra.PathPrefix = "extra", "/extra/"
+	s.deployment.Config.Routes = append(routes[:5:5], extra)
+	s.deployment.Put()
+	return "the configuration changes", func() {}
+}
+
+func (s *Soak) forget() (string, func()) {
+	s.deployment.Store.Forget()
+	return "the store forgets its history", func() {}
+}
--- /dev/null
+++ b/test/soak/process.go
@@ -0,0 +1,166 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
+)
+
+const (
+	readyPoll    = 20 * time.Millisecond
+	readyTimeout = time.Second
+)
+
+// process is one instance as a process of its own, which is started again when it ends.
+type process struct {
+	name    string
+	program string
+	path    string
+	log     *os.File
+	listen  settings.GatewayListen
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// life counts starts; stopping says that a planned stop is under way.
+	life     int
+	stopping bool
+	paused   bool
+}
+
+// freePort returns a port that was free a moment ago. Instances need ports that stay theirs
+// over restarts.
+func freePort() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func newProcess(program, dir string, number int, store string, peers []string) (*process, error) {
+	p := &process{name: fmt.Sprintf("instance-%d", number), program: program}
+	for _, address := range []*string{&p.listen.Requests, &p.listen.Readiness, &p.listen.Peers, &p.listen.Metrics} {
+		free, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	s := settings.GatewayDefaults()
+	s.Instance, s.FailureDomain = p.name, fmt.Sprintf("zone-%d", number%2)
+	s.Listen, s.Peers, s.PeerToken, s.Store = p.listen, peers, "the soak's token", store
+	s.StopGraceSeconds = 4
+	s.Retries = settings.GatewayRetries{Ratio: 0.2, Slack: 50, WindowSeconds: 10}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	p.path = filepath.Join(dir, p.name+".json")
+	if err := os.WriteFile(p.path, data, 0o600); err != nil {
+		return nil, err
+	}
+	p.log, err = os.Create(filepath.Join(dir, p.name+".log"))
+	return p, err
+}
+
+// start starts the process.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command := exec.Command(p.program, "gateway", p.path)
+	command.Stdout, command.Stderr = p.log, p.log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
+	p.life++
+	p.stopping, p.paused = false, false
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch s {
+	case syscall.SIGTERM:
+		p.stopping = true
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	// A process that has ended takes no signal.
+	_ = p.command.Process.Signal(s)
+}
+
+// alive tells whether the process runs.
+func (p *process) alive() bool {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	select {
+	case <-ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// state returns the life that runs, and whether it serves as usual.
+func (p *process) state() (life int, steady bool) {
+	alive := p.alive()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life, alive && !p.stopping && !p.paused
+}
+
+// wait waits until the process has ended, or kills it after a time.
+func (p *process) wait(limit time.Duration) bool {
+	p.mu.Lock()
+	ended, command := p.ended, p.command
+	p.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		_ = command.Process.Kill()
+		<-ended
+		return false
+	}
+}
+
+func (p *process) ready() bool {
+	client := http.Client{Timeout: readyTimeout}
+	response, err := client.Get("http://" + p.listen.Readiness + "/cobaltcroft/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (p *process) waitReady(limit time.Duration) bool {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(readyPoll) {
+		if p.ready() {
+			return true
+		}
+	}
+	return false
+}
