--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -12,6 +12,8 @@
 	// come back.
 	firstComeBack = 700 * time.Millisecond
 	lastComeBack  = 4 * time.Second
+	// caution is by how much longer than forecast the stages are taken to last.
+	caution = 1.2
 )
 
 // admit forecasts how long the stages of a plan take, and counts the plan in if it would
@@ -21,7 +23,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	forecast = p.forecast(part, plan)
-	if forecast > left {
+	if time.Duration(caution*float64(forecast)) > left {
 		return forecast, false
 	}
 	p.countLocked(part, plan)
