handover: parts that keep, silent owners passed over longer, leaving ones refuse plans

Cause: on the grown sites two instances and more made calls for the same endpoints: the number of parts fell from 3 to 2 with one engine of 15 lost, owners of other domains were believed alive long after they died, and leaving ones still took plans. Change: powers of two, and the greatest number of the last 30 s; suspicion doubles to 20 s; a leaving owner refuses. The soak now stands beside the stand-ins, in platformtest, since it speaks the platform's protocol.

--- a/cmd/cobaltcroft-soak/cmds/cmds.go
+++ b/cmd/cobaltcroft-soak/cmds/cmds.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/cobaltcroft/cobaltcroft/test/soak"
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest/soak"
 )
 
 const exitBreach = 1
--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -76,10 +77,13 @@
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
 	face     *ingress.Face
+	handler  *handover.Handler
 	server   *peers.Server
 
 	listeners listeners
 	stopping  stopState
+	// least is the number of endpoints by which parts are cut.
+	least atomic.Pointer[heldCount]
 }
 
 // listeners are the sockets of an instance.
@@ -216,7 +220,8 @@
 		Instances: g.instances,
 	})
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.server = peers.NewServer(handover.NewHandler(planner, g.batcher, g.follower, g.clock), s.PeerToken, g.logs.For("peers"))
+	g.handler = handover.NewHandler(planner, g.batcher, g.follower, g.clock)
+	g.server = peers.NewServer(g.handler, s.PeerToken, g.logs.For("peers"))
 }
 
 func budgetBounds(s settings.Gateway) retry.Bounds {
@@ -226,8 +231,28 @@
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
-// leastEndpoints is how many endpoints the least service that takes pieces has.
+// leastEndpoints is how many endpoints the least service that takes pieces has, or had a
+// while ago: endpoints that fail mostly come back.
 func (g *Gateway) leastEndpoints() int {
+	now := g.clock.Now()
+	least := g.countLeast()
+	if before := g.least.Load(); before != nil && least < before.endpoints && now.Before(before.until) {
+		return before.endpoints
+	}
+	g.least.Store(&heldCount{endpoints: least, until: now.Add(leastFor)})
+	return least
+}
+
+// heldCount is a number of endpoints that holds for a while.
+type heldCount struct {
+	endpoints int
+	until     time.Time
+}
+
+// leastFor is how long a greater number of endpoints is kept to.
+const leastFor = 30 * time.Second
+
+func (g *Gateway) countLeast() int {
 	view := g.follower.View()
 	if view.Table == nil {
 		return 0
--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -35,6 +35,7 @@
 	g.log.WithFields(logrus.Fields{"event": "stopping", "signal": signal.String(), "in_flight": g.face.InFlight()}).Info()
 	g.stopping.begin()
 	g.group.Leave()
+	g.handler.Leave()
 	g.face.Leave()
 	end := begin.Add(g.settings.StopGrace() - exitSlack)
 	ticker := g.clock.NewTicker(drainPoll)
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -11,6 +12,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -22,6 +24,8 @@
 	follower *discovery.Follower
 	clock    clockwork.Clock
 
+	leaving atomic.Bool
+
 	mu    sync.Mutex
 	calls map[string]context.CancelFunc
 }
@@ -33,6 +37,9 @@
 	return &Handler{planner: planner, local: local, follower: follower, clock: clock, calls: map[string]context.CancelFunc{}}
 }
 
+// Leave has further plans refused; those under way are made.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
 // Answer implements peers.Handler.
 func (h *Handler) Answer(ctx context.Context, method string, raw json.RawMessage) (any, error) {
 	switch method {
@@ -41,6 +48,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if h.leaving.Load() {
+			return nil, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance is leaving")
+		}
 		return h.run(ctx, call), nil
 	case api.MethodCancel:
 		call, err := peers.Params[api.Cancel](method, raw)
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -25,10 +25,18 @@
 	// endpointsPerPart is how many endpoints of each service a part has at least: with
 	// fewer, pieces wait longer for one to be free.
 	endpointsPerPart = 5
-	// suspectFor is how long an owner that did not answer gets no plans.
-	suspectFor = 2 * time.Second
+	// firstSuspect and lastSuspect bound how long an owner that did not answer gets no
+	// plans; the time doubles with each time in a row.
+	firstSuspect = 2 * time.Second
+	lastSuspect  = 20 * time.Second
 )
 
+// suspicion is that of one instance.
+type suspicion struct {
+	until time.Time
+	lasts time.Duration
+}
+
 // owners chooses the owner of each part among the live members.
 type owners struct {
 	clock clockwork.Clock
@@ -36,13 +44,19 @@
 	live  func() []membership.Member
 
 	mu       sync.Mutex
-	suspects map[string]time.Time
+	suspects map[string]suspicion
 }
 
 // partOf returns the part that a request falls to, where the least service that takes
 // pieces has so many endpoints.
+//
+// The number of parts is a power of two, so that it seldom changes when endpoints come and
+// go: instances that disagree on it send calls to endpoints that are at work for others.
 func partOf(request string, endpoints int) pipeline.Part {
-	of := max(1, endpoints/endpointsPerPart)
+	of := 1
+	for 2*of*endpointsPerPart <= endpoints {
+		of *= 2
+	}
 	return pipeline.Part{Number: int(xxhash.Sum64String(request) % uint64(of)), Of: of}
 }
 
@@ -76,16 +90,27 @@
 func (o *owners) suspected(address string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	until, ok := o.suspects[address]
-	if ok && !o.clock.Now().Before(until) {
-		delete(o.suspects, address)
-		return false
-	}
-	return ok
+	return o.clock.Now().Before(o.suspects[address].until)
 }
 
+// suspect notes that an owner did not answer.
 func (o *owners) suspect(address string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.suspects[address] = o.clock.Now().Add(suspectFor)
+	now := o.clock.Now()
+	s := o.suspects[address]
+	if now.Before(s.until) {
+		// Several calls that were under way end together.
+		return
+	}
+	s.lasts = min(lastSuspect, max(firstSuspect, 2*s.lasts))
+	s.until = now.Add(s.lasts)
+	o.suspects[address] = s
+}
+
+// trust notes that an owner answered.
+func (o *owners) trust(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.suspects, address)
 }
--- /dev/null
+++ b/service/handover/owners_test.go
@@ -0,0 +1,133 @@
+package handover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+)
+
+func TestHandover(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "handover")
+}
+
+func self(n int) membership.Self {
+	return membership.Self{Name: fmt.Sprint("i", n), PeerAddress: fmt.Sprint("address-", n), FailureDomain: fmt.Sprint("zone-", n%2)}
+}
+
+// ownersOf returns the owners as instance n of so many sees them, but those that it has not
+// heard of.
+func ownersOf(clock clockwork.Clock, n, of int, unheard ...int) *owners {
+	return &owners{clock: clock, self: self(n), suspects: map[string]suspicion{}, live: func() []membership.Member {
+		var live []membership.Member
+		for other := range of {
+			known := other != n
+			for _, u := range unheard {
+				known = known && u != other
+			}
+			if known {
+				live = append(live, membership.Member{Self: self(other), State: membership.Live})
+			}
+		}
+		return live
+	}}
+}
+
+var _ = Describe("owners", func() {
+	var clock *clockwork.FakeClock
+
+	BeforeEach(func() { clock = clockwork.NewFakeClock() })
+
+	It("are the same at all instances that know each other, and spread over parts", func() {
+		first := map[string]int{}
+		for part := range 16 {
+			p := pipeline.Part{Number: part, Of: 16}
+			want := ownersOf(clock, 0, 8).of(p)[0]
+			for n := range 8 {
+				Expect(ownersOf(clock, n, 8).of(p)[0]).To(Equal(want))
+			}
+			first[want]++
+		}
+		Expect(len(first)).To(BeNumerically(">=", 4))
+	})
+
+	It("change only where an instance is not known, and end with the instance itself", func() {
+		p := pipeline.Part{Of: 1}
+		list := ownersOf(clock, 0, 8).of(p)
+		Expect(list[len(list)-1]).To(Equal(self(0).PeerAddress))
+		Expect(ownersOf(clock, 7, 8, 0).of(p)).To(Equal(func() []string {
+			var kept []string
+			for _, address := range ownersOf(clock, 7, 8).of(p) {
+				if address != self(0).PeerAddress {
+					kept = append(kept, address)
+				}
+			}
+			return kept
+		}()))
+	})
+
+	It("that were silent are passed over, longer each time, until one answers", func() {
+		o := ownersOf(clock, 0, 2)
+		address := self(1).PeerAddress
+		for _, lasts := range []time.Duration{firstSuspect, 2 * firstSuspect, 4 * firstSuspect} {
+			o.suspect(address)
+			o.suspect(address)
+			clock.Advance(lasts - time.Millisecond)
+			Expect(o.suspected(address)).To(BeTrue())
+			clock.Advance(2 * time.Millisecond)
+			Expect(o.suspected(address)).To(BeFalse())
+		}
+		o.trust(address)
+		o.suspect(address)
+		clock.Advance(firstSuspect)
+		Expect(o.suspected(address)).To(BeFalse())
+	})
+
+	It("have parts of at least five endpoints, whose number seldom changes", func() {
+		counts := map[int]int{}
+		for endpoints := range 100 {
+			part := partOf("r", endpoints)
+			counts[part.Of]++
+			Expect(part.Number).To(BeNumerically("<", part.Of))
+			Expect(part.Of == 1 || endpoints/part.Of >= endpointsPerPart).To(BeTrue())
+		}
+		Expect(counts).To(HaveLen(5))
+	})
+})
+
+var _ = Describe("relays", func() {
+	relays := func(n, of int) []string {
+		o := ownersOf(clockwork.NewFakeClock(), n, of)
+		k := &Knowledge{Self: self(n), Live: o.live}
+		return k.Relays()
+	}
+
+	It("are none where few instances are in a failure domain", func() {
+		for n := range 8 {
+			Expect(relays(n, 8)).To(BeEmpty())
+		}
+	})
+
+	It("are the same two of a failure domain for all others in it", func() {
+		found := map[string]int{}
+		watching := 0
+		for n := range 40 {
+			list := relays(n, 40)
+			if len(list) == 0 {
+				watching++
+			}
+			for _, address := range list {
+				found[address]++
+			}
+		}
+		Expect(found).To(HaveLen(4))
+		Expect(watching).To(Equal(4))
+	})
+})
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -59,7 +59,7 @@
 // NewRouter returns a router.
 func NewRouter(o Options) *Router {
 	return &Router{
-		owners:    owners{clock: o.Clock, self: o.Self, live: o.Live, suspects: map[string]time.Time{}},
+		owners:    owners{clock: o.Clock, self: o.Self, live: o.Live, suspects: map[string]suspicion{}},
 		client:    o.Client,
 		planner:   o.Planner,
 		local:     o.Batcher,
@@ -100,6 +100,7 @@
 		r.log.WithFields(logrus.Fields{"event": "owner_silent", "id": plan.Request, "owner": address}).Warn(err)
 		return pipeline.Outcome{}, false
 	}
+	r.owners.trust(address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, result := range outcome.Results {
