--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -73,7 +73,9 @@
 	follower *discovery.Follower
 	conns    *httpconn.Pool
 	balancer *balance.Balancer
+	// budget is for requests sent again, pieces for pieces made again.
 	budget   *retry.Budget
+	pieces   *retry.Budget
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
 	face     *ingress.Face
@@ -194,7 +196,8 @@
 	g.conns = httpconn.NewPool(g.clock, g.metrics)
 	g.balancer = balance.New(g.clock)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
-	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower}, g.budget, g.clock, g.metrics, g.logs.For("batch"))
+	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
+	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower}, g.pieces, g.clock, g.metrics, g.logs.For("batch"))
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
 	router := handover.NewRouter(handover.Options{
 		Self:      self,
@@ -400,6 +403,7 @@
 		return
 	}
 	g.budget.SetBounds(budgetBounds(s))
+	g.pieces.SetBounds(budgetBounds(s))
 	debug.SetMemoryLimit(int64(heapPart * megabyte * float64(s.MemoryMB)))
 	g.settings.Retries, g.settings.MemoryMB, g.settings.StopGraceSeconds = s.Retries, s.MemoryMB, s.StopGraceSeconds
 	g.log.WithFields(logrus.Fields{"event": "settings_reloaded", "cause": cause}).Info()
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -121,8 +121,11 @@
 	Free(ctx context.Context, endpoint fleet.Endpoint, handles []string) error
 }
 
-// Budget bounds repeats.
+// Budget bounds how many pieces are made again, as a part of those that are asked for.
 type Budget interface {
+	// Count counts n pieces that are asked for.
+	Count(service string, n int)
+	// Take counts n repeats in if they are within the bounds, and tells whether they are.
 	Take(service string, n int) bool
 }
 
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -93,6 +93,8 @@
 	return fleet.Endpoint{ID: id, FailureDomain: "zone"}, true
 }
 
+func (e *endpoints) Count(string, int) {}
+
 func (e *endpoints) Take(string, int) bool {
 	e.budget--
 	return e.budget >= 0
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -82,6 +82,7 @@
 // endpoints have fetched the inputs of all pieces; none is made again after that.
 func (b *Batcher) Make(ctx context.Context, at Queue, pieces []Piece, read func()) []Result {
 	g := newGroup(len(pieces), read)
+	b.budget.Count(at.Service, len(pieces))
 	b.mu.Lock()
 	s := b.service(at)
 	for slot, piece := range pieces {
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -98,7 +98,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, u.deadline)
 	defer cancel()
-	u.Budget.Request(u.service.Name)
+	u.Budget.Count(u.service.Name, 1)
 	if refusal := u.makeStages(ctx); refusal != nil {
 		u.refuse(u.ended(ctx, refusal))
 		return
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -59,9 +59,6 @@
 		if i < len(u.request.Pieces) {
 			plan.Stages[i].Pieces = u.request.Pieces[i]
 		}
-		if plan.Stages[i].Pieces > 0 {
-			u.Budget.Request(stage.Service)
-		}
 	}
 	return plan
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -54,11 +54,11 @@
 	b.bounds = bounds
 }
 
-// Request counts a request's first arrival at a service.
-func (b *Budget) Request(service string) {
+// Count counts n first arrivals at a service.
+func (b *Budget) Count(service string, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service).requests[0]++
+	b.window(service).requests[0] += float64(n)
 }
 
 // Take counts n repeats in if they are within this instance's part, and tells whether
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -47,7 +47,7 @@
 		requests := 0
 		for range 400 {
 			for _, b := range all {
-				b.Request("s")
+				b.Count("s", 1)
 				requests++
 				for range take(b, 3) {
 					times = append(times, clock.Now())
