--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -15,8 +15,14 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 )
 
-// queueLength bounds the heartbeats that wait.
-const queueLength = 256
+const (
+	// queueLength bounds the heartbeats that wait.
+	queueLength = 256
+	// greetingFor is how long a new instance sends heartbeats greetingsEach times as often:
+	// until all know each other, each plans for itself.
+	greetingFor   = 4 * time.Second
+	greetingsEach = 5
+)
 
 // Settings of a group's member.
 type Settings struct {
@@ -77,8 +83,10 @@
 // Run owns the state until t dies.
 func (g *Group) Run(t *tomb.Tomb) error {
 	members := membership.New(g.settings.Self, g.settings.SuspectAfter, g.settings.Contacts)
-	ticker := g.clock.NewTicker(g.settings.Heartbeat)
+	begin := g.clock.Now()
+	ticker := g.clock.NewTicker(g.settings.Heartbeat / greetingsEach)
 	defer ticker.Stop()
+	greeting := true
 	g.beat(members)
 	for {
 		select {
@@ -87,6 +95,10 @@
 		case <-ticker.Chan():
 			g.tell(members.Tick(g.clock.Now()))
 			g.beat(members)
+			if greeting && g.clock.Since(begin) > greetingFor {
+				greeting = false
+				ticker.Reset(g.settings.Heartbeat)
+			}
 		case <-t.Dying():
 			g.beat(members)
 			return nil
--- /dev/null
+++ b/pkg/group/group_test.go
@@ -0,0 +1,119 @@
+package group_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
+	"github.com/cobaltcroft/cobaltcroft/pkg/group"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+)
+
+func TestGroup(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "group")
+}
+
+// network carries heartbeats between groups by their peer addresses.
+type network struct {
+	mu     sync.Mutex
+	groups map[string]*group.Group
+	sent   map[string]int
+}
+
+// Broadcast implements group.Transport.
+func (n *network) Broadcast(h membership.Heartbeat, _ []control.LeavingEndpoint, to []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[h.From.Name]++
+	for _, address := range to {
+		if g := n.groups[address]; g != nil {
+			g.Heard(h, nil)
+		}
+	}
+}
+
+func (n *network) beats(name string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[name]
+}
+
+var _ = Describe("a group", func() {
+	var (
+		n     *network
+		clock *clockwork.FakeClock
+		all   []*group.Group
+	)
+
+	BeforeEach(func() {
+		n = &network{groups: map[string]*group.Group{}, sent: map[string]int{}}
+		clock = clockwork.NewFakeClock()
+		all = nil
+		var t tomb.Tomb
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+		for i := range 7 {
+			self := membership.Self{Name: fmt.Sprint("i", i), Incarnation: 1, FailureDomain: fmt.Sprint("d", i%4), PeerAddress: fmt.Sprint("a", i)}
+			// All know one contact, as from the settings.
+			g := group.New(group.Settings{Self: self, Contacts: []string{"a0"}, Heartbeat: time.Second, SuspectAfter: 3 * time.Second}, n, clock, logging.Discard().For("peers"))
+			n.groups[self.PeerAddress] = g
+			all = append(all, g)
+		}
+		for _, g := range all {
+			t.Go(func() error { return g.Run(&t) })
+		}
+	})
+
+	// step lets a fifth of a second pass, and waits until instance i1 has sent what it sends
+	// then, if it does.
+	step := func(beats bool) {
+		GinkgoHelper()
+		Expect(clock.BlockUntilContext(GinkgoT().Context(), len(all))).To(Succeed())
+		before := n.beats("i1")
+		clock.Advance(200 * time.Millisecond)
+		if beats {
+			Eventually(func() int { return n.beats("i1") }).Should(Equal(before + 1))
+		}
+	}
+
+	It("knows all its members, and hears who leaves", func() {
+		for _, g := range all {
+			Eventually(func() int {
+				clock.Advance(200 * time.Millisecond)
+				return len(g.Live())
+			}).Should(Equal(len(all) - 1))
+		}
+		all[0].Leave()
+		Eventually(func() int {
+			clock.Advance(200 * time.Millisecond)
+			return len(all[1].Live())
+		}).Should(Equal(len(all) - 2))
+	})
+
+	It("sends heartbeats five times as often at first, and then once a second", func() {
+		Eventually(func() int { return n.beats("i1") }).Should(Equal(1))
+		for range 20 {
+			step(true)
+		}
+		Eventually(func() int {
+			step(false)
+			return n.beats("i1")
+		}).Should(BeNumerically(">", 21))
+		before := n.beats("i1")
+		for range 4 {
+			step(false)
+		}
+		Expect(n.beats("i1") - before).To(BeNumerically("<=", 1))
+	})
+})
