--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -114,6 +114,7 @@
 		metrics:  metrics.NewSet(),
 	}
 	debug.SetMemoryLimit(int64(heapPart * megabyte * float64(s.MemoryMB)))
+	g.metrics.NewGauge("cobaltcroft_log_lines_dropped_total", func() float64 { return float64(output.Dropped()) })
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -160,11 +161,18 @@
 	Requests  string
 	Readiness string
 	Peers     string
+	// Metrics is empty if none are served.
+	Metrics string
 }
 
 // Addresses returns where the instance listens.
 func (g *Gateway) Addresses() Addresses {
+	metricsAddress := ""
+	if g.listeners.metrics != nil {
+		metricsAddress = g.listeners.metrics.Addr().String()
+	}
 	return Addresses{
+		Metrics:   metricsAddress,
 		Requests:  g.listeners.requests.Addr().String(),
 		Readiness: g.listeners.readiness.Addr().String(),
 		Peers:     g.listeners.peers.Addr().String(),
--- a/cmd/cobaltcroftd/gateway/life_test.go
+++ b/cmd/cobaltcroftd/gateway/life_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -171,6 +172,23 @@
 		Consistently(status(i, "once")).WithTimeout(200 * time.Millisecond).Should(Equal(http.StatusOK))
 	})
 
+	It("serves counters and latency histograms", func() {
+		i := start(d.Address())
+		Expect(status(i, "once")()).To(Equal(http.StatusOK))
+		Expect(status(i, "stream")()).To(Equal(http.StatusOK))
+		response, err := http.Get("http://" + i.Metrics + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(SatisfyAll(
+			ContainSubstring(`cobaltcroft_requests_total{outcome="answered"} 2`),
+			ContainSubstring("cobaltcroft_request_seconds_count 2"),
+			ContainSubstring("cobaltcroft_first_event_seconds_count 1"),
+			ContainSubstring("cobaltcroft_log_lines_dropped_total 0"),
+		))
+	})
+
 	It("bears idle connections", func() {
 		i := start(d.Address())
 		for range 200 {
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -298,6 +298,7 @@
 		r.Bytes = it.piece.Bytes
 		w.held[r.Handle] = heldResult{bytes: it.piece.Bytes, until: now.Add(batching.Retention)}
 		if it.group.abandoned {
+			b.wasted.Inc()
 			unused = append(unused, r)
 			continue
 		}
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -52,10 +52,22 @@
 }
 
 // Executor runs requests. Safe for concurrent use.
-type Executor struct{ Options }
+type Executor struct {
+	Options
+	// requestSeconds is the time to the end of a request, firstEventSeconds that to the
+	// first event of a stream.
+	requestSeconds    *metrics.Histogram
+	firstEventSeconds *metrics.Histogram
+}
 
 // New returns an executor.
-func New(o Options) *Executor { return &Executor{o} }
+func New(o Options) *Executor {
+	return &Executor{
+		Options:           o,
+		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
+		firstEventSeconds: o.Metrics.NewHistogram("cobaltcroft_first_event_seconds"),
+	}
+}
 
 // run is one request under way.
 type run struct {
@@ -207,4 +219,5 @@
 	}
 	u.Log.WithFields(fields).Info()
 	u.Metrics.GetOrCreateCounter(`cobaltcroft_requests_total{outcome="` + reason + `"}`).Inc()
+	u.requestSeconds.UpdateDuration(u.request.Arrived)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -46,6 +46,7 @@
 	if !u.begun {
 		u.begun = true
 		u.mayHaveRun = true
+		u.firstEventSeconds.UpdateDuration(u.request.Arrived)
 		u.freeInputs()
 		if err := u.responder.Begin(answer.Status, httpconn.EndToEnd(answer.Header)); err != nil {
 			u.clientLeft()
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -26,8 +26,6 @@
 	Store string `json:"store"`
 	// MemoryMB is what the process may use, in units of a million bytes.
 	MemoryMB int `json:"memory_mb"`
-	// Descriptors is how many files and sockets it may have open.
-	Descriptors int `json:"descriptors"`
 	// StopGraceSeconds bounds a planned stop.
 	StopGraceSeconds float64        `json:"stop_grace_seconds"`
 	Retries          GatewayRetries `json:"retries"`
@@ -64,7 +62,6 @@
 func GatewayDefaults() Gateway {
 	return Gateway{
 		MemoryMB:         256,
-		Descriptors:      1024,
 		StopGraceSeconds: 8,
 		Retries:          GatewayRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 	}
@@ -98,11 +95,9 @@
 }
 
 const (
-	minMemoryMB    = 32
-	maxMemoryMB    = 1 << 20
-	minDescriptors = 64
-	maxDescriptors = 1 << 24
-	maxGrace       = 600
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 20
+	maxGrace    = 600
 )
 
 // Faults returns every fault, each with field, value and remedy.
@@ -122,7 +117,6 @@
 	c.address("store", g.Store)
 	c.token("peer_token", g.PeerToken)
 	c.count("memory_mb", int64(g.MemoryMB), minMemoryMB, maxMemoryMB)
-	c.count("descriptors", int64(g.Descriptors), minDescriptors, maxDescriptors)
 	c.duration("stop_grace_seconds", Duration(g.StopGrace()), time.Second, maxGrace*time.Second)
 	c.duration("retries.window_seconds", Duration(g.Retries.Window()), time.Second, maxGrace*time.Second)
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
--- /dev/null
+++ b/pkg/settings/gateway_test.go
@@ -0,0 +1,57 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
+)
+
+const goodGateway = `{
+	"instance": "sala-a-1", "failure_domain": "sala-a",
+	"listen": {"requests": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": ""},
+	"peers": ["127.0.0.1:4"], "peer_token": "peers-token", "store": "127.0.0.1:5",
+	"memory_mb": 284, "stop_grace_seconds": 8, "retries": {"ratio": 0.2, "slack": 54, "window_seconds": 10}
+}`
+
+var _ = Describe("settings of a gateway", func() {
+	It("are read, and unknown fields are ignored", func() {
+		g, err := settings.ParseGateway([]byte(strings.Replace(goodGateway, "{", `{"later": 1, `, 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.StopGrace().Seconds()).To(Equal(8.0))
+		Expect(g.Retries.Window().Seconds()).To(Equal(10.0))
+	})
+
+	It("take the defaults where the file is silent", func() {
+		g, err := settings.ParseGateway([]byte(strings.Replace(goodGateway, `"memory_mb": 284, `, "", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.MemoryMB).To(Equal(settings.GatewayDefaults().MemoryMB))
+	})
+
+	DescribeTable("name field, value and remedy of a fault",
+		func(old, changed, named, remedy string) {
+			Expect(goodGateway).To(ContainSubstring(old))
+			_, err := settings.ParseGateway([]byte(strings.Replace(goodGateway, old, changed, 1)))
+			Expect(problem.KindOf(err)).To(Equal(problem.Invalid))
+			Expect(err).To(MatchError(SatisfyAll(ContainSubstring(named), ContainSubstring(remedy))))
+		},
+		Entry("instance", `"sala-a-1"`, `"Sala A"`, `instance is "Sala A"`, "use 1 to 64"),
+		Entry("listen", `"127.0.0.1:1"`, `"here"`, `listen.requests is "here"`, "use IP:port"),
+		Entry("peers", `"127.0.0.1:4"`, `"x"`, `peers[0] is "x"`, "use IP:port"),
+		Entry("store", `"127.0.0.1:5"`, `""`, `store is ""`, "use IP:port"),
+		Entry("token", `"peers-token"`, `"short"`, "peer_token has 5 characters", "use at least 8"),
+		Entry("memory", `284`, `3`, `memory_mb is "3"`, "use 32 to"),
+		Entry("grace", `"stop_grace_seconds": 8`, `"stop_grace_seconds": 0`, `stop_grace_seconds is "0s"`, "use 1s to"),
+		Entry("retries", `"ratio": 0.2`, `"ratio": -1`, "retries is", "0 or more"),
+		Entry("not JSON", `"instance"`, `instance`, "do not parse", "docs/SETTINGS.md"),
+	)
+
+	It("cannot be read from a file that is not there", func() {
+		_, err := settings.ReadGateway(os.DevNull + "/nothing")
+		Expect(err).To(MatchError(ContainSubstring("name a readable file")))
+	})
+})
