traffic, standin: two tests that raced under load are made certain

Cause: beside load two tests of the race run failed once each. 'The endpoint dies before it runs': the harness put the fault on both endpoints and took it off the second by a poll, so that a quick retry met it too. 'The endpoint dies after receiving it': a cancellation that was confirmed before the outcome was formed made it 'failed' instead of 'unknown'; both are true, the test expects one. Change: a fault that one call of several endpoints meets; cancellations that the test holds back until the outcome. Nothing that is expected has changed. Conclusion: traced, mended.

--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -72,8 +72,10 @@
 	running int
 	waiting []*waitingCall
 	active  map[string]context.CancelFunc
-	runs    []Run
-	models  models
+	// nextCall has faults shared with other endpoints; nil: none.
+	nextCall *NextCall
+	runs     []Run
+	models   models
 	// reserved keeps the port while the endpoint is dead.
 	reserved    *reservation
 	loads       []loadAt
@@ -261,7 +263,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.calls++
-	faults := e.faults.take()
+	faults := e.takeFaults()
 	ctx, cancel := context.WithCancel(ctx)
 	e.active[id] = cancel
 	return ctx, faults, func() {
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
@@ -49,6 +50,45 @@
 	SkipTokens        int `json:"skip_tokens,omitempty"`
 }
 
+// NextCall are faults for the next call to any of several endpoints, and for no other.
+type NextCall struct {
+	mu     sync.Mutex
+	faults EndpointFaults
+	taken  bool
+}
+
+// NewNextCall returns faults that one call meets.
+func NewNextCall(f EndpointFaults) *NextCall { return &NextCall{faults: f} }
+
+func (n *NextCall) take() (EndpointFaults, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.taken {
+		return EndpointFaults{}, false
+	}
+	n.taken = true
+	return n.faults, true
+}
+
+// SetNextCall has the endpoint's next call meet faults that it shares with others.
+func (e *Endpoint) SetNextCall(n *NextCall) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nextCall = n
+}
+
+// takeFaults returns the faults for the next call. The endpoint's lock is held.
+func (e *Endpoint) takeFaults() EndpointFaults {
+	if e.nextCall != nil {
+		shared := e.nextCall
+		e.nextCall = nil
+		if f, ok := shared.take(); ok {
+			return f
+		}
+	}
+	return e.faults.take()
+}
+
 // take returns the faults for the next call and counts it.
 func (f *EndpointFaults) take() EndpointFaults {
 	taken := *f
--- a/pkg/traffic/outcome_test.go
+++ b/pkg/traffic/outcome_test.go
@@ -245,6 +245,8 @@
 
 	DescribeTable("is not tried again once a byte may have reached an endpoint",
 		func(f standin.EndpointFaults, outcome request.Outcome) {
+			// What a cancellation would find out does not come before the outcome.
+			b.cancels.hold.Store(true)
 			b.fault("alert", f)
 			result := b.run(alert())
 			Expect(result.Outcome).To(Equal(outcome), "%+v", result.Problem)
--- a/pkg/traffic/suite_test.go
+++ b/pkg/traffic/suite_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/config"
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/decision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint"
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
@@ -33,6 +35,7 @@
 // bench is an executor over real stand-in endpoints: two of each of four services,
 // and a plain one.
 type bench struct {
+	cancels  heldCancels
 	site     *standin.Site
 	executor *traffic.Executor
 	ring     *timeline.Ring
@@ -50,6 +53,21 @@
 	{Name: "alert", Kind: config.Plain, Concurrency: 4},
 }
 
+// heldCancels is a caller whose cancellations are not answered while they are held.
+type heldCancels struct {
+	endpoint.Caller
+	hold atomic.Bool
+}
+
+// Cancel implements endpoint.Caller.
+func (c *heldCancels) Cancel(ctx context.Context, address string, attempt endpoint.Attempt) error {
+	if c.hold.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.Caller.Cancel(ctx, address, attempt)
+}
+
 func newBench() *bench {
 	b, stop := startBench()
 	DeferCleanup(stop)
@@ -77,6 +95,7 @@
 	clock := clockwork.NewRealClock()
 	b.ring = timeline.NewRing("test", timeline.NewClock(clock), 1000)
 	client := openinference.New(1 << 20)
+	b.cancels.Caller = client
 	view := b.view()
 	b.executor = traffic.New(traffic.Options{
 		Instance: "test",
@@ -86,7 +105,7 @@
 			defer b.mu.Unlock()
 			b.leaving = append(b.leaving, e.Name)
 		},
-		Caller:      client,
+		Caller:      &b.cancels,
 		Clock:       clock,
 		Ring:        b.ring,
 		Log:         logging.Discard().For("traffic"),
@@ -173,18 +192,9 @@
 
 // faultNext sets faults for the next call to the service, wherever it goes.
 func (b *bench) faultNext(service string, f standin.EndpointFaults) {
-	f.Calls = 1
-	b.endpoint(service, "1").SetFaults(f)
-	b.endpoint(service, "2").SetFaults(f)
-	once := make(chan struct{})
-	go func() {
-		defer close(once)
-		for b.endpoint(service, "1").Calls()+b.endpoint(service, "2").Calls() == 0 {
-			time.Sleep(50 * time.Microsecond)
-		}
-		b.fault(service, standin.EndpointFaults{})
-	}()
-	DeferCleanup(func() { <-once })
+	next := standin.NewNextCall(f)
+	b.endpoint(service, "1").SetNextCall(next)
+	b.endpoint(service, "2").SetNextCall(next)
 }
 
 func call(pipeline string, allowed time.Duration) request.Request {
