daemon: put together above service and pkg

Cause: pkg/daemon reached up into service/, the only arrows that ran back up. Change: it stands in cmd/cobaltcroftd/daemon, as the gateway does; nothing else changes.

--- a/cmd/cobaltcroftd/cmds/cmds.go
+++ b/cmd/cobaltcroftd/cmds/cmds.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/cobaltcroft/cobaltcroft/cmd/cobaltcroftd/gateway"
-	"github.com/cobaltcroft/cobaltcroft/pkg/daemon"
+	"github.com/cobaltcroft/cobaltcroft/cmd/cobaltcroftd/daemon"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 )
 
