--- a/cmd/cobaltcroftd/cmds/cmds.go
+++ b/cmd/cobaltcroftd/cmds/cmds.go
@@ -9,8 +9,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/cobaltcroft/cobaltcroft/cmd/cobaltcroftd/gateway"
 	"github.com/cobaltcroft/cobaltcroft/cmd/cobaltcroftd/daemon"
+	"github.com/cobaltcroft/cobaltcroft/cmd/cobaltcroftd/gateway"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 )
 
