--- a/cmd/cobaltcroftd/gateway/answers_test.go
+++ b/cmd/cobaltcroftd/gateway/answers_test.go
@@ -132,6 +132,17 @@
 		Expect(d.Runs("simple", id)).To(BeEmpty())
 	})
 
+	It("that may have run are never told that they have not", func() {
+		for _, e := range d.Of("simple") {
+			e.Always(platformtest.LoseAnswer)
+		}
+		for range 4 {
+			id, got := i.ask("repeat")
+			Expect(d.Runs("simple", id)).NotTo(BeEmpty())
+			Expect(got.Status).To(Equal(http.StatusBadGateway))
+		}
+	})
+
 	DescribeTable("get their own whole answer",
 		func(route string, fault platformtest.Fault) {
 			d.Of("simple")[0].Next(fault)
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -271,6 +271,15 @@
 		Expect(e.Freed()).To(ConsistOf(results[0].Handle, results[1].Handle))
 	})
 
+	It("sends no more in a call than there is room for", func() {
+		list := pieces("r1", 4, time.Hour)
+		for i := range list {
+			list[i].Bytes = 400
+		}
+		have(list, nil)
+		Expect(next().pieces).To(HaveLen(2))
+	})
+
 	It("leaves room free that was not there", func() {
 		list := pieces("r1", 4, time.Hour)
 		for i := range list {
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -31,6 +31,8 @@
 	conns atomic.Int32
 	// answer returns the bytes sent for a request, and whether the connection goes on.
 	answer func(n int, r *http.Request) (string, bool)
+	// afterAnswer, if set, is called some time after each answer.
+	afterAnswer func(c net.Conn)
 }
 
 func serve(answer func(n int, r *http.Request) (string, bool)) *server {
@@ -62,6 +64,10 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		bytes, more := s.answer(n, r)
 		_, _ = io.WriteString(c, bytes)
+		if s.afterAnswer != nil {
+			time.Sleep(20 * time.Millisecond)
+			s.afterAnswer(c)
+		}
 		if !more {
 			return
 		}
@@ -152,6 +158,26 @@
 		}
 	})
 
+	It("never takes what came while a connection rested for an answer, though it names no call", func() {
+		late := make(chan struct{})
+		s := serve(func(_ int, r *http.Request) (string, bool) {
+			return plain(r.Header.Get("X-Id"), "own"), true
+		})
+		s.afterAnswer = func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			late <- struct{}{}
+		}
+		for n := range 4 {
+			answer, err := pool.Do(context.Background(), call(s, fmt.Sprint(n)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Status).To(Equal(http.StatusOK))
+			_, err = io.ReadAll(answer.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Body.Close()).To(Succeed())
+			<-late
+		}
+	})
+
 	It("passes answers to other calls over", func() {
 		s := serve(func(_ int, r *http.Request) (string, bool) {
 			return plain("other", "crossed") + "HTTP/1.1 103 Early Hints\r\n\r\n" + plain(r.Header.Get("X-Id"), "own"), true
