--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -140,21 +140,3 @@
 	}
 	return r.Targets[len(r.Targets)-1].Service
 }
-
-// Final returns the stages, by index, whose results no other stage reads: those that
-// the request itself reads.
-func (r *Route) Final() []int {
-	read := make([]bool, len(r.Stages))
-	for _, stage := range r.Stages {
-		for _, before := range stage.After {
-			read[before] = true
-		}
-	}
-	var final []int
-	for i := range r.Stages {
-		if !read[i] {
-			final = append(final, i)
-		}
-	}
-	return final
-}
