batch, handover: calls not taken cost no try; endpoints are reached before they get pieces; owners in the own domain

Calls that an endpoint refused (full, no room) counted as tries and against the pieces' budget; a cut endpoint got urgent pieces after each rest, 300 ms each; an instance whose owner was silent tried one more far owner and then planned alone; and instances that start together know nobody. Ruled out: processor time (0.08 of a core at most), memory, restarts. Change: calls not taken, and pieces without room, cost no try; what others' results take of an endpoint's room is learnt from the call that lacked it and forgotten within the retention; an endpoint that failed gets pieces when a connection was made; a silent owner gives way to the first of the own failure domain, and one plan alone tries it again; for 1.5 s after its start an instance takes the contacts of its settings for the owners.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -210,6 +210,7 @@
 	router := handover.NewRouter(handover.Options{
 		Self:      self,
 		Live:      g.group.Live,
+		Contacts:  s.Peers,
 		Client:    g.client,
 		Planner:   planner,
 		Batcher:   g.batcher,
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -117,6 +117,8 @@
 type Caller interface {
 	// Run makes a call. Results are in the order of the pieces if the outcome is Made.
 	Run(ctx context.Context, endpoint fleet.Endpoint, pieces []Piece) ([]Result, CallOutcome)
+	// Reach tells whether an endpoint can be reached; it asks nothing of it.
+	Reach(ctx context.Context, endpoint fleet.Endpoint) error
 	// Free gives results up at their maker.
 	Free(ctx context.Context, endpoint fleet.Endpoint, handles []string) error
 }
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -55,6 +56,9 @@
 	mu    sync.Mutex
 	ready []fleet.Endpoint
 	freed []string
+	// cut are the endpoints that can't be reached, and reaches how often one was tried.
+	cut     map[string]bool
+	reaches int
 }
 
 func (e *endpoints) Run(ctx context.Context, endpoint fleet.Endpoint, pieces []batch.Piece) ([]batch.Result, batch.CallOutcome) {
@@ -68,6 +72,28 @@
 	}
 }
 
+func (e *endpoints) Reach(_ context.Context, endpoint fleet.Endpoint) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reaches++
+	if e.cut[endpoint.ID] {
+		return errors.New("cut off")
+	}
+	return nil
+}
+
+func (e *endpoints) setCut(id string, cut bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cut = map[string]bool{id: cut}
+}
+
+func (e *endpoints) Reaches() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reaches
+}
+
 func (e *endpoints) Free(_ context.Context, _ fleet.Endpoint, handles []string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -203,6 +229,72 @@
 		Entry("a call to an address that another has", batch.Wrong),
 	)
 
+	// pass lets time pass, with looks at what waits, until a call comes.
+	pass := func() {
+		GinkgoHelper()
+		Eventually(func() int {
+			b.Tick()
+			clock.Advance(50 * time.Millisecond)
+			return len(e.calls)
+		}).Should(BeNumerically(">", 0))
+	}
+
+	DescribeTable("does not count as a try, nor against the budget,",
+		func(answer reply) {
+			e.budget = 0
+			done := have(pieces("r", 2, time.Hour), nil)
+			for range 8 {
+				next().answer <- answer
+				pass()
+			}
+			next().made()
+			Expect(handles(<-done)).To(Equal([]string{"a/r-0-0", "a/r-0-1"}))
+		},
+		Entry("a call that the endpoint did not take", reply{nil, batch.NotRun}),
+		Entry("a call for which it had no room", reply{[]batch.Result{{Reason: batch.NoRoom}, {Reason: batch.NoRoom}}, batch.Made}),
+	)
+
+	It("has no pieces wait for an endpoint that can't be reached, until it can", func() {
+		e.setCut("a", true)
+		done := have(pieces("r", 1, time.Hour), nil)
+		next().answer <- reply{nil, batch.NotSent}
+		Eventually(func() int {
+			b.Tick()
+			clock.Advance(50 * time.Millisecond)
+			return e.Reaches()
+		}).Should(BeNumerically(">", 2))
+		none()
+		e.setCut("a", false)
+		pass()
+		next().made()
+		Expect(handles(<-done)).To(HaveLen(1))
+	})
+
+	It("sends no more than there was room for while others' results take it, and more again later", func() {
+		list := pieces("r1", 4, time.Hour)
+		for i := range list {
+			list[i].Bytes = 250
+		}
+		done := have(list, nil)
+		next().answer <- reply{[]batch.Result{{Handle: "h1"}, {Reason: batch.NoRoom}, {Reason: batch.NoRoom}, {Reason: batch.NoRoom}}, batch.Made}
+		b.Free([]batch.Result{{Handle: "h1", Endpoint: "a", Queue: queue}})
+		pass()
+		c := next()
+		Expect(len(c.pieces)).To(BeNumerically("<=", 2))
+		c.made()
+		clock.Advance(5 * time.Second)
+		pass()
+		c = next()
+		c.made()
+		Expect(handles(<-done)).To(HaveLen(4))
+		full := have(pieces("r2", 4, time.Hour), nil)
+		pass()
+		c = next()
+		Expect(c.pieces).To(HaveLen(4))
+		c.made()
+		<-full
+	})
+
 	It("gives a call up that takes far too long", func() {
 		done := have(pieces("r", 1, time.Hour), nil)
 		next()
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -132,7 +132,9 @@
 	b.flush()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.clock.Now()
 	for _, s := range b.services {
+		b.prove(s, now)
 		if len(s.queue.items) > 0 {
 			b.dispatch(s)
 		}
@@ -261,7 +263,8 @@
 	b.log.WithFields(logrus.Fields{
 		"event": "stage_call", "service": s.at.Service, "endpoint": w.endpoint.ID, "pieces": len(pieces),
 		"ms": now.Sub(begin).Milliseconds(), "expected_ms": call.Milliseconds(), "outcome": int(outcome),
-		"domain": w.endpoint.FailureDomain, "not_made": countFailed(results), "waiting": waiting, "room": room, "bytes": bytes,
+		"domain": w.endpoint.FailureDomain, "not_made": countFailed(results), "why_not": firstReason(results),
+		"waiting": waiting, "room": room, "bytes": bytes,
 	}).Info()
 	if len(unused) > 0 {
 		b.Free(unused)
@@ -278,6 +281,16 @@
 	return n
 }
 
+// firstReason is that of the first piece that was not made; empty if all were.
+func firstReason(results []Result) string {
+	for _, r := range results {
+		if r.Handle == "" {
+			return string(r.Reason)
+		}
+	}
+	return ""
+}
+
 // settle hands results out, puts pieces back that may be tried again, and returns the
 // results that nobody waits for.
 func (b *Batcher) settle(s *service, w *worker, items []*item, results []Result, outcome CallOutcome, batching *route.Batching, now time.Time) []Result {
@@ -286,10 +299,14 @@
 		return nil
 	}
 	var unused []Result
+	var lacked int64
 	for i, it := range items {
 		r := results[i]
 		if r.Handle == "" {
-			b.pieceFailed(s, w, it, r.Reason, now)
+			if r.Reason == NoRoom {
+				lacked += it.piece.Bytes
+			}
+			b.pieceFailed(s, it, r.Reason)
 			continue
 		}
 		r.Endpoint = w.endpoint.ID
@@ -304,30 +321,50 @@
 		}
 		it.group.settle(it.slot, r)
 	}
+	if lacked > 0 {
+		w.noRoom(now, lacked, batching)
+	}
 	return unused
 }
 
 func (b *Batcher) callFailed(s *service, w *worker, items []*item, outcome CallOutcome, now time.Time) {
 	if outcome == NotRun {
-		w.restUntil = now.Add(fullRest)
+		w.full(now)
 	} else {
 		w.failed(now)
 	}
 	for _, it := range items {
-		if outcome == NotSent {
-			it.tries--
-			s.queue.add(it)
+		if outcome == Lost {
+			b.putBack(s, it)
 			continue
 		}
-		b.putBack(s, it)
+		b.untried(s, it)
+	}
+}
+
+// untried puts a piece back that nothing was done for.
+func (b *Batcher) untried(s *service, it *item) {
+	if it.group.inputsGone() {
+		it.group.settle(it.slot, Result{Reason: Gone})
+		return
+	}
+	b.unfetched(it)
+	it.tries--
+	s.queue.add(it)
+}
+
+// unfetched notes that a piece's inputs have not been fetched after all.
+func (b *Batcher) unfetched(it *item) {
+	if it.fetched {
+		it.fetched = false
+		it.group.unread++
 	}
 }
 
-func (b *Batcher) pieceFailed(s *service, w *worker, it *item, reason Reason, now time.Time) {
+func (b *Batcher) pieceFailed(s *service, it *item, reason Reason) {
 	switch reason {
 	case NoRoom:
-		w.noRoom(now)
-		b.putBack(s, it)
+		b.untried(s, it)
 	case Gone, Late:
 		it.group.settle(it.slot, Result{Reason: reason})
 	default:
@@ -344,10 +381,7 @@
 		it.group.settle(it.slot, Result{Reason: Gone})
 		return
 	}
-	if it.fetched {
-		it.fetched = false
-		it.group.unread++
-	}
+	b.unfetched(it)
 	if it.tries >= maxTries || !b.budget.Take(s.at.Service, 1) {
 		it.group.settle(it.slot, Result{Reason: Exhausted})
 		return
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -70,7 +70,7 @@
 	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
 	slots := 0
 	for _, w := range workers {
-		if now.Before(w.restUntil.Add(-fullRest)) {
+		if w.unproved || now.Before(w.restUntil.Add(-lastFullRest)) {
 			continue
 		}
 		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slowness)
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -13,13 +13,15 @@
 	// firstRest and lastRest bound how long a worker that failed gets no calls.
 	firstRest = 200 * time.Millisecond
 	lastRest  = 3 * time.Second
-	// fullRest is how long a worker rests that had no room or was full.
-	fullRest = 30 * time.Millisecond
-	// marginStep is by how much the part of the room left free grows each time that
-	// there was no room; it shrinks by marginDecay with each call that went well.
-	marginStep  = 0.04
-	marginDecay = 0.005
-	maxMargin   = 0.4
+	// fullRest is how long a worker rests that had no room; one that was full rests so
+	// long at first, twice as long each time in a row, up to lastFullRest.
+	fullRest     = 30 * time.Millisecond
+	lastFullRest = 240 * time.Millisecond
+	// marginStep is by how much the part of the room left free grows with each call for
+	// which there was too little room; marginKept is what a call that went well leaves of it.
+	marginStep = 0.04
+	marginKept = 0.95
+	maxMargin  = 0.4
 	// sharedFactor is by how much a call is longer than expected that waited for others.
 	sharedFactor = 1.4
 )
@@ -36,9 +38,17 @@
 	// restUntil is until when it gets no calls; rest is how long the last rest was.
 	restUntil time.Time
 	rest      time.Duration
+	// unproved says that its last call was lost or did not reach it: it gets calls again
+	// when it has been reached. proving says that this is being tried.
+	unproved bool
+	proving  bool
 	// held are the results that it keeps, and reserved the room of calls under way.
 	held     map[string]heldResult
 	reserved int64
+	// unaccounted is room that others' results took, such as those of an instance that
+	// has died, as of unaccountedAt. They go within the time that results are kept.
+	unaccounted   int64
+	unaccountedAt time.Time
 	// margin is the part of the room that is left free, since results are larger than
 	// they were said to be.
 	margin float64
@@ -68,23 +78,46 @@
 		}
 		used += r.bytes
 	}
+	used += w.othersRoom(now, batching)
 	return int64(float64(batching.RoomBytes)*(1-w.margin)) - used
 }
 
-// noRoom notes that the endpoint had less room than was thought.
-func (w *worker) noRoom(now time.Time) {
-	w.margin = min(maxMargin, w.margin+marginStep)
+// othersRoom is the room that results of others still take, which go one by one.
+func (w *worker) othersRoom(now time.Time, batching *route.Batching) int64 {
+	left := batching.Retention - now.Sub(w.unaccountedAt)
+	if w.unaccounted == 0 || left <= 0 {
+		return 0
+	}
+	return int64(float64(w.unaccounted) * float64(left) / float64(batching.Retention))
+}
+
+// noRoom notes that in a call the endpoint lacked room for results of so many bytes. A
+// little is put down to results being larger than they were said to be, the rest to
+// results of others.
+func (w *worker) noRoom(now time.Time, lacked int64, batching *route.Batching) {
 	w.restUntil = now.Add(fullRest)
+	w.margin = min(maxMargin, w.margin+marginStep)
+	lacked -= int64(marginStep * float64(batching.RoomBytes))
+	if lacked > 0 {
+		w.unaccounted = min(batching.RoomBytes, w.othersRoom(now, batching)+lacked)
+		w.unaccountedAt = now
+	}
 }
 
 // usable tells whether it can take a call now.
 func (w *worker) usable(now time.Time, batching *route.Batching) bool {
-	return w.running < max(1, batching.Slots) && !now.Before(w.restUntil)
+	return !w.unproved && w.running < max(1, batching.Slots) && !now.Before(w.restUntil)
 }
 
+// never is a time that no call waits for.
+const never = time.Hour
+
 // finish is when a call of the given time would end here, if it began when the calls
 // under way have ended.
 func (w *worker) finish(now time.Time, call time.Duration) time.Time {
+	if w.unproved {
+		return now.Add(never)
+	}
 	begin := now
 	if w.running > 0 && w.busyUntil.After(now) {
 		begin = w.busyUntil
@@ -107,13 +140,21 @@
 	}
 	ratio := float64(took) / float64(configured)
 	w.shared = ratio > sharedFactor*w.slowness
-	w.margin = max(0, w.margin-marginDecay)
+	w.margin *= marginKept
 	w.slowness += speedWeight * (ratio - w.slowness)
 	w.rest = 0
 }
 
-// failed makes the worker rest, longer each time.
+// failed makes the worker rest, longer each time. It gets calls again when it has been
+// reached.
 func (w *worker) failed(now time.Time) {
+	w.unproved = true
 	w.rest = min(lastRest, max(firstRest, 2*w.rest))
 	w.restUntil = now.Add(w.rest)
 }
+
+// full makes a worker rest that took no call, since it works on those of others.
+func (w *worker) full(now time.Time) {
+	w.rest = min(lastFullRest, max(fullRest, 2*w.rest))
+	w.restUntil = now.Add(w.rest)
+}
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -131,6 +131,16 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), target: target.ID}, nil
 }
 
+// Reach tells whether an endpoint takes connections: one is made, and closed again.
+func (p *Pool) Reach(ctx context.Context, target Target) error {
+	c, err := p.dial(ctx, target)
+	if err != nil {
+		return err
+	}
+	p.dialed.Inc()
+	return c.Close()
+}
+
 // release counts a connection out.
 func (p *Pool) release(id string) {
 	p.mu.Lock()
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -51,6 +51,9 @@
 		if h.leaving.Load() {
 			return nil, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance is leaving")
 		}
+		if h.follower.View().Table == nil {
+			return nil, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance has no configuration yet")
+		}
 		return h.run(ctx, call), nil
 	case api.MethodCancel:
 		call, err := peers.Params[api.Cancel](method, raw)
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -29,12 +29,20 @@
 	// plans; the time doubles with each time in a row.
 	firstSuspect = 2 * time.Second
 	lastSuspect  = 20 * time.Second
+	// trialLasts is how long one plan tries an owner whose suspicion has ended, while
+	// all others still pass it over.
+	trialLasts = time.Second
+	// joining is how long after its start an instance takes the contacts of its settings
+	// for the owners: others that start with it know no more members than it does.
+	joining = 1500 * time.Millisecond
 )
 
 // suspicion is that of one instance.
 type suspicion struct {
 	until time.Time
 	lasts time.Duration
+	// trying says that one plan tries the instance, though it is suspected.
+	trying bool
 }
 
 // owners chooses the owner of each part among the live members.
@@ -42,11 +50,18 @@
 	clock clockwork.Clock
 	self  membership.Self
 	live  func() []membership.Member
+	// contacts own the parts until joined.
+	contacts []string
+	joined   time.Time
 
 	mu       sync.Mutex
 	suspects map[string]suspicion
 }
 
+func newOwners(clock clockwork.Clock, self membership.Self, live func() []membership.Member, contacts []string) owners {
+	return owners{clock: clock, self: self, live: live, contacts: contacts, joined: clock.Now().Add(joining), suspects: map[string]suspicion{}}
+}
+
 // partOf returns the part that a request falls to, where the least service that takes
 // pieces has so many endpoints.
 //
@@ -63,28 +78,73 @@
 // owner is an instance that may own a part.
 type owner struct {
 	address string
+	domain  string
 	weight  uint64
 }
 
-// of returns the peer addresses that a part's plans are handed to, in turn; this
-// instance's own stands for the end of the list.
-func (o *owners) of(part pipeline.Part) []string {
+// candidates returns the peer addresses that a plan is handed to, in turn, until one
+// answers: the owner, then the one that is first in the own failure domain, which all
+// instances choose that are cut off together. This instance's own stands for the end.
+func (o *owners) candidates(part pipeline.Part) []string {
+	list := o.ranked(part)
+	var chosen []string
+	if o.clock.Now().Before(o.joined) {
+		chosen = o.contactsFor(part)
+	}
+	if !slices.Contains(chosen, o.self.PeerAddress) {
+		chosen = append(chosen, list[0].address, firstOf(list[1:], o.self.FailureDomain), o.self.PeerAddress)
+	}
+	end := slices.Index(chosen, o.self.PeerAddress)
+	chosen = unique(chosen[:end+1])
+	o.try(chosen[0])
+	return chosen
+}
+
+// contactsFor returns the contacts in the order in which they own a part.
+func (o *owners) contactsFor(part pipeline.Part) []string {
+	var chosen []string
+	for i := range o.contacts {
+		address := o.contacts[(part.Number+i)%len(o.contacts)]
+		if !o.suspected(address) {
+			chosen = append(chosen, address)
+		}
+	}
+	return chosen
+}
+
+// firstOf returns the address of the first of a failure domain; empty if there is none.
+func firstOf(list []owner, domain string) string {
+	for _, candidate := range list {
+		if candidate.domain == domain {
+			return candidate.address
+		}
+	}
+	return ""
+}
+
+// unique removes what stands in a list before.
+func unique(list []string) []string {
+	var kept []string
+	for _, s := range list {
+		if !slices.Contains(kept, s) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// ranked returns this instance and all members that are not suspected, by their weight
+// for a part.
+func (o *owners) ranked(part pipeline.Part) []owner {
 	name := strconv.Itoa(part.Number) + "/"
-	list := []owner{{o.self.PeerAddress, xxhash.Sum64String(name + o.self.Name)}}
+	list := []owner{{o.self.PeerAddress, o.self.FailureDomain, xxhash.Sum64String(name + o.self.Name)}}
 	for _, m := range o.live() {
 		if !o.suspected(m.PeerAddress) {
-			list = append(list, owner{m.PeerAddress, xxhash.Sum64String(name + m.Name)})
+			list = append(list, owner{m.PeerAddress, m.FailureDomain, xxhash.Sum64String(name + m.Name)})
 		}
 	}
 	slices.SortFunc(list, func(a, b owner) int { return cmp.Compare(b.weight, a.weight) })
-	addresses := make([]string, 0, len(list))
-	for _, candidate := range list {
-		addresses = append(addresses, candidate.address)
-		if candidate.address == o.self.PeerAddress {
-			break
-		}
-	}
-	return addresses
+	return list
 }
 
 func (o *owners) suspected(address string) bool {
@@ -99,15 +159,28 @@
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	s := o.suspects[address]
-	if now.Before(s.until) {
+	if now.Before(s.until) && !s.trying {
 		// Several calls that were under way end together.
 		return
 	}
+	s.trying = false
 	s.lasts = min(lastSuspect, max(firstSuspect, 2*s.lasts))
 	s.until = now.Add(s.lasts)
 	o.suspects[address] = s
 }
 
+// try has one plan alone try an owner that was suspected: the others pass it over for a
+// while longer, so that they do not all wait for it if it is still silent.
+func (o *owners) try(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s, ok := o.suspects[address]; ok {
+		s.until = o.clock.Now().Add(trialLasts)
+		s.trying = true
+		o.suspects[address] = s
+	}
+}
+
 // trust notes that an owner answered.
 func (o *owners) trust(address string) {
 	o.mu.Lock()
--- a/service/handover/owners_test.go
+++ b/service/handover/owners_test.go
@@ -90,6 +90,55 @@
 		Expect(o.suspected(address)).To(BeFalse())
 	})
 
+	It("that are silent give way to one of the own failure domain, the same for all in it", func() {
+		p := pipeline.Part{Number: 3, Of: 4}
+		owner := ownersOf(clock, 0, 40).candidates(p)[0]
+		next := map[string]int{}
+		for n := range 40 {
+			o := ownersOf(clock, n, 40)
+			list := o.candidates(p)
+			Expect(list[0]).To(Equal(owner))
+			Expect(list[len(list)-1]).To(Equal(self(n).PeerAddress))
+			Expect(len(list)).To(BeNumerically("<=", 3))
+			if owner != self(n).PeerAddress {
+				next[self(n).FailureDomain+" "+list[1]]++
+			}
+		}
+		Expect(next).To(HaveLen(2))
+	})
+
+	It("that were silent are tried by one plan alone when their time is over", func() {
+		o := ownersOf(clock, 0, 2)
+		p := pipeline.Part{}
+		for p.Number = 0; o.candidates(p)[0] != self(1).PeerAddress; p.Number++ {
+		}
+		o.suspect(self(1).PeerAddress)
+		clock.Advance(firstSuspect)
+		Expect(o.candidates(p)[0]).To(Equal(self(1).PeerAddress))
+		Expect(o.candidates(p)[0]).To(Equal(self(0).PeerAddress))
+		o.suspect(self(1).PeerAddress)
+		clock.Advance(2*firstSuspect - time.Millisecond)
+		Expect(o.candidates(p)[0]).To(Equal(self(0).PeerAddress))
+		clock.Advance(time.Millisecond)
+		Expect(o.candidates(p)[0]).To(Equal(self(1).PeerAddress))
+		o.trust(self(1).PeerAddress)
+		Expect(o.candidates(p)[0]).To(Equal(self(1).PeerAddress))
+	})
+
+	It("are the contacts of the settings at first, the same for all that start together", func() {
+		contacts := []string{self(3).PeerAddress, self(5).PeerAddress, "gone"}
+		firsts := map[string]int{}
+		for n := range 8 {
+			o := newOwners(clock, self(n), func() []membership.Member { return nil }, contacts)
+			firsts[o.candidates(pipeline.Part{Number: 1})[0]]++
+			clock.Advance(joining)
+			Expect(o.candidates(pipeline.Part{Number: 1})).To(Equal([]string{self(n).PeerAddress}))
+		}
+		Expect(firsts).To(Equal(map[string]int{self(5).PeerAddress: 8}))
+		o := newOwners(clock, self(3), func() []membership.Member { return nil }, contacts)
+		Expect(o.candidates(pipeline.Part{Number: 1})).To(Equal([]string{self(5).PeerAddress, "gone", self(3).PeerAddress}))
+	})
+
 	It("have parts of at least five endpoints, whose number seldom changes", func() {
 		counts := map[int]int{}
 		for endpoints := range 100 {
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -17,12 +17,7 @@
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
-const (
-	// maxHandovers bounds the owners that a plan is handed to before this instance
-	// makes the stages itself.
-	maxHandovers  = 2
-	notifyTimeout = 300 * time.Millisecond
-)
+const notifyTimeout = 300 * time.Millisecond
 
 // Router has the stages of requests made by the owner of their part. Safe for concurrent
 // use.
@@ -46,10 +41,12 @@
 type Options struct {
 	Self membership.Self
 	// Live returns the other live members.
-	Live    func() []membership.Member
-	Client  *peers.Client
-	Planner *pipeline.Planner
-	Batcher *batch.Batcher
+	Live func() []membership.Member
+	// Contacts are the peer addresses of the settings, which own the parts at first.
+	Contacts []string
+	Client   *peers.Client
+	Planner  *pipeline.Planner
+	Batcher  *batch.Batcher
 	// Endpoints returns how many endpoints the least service that takes pieces has.
 	Endpoints func() int
 	Clock     clockwork.Clock
@@ -59,7 +56,7 @@
 // NewRouter returns a router.
 func NewRouter(o Options) *Router {
 	return &Router{
-		owners:    owners{clock: o.Clock, self: o.Self, live: o.Live, suspects: map[string]suspicion{}},
+		owners:    newOwners(o.Clock, o.Self, o.Live, o.Contacts),
 		client:    o.Client,
 		planner:   o.Planner,
 		local:     o.Batcher,
@@ -73,8 +70,8 @@
 // Run implements gateway.Stages.
 func (r *Router) Run(ctx context.Context, plan pipeline.Plan) pipeline.Outcome {
 	part := partOf(plan.Request, r.endpoints())
-	for i, address := range r.owners.of(part) {
-		if address == r.owners.self.PeerAddress || i >= maxHandovers || ctx.Err() != nil {
+	for _, address := range r.owners.candidates(part) {
+		if address == r.owners.self.PeerAddress || ctx.Err() != nil {
 			break
 		}
 		outcome, ok := r.handOver(ctx, address, part, plan)
