pipeline: stages are forecast by the typical call and by what plans lasted beyond it

Change: a stage's time is that of a call of the typical size at the endpoints' smoothed speed; the time beyond the forecast that three of five plans keep to is allowed for, in place of a fixed fifth; a refused request comes back after as long as the overload has lasted, within a third of its time.

--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -57,8 +57,13 @@
 	at      Queue
 	queue   queue
 	workers map[string]*worker
+	// typical is the smoothed number of pieces in a call.
+	typical float64
 }
 
+// typicalWeight is the weight of a new call in the typical number of pieces.
+const typicalWeight = 0.1
+
 // New returns a batcher without work. Counters are made in set.
 func New(caller Caller, known Known, budget Budget, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Batcher {
 	return &Batcher{
@@ -202,6 +207,7 @@
 	w.busyUntil = now.Add(expected)
 	w.reserved += bytes
 	b.watchFetch(w, items)
+	s.typical += typicalWeight * (float64(len(items)) - s.typical)
 	b.calls.Inc()
 	b.pieces.Add(len(items))
 	limit := now.Add(overdueFactor*expected + overdueSlack)
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -69,6 +69,7 @@
 	full := batching.CallTime(batching.Size).Seconds()
 	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
 	slots := 0
+	slowness := 0.0
 	for _, w := range workers {
 		if w.unproved || now.Before(w.restUntil.Add(-lastFullRest)) {
 			continue
@@ -76,10 +77,12 @@
 		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slowness)
 		c.AtOnce += batching.Size * max(1, batching.Slots)
 		slots += max(1, batching.Slots)
+		slowness += w.slowness * float64(max(1, batching.Slots))
 	}
 	if slots > 0 {
-		size := min(batching.Size, 1+len(s.queue.items)/slots)
-		c.Call = batching.CallTime(size) + batching.CallTime(size)/time.Duration(2*slots)
+		size := max(int(s.typical+0.5), 1+len(s.queue.items)/slots)
+		call := float64(batching.CallTime(min(batching.Size, size))) * slowness / float64(slots)
+		c.Call = time.Duration(call) + time.Duration(call)/time.Duration(2*slots)
 	}
 	return c
 }
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -1,20 +1,13 @@
 package pipeline
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 )
 
-const (
-	// firstComeBack and lastComeBack bound the time after which a refused request may
-	// come back.
-	firstComeBack = 700 * time.Millisecond
-	lastComeBack  = 4 * time.Second
-	// caution is by how much longer than forecast the stages are taken to last.
-	caution = 1.2
-)
+// unknownTime is forecast for a stage without endpoints.
+const unknownTime = 4 * time.Second
 
 // admit forecasts how long the stages of a plan take, and counts the plan in if it would
 // be done by the time it is due.
@@ -23,13 +16,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	forecast = p.forecast(part, plan)
-	if time.Duration(caution*float64(forecast)) > left {
+	if forecast+p.lateness.allowed > left {
 		return forecast, false
 	}
 	p.countLocked(part, plan)
 	return forecast, true
 }
 
+// comeBack returns when a refused plan may come back, by its forecast.
+func (p *Planner) comeBack(plan *Plan, forecast time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	late := forecast + p.lateness.allowed - plan.Due.Sub(now)
+	return comeBack(late, p.overload.refused(now), plan.Deadline.Sub(now))
+}
+
+// learn takes in how long an admitted plan lasted.
+func (p *Planner) learn(forecast, lasted time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateness.learn(forecast, lasted)
+}
+
 // count counts the pieces of a plan in.
 func (p *Planner) count(part Part, plan *Plan) {
 	p.mu.Lock()
@@ -75,16 +84,9 @@
 func (p *Planner) stageTime(queue batch.Queue, pieces int, begins time.Duration) time.Duration {
 	capacity := p.pieces.Capacity(queue)
 	if capacity.PerSecond <= 0 {
-		return lastComeBack
+		return unknownTime
 	}
 	ahead := float64(p.ahead[queue]+pieces) - float64(capacity.AtOnce) - capacity.PerSecond*begins.Seconds()
 	wait := time.Duration(max(0, ahead) / capacity.PerSecond * float64(time.Second))
 	return wait + capacity.Call
 }
-
-// comeBack is when a request may come back that would be late by so much: spread out, so
-// that those refused together do not come back together.
-func comeBack(late time.Duration) time.Duration {
-	late = min(max(late, firstComeBack), lastComeBack/2)
-	return late + rand.N(late)
-}
--- /dev/null
+++ b/pkg/pipeline/lateness.go
@@ -0,0 +1,29 @@
+package pipeline
+
+import "time"
+
+const (
+	// lateShare is the share of plans that last longer than forecast by more than the
+	// lateness that is allowed for.
+	lateShare = 0.4
+	// latenessStep is by how much the lateness follows one plan.
+	latenessStep = 10 * time.Millisecond
+	// firstLateness is allowed for before anything was learnt; maxLateness bounds what is.
+	firstLateness = 100 * time.Millisecond
+	maxLateness   = 600 * time.Millisecond
+)
+
+// lateness tracks by how much plans last longer than forecast: the time that all but
+// lateShare of them keep to. Not safe for concurrent use.
+type lateness struct{ allowed time.Duration }
+
+func newLateness() lateness { return lateness{allowed: firstLateness} }
+
+// learn takes in how a plan that was made ended.
+func (l *lateness) learn(forecast, lasted time.Duration) {
+	step := -time.Duration(lateShare * float64(latenessStep))
+	if lasted-forecast > l.allowed {
+		step += latenessStep
+	}
+	l.allowed = min(maxLateness, max(0, l.allowed+step))
+}
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -34,7 +34,9 @@
 
 	mu sync.Mutex
 	// ahead counts the pieces of admitted plans that are not made yet.
-	ahead map[batch.Queue]int
+	ahead    map[batch.Queue]int
+	lateness lateness
+	overload overload
 }
 
 // NewPlanner returns a planner without work. Counters are made in set.
@@ -46,6 +48,7 @@
 		admitted: set.NewCounter(`cobaltcroft_plans_total{outcome="admitted"}`),
 		refused:  set.NewCounter(`cobaltcroft_plans_total{outcome="refused"}`),
 		ahead:    map[batch.Queue]int{},
+		lateness: newLateness(),
 	}
 }
 
@@ -56,6 +59,7 @@
 // Run makes the stages of a plan, unless they would not be done in time. If ctx ends
 // before, what was made is freed.
 func (p *Planner) Run(ctx context.Context, part Part, plan Plan) Outcome {
+	begin := p.clock.Now()
 	forecast, admitted := p.admit(part, &plan)
 	p.log.WithFields(logrus.Fields{
 		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": forecast.Milliseconds(),
@@ -63,10 +67,13 @@
 	}).Info()
 	if !admitted {
 		p.refused.Inc()
-		return Outcome{Reason: Busy, RetryAfter: comeBack(forecast - plan.Due.Sub(p.clock.Now()))}
+		return Outcome{Reason: Busy, RetryAfter: p.comeBack(&plan, forecast)}
 	}
 	p.admitted.Inc()
 	outcome := newWork(p, part, &plan).run(ctx)
+	if outcome.Reason == "" {
+		p.learn(forecast, p.clock.Since(begin))
+	}
 	if outcome.Reason != batch.Gone || !p.clock.Now().Before(plan.Due) {
 		return outcome
 	}
