batch, handover: requests whole in one call and in one failure domain; contacts stay owners of the first parts

Cause: pieces of a request were split over calls, so that the first ones' results kept room while the others waited, and crossed failure domains; late plans read results that had expired (356 to 878 pieces 'gone' in 4 s) and were made again; after the closing fault contacts owned the parts for 1.5 s and others after that, and calls of both met at the endpoints. Change: a call takes the pieces of a request together where they fit; the rest of a request goes to the failure domain of its first pieces; pieces whose inputs have gone are not sent; a call is given up after 1.6 times its time and 150 ms (2 and 400 ms at endpoints that others call); contacts own the first parts while they live; two silent instances of a failure domain have it passed over; calls to a peer share one dial; of a domain's two relays the second follows the first.

--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -21,6 +21,8 @@
 	// a piece of a later one reads.
 	Key    string   `json:"key,omitempty"`
 	Inputs []string `json:"inputs,omitempty"`
+	// InputsUntil is when the first of the inputs goes; the zero time if it has none.
+	InputsUntil time.Time `json:"-"`
 	// Bytes is the approximate size of the result.
 	Bytes int64 `json:"bytes"`
 	// Due is when it has to be made for the request to be in time; Deadline is when
@@ -44,6 +46,8 @@
 	Bytes int64 `json:"bytes,omitempty"`
 	// Queue is where the piece waited.
 	Queue Queue `json:"queue"`
+	// Until is when the maker gives it up by itself.
+	Until time.Time `json:"-"`
 }
 
 // Queue names where pieces wait: at a service, or at one of the equal parts into which its
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -126,6 +126,15 @@
 	return e.budget >= 0
 }
 
+// requests counts the pieces of each request.
+func requests(pieces []batch.Piece) map[string]int {
+	counts := map[string]int{}
+	for _, p := range pieces {
+		counts[p.Request]++
+	}
+	return counts
+}
+
 var _ = Describe("a batcher", func() {
 	var (
 		e     *endpoints
@@ -295,6 +304,58 @@
 		<-full
 	})
 
+	It("takes requests whole, and parts of them only where the call would be far from full", func() {
+		e.batching.Size = 6
+		have(pieces("busy", 1, time.Hour), nil)
+		c := next()
+		have(pieces("r1", 4, time.Minute), nil)
+		have(pieces("r2", 4, 2*time.Minute), nil)
+		have(pieces("r3", 2, 3*time.Minute), nil)
+		none()
+		c.made()
+		c = next()
+		Expect(requests(c.pieces)).To(Equal(map[string]int{"r1": 4, "r3": 2}))
+		have(pieces("r4", 5, 3*time.Minute), nil)
+		none()
+		c.made()
+		c = next()
+		Expect(requests(c.pieces)).To(Equal(map[string]int{"r2": 4, "r4": 2}))
+	})
+
+	It("makes the pieces of a request in one failure domain, if that takes little longer", func() {
+		e.batching.RoomBytes = 10_000_000
+		e.batching.Size = 2
+		e.ready = []fleet.Endpoint{{ID: "a", FailureDomain: "here"}, {ID: "b", FailureDomain: "there"}}
+		have(pieces("x", 2, time.Hour), nil)
+		first := next()
+		list := pieces("r", 3, time.Hour)
+		for i := range list {
+			list[i].Bytes = 900_000
+		}
+		have(list, nil)
+		second := next()
+		Expect(second.endpoint).NotTo(Equal(first.endpoint))
+		first.made()
+		none()
+		second.made()
+		Expect(next().endpoint).To(Equal(second.endpoint))
+	})
+
+	It("sends no piece whose inputs have gone by themselves", func() {
+		have(pieces("busy", 1, time.Hour), nil)
+		c := next()
+		list := pieces("r", 2, time.Hour)
+		for i := range list {
+			list[i].InputsUntil = begin.Add(time.Second)
+		}
+		done := have(list, nil)
+		none()
+		clock.Advance(2 * time.Second)
+		c.made()
+		Expect((<-done)[0].Reason).To(Equal(batch.Gone))
+		none()
+	})
+
 	It("gives a call up that takes far too long", func() {
 		done := have(pieces("r", 1, time.Hour), nil)
 		next()
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -17,9 +17,12 @@
 	// maxTries bounds the calls that one piece is in.
 	maxTries = 4
 	// overdueFactor and overdueSlack say when a call under way is given up: it has
-	// taken overdueFactor times its expected time and overdueSlack more.
-	overdueFactor = 2
-	overdueSlack  = 400 * time.Millisecond
+	// taken overdueFactor times its expected time and overdueSlack more. At endpoints that
+	// others call too it may have waited for theirs.
+	overdueFactor       = 1.6
+	overdueSlack        = 150 * time.Millisecond
+	sharedOverdueFactor = 2
+	sharedOverdueSlack  = 400 * time.Millisecond
 	freeTimeout   = 500 * time.Millisecond
 	// fetchTime is how long after a call was sent its endpoint has fetched the inputs,
 	// if it had no other call.
@@ -194,6 +197,9 @@
 	var bytes int64
 	for i, it := range items {
 		pieces[i] = it.piece
+		if it.group.domain == "" {
+			it.group.domain = w.endpoint.FailureDomain
+		}
 		bytes += it.piece.Bytes
 		it.tries++
 		if it.piece.Deadline.After(deadline) {
@@ -210,7 +216,7 @@
 	s.typical += typicalWeight * (float64(len(items)) - s.typical)
 	b.calls.Inc()
 	b.pieces.Add(len(items))
-	limit := now.Add(overdueFactor*expected + overdueSlack)
+	limit := now.Add(w.patience(expected))
 	if deadline.Before(limit) {
 		limit = deadline
 	}
@@ -319,7 +325,8 @@
 		r.Domain = w.endpoint.FailureDomain
 		r.Queue = s.at
 		r.Bytes = it.piece.Bytes
-		w.held[r.Handle] = heldResult{bytes: it.piece.Bytes, until: now.Add(batching.Retention)}
+		r.Until = now.Add(batching.Retention)
+		w.held[r.Handle] = heldResult{bytes: it.piece.Bytes, until: r.Until}
 		if it.group.abandoned {
 			b.wasted.Inc()
 			unused = append(unused, r)
--- a/pkg/batch/choice.go
+++ b/pkg/batch/choice.go
@@ -38,7 +38,7 @@
 	}
 	ahead := map[string]int{}
 	return func(i *item) bool {
-		domain := i.piece.Domain
+		domain := i.domain()
 		if domain == "" || domain == w.endpoint.FailureDomain {
 			return true
 		}
@@ -62,7 +62,7 @@
 	size := min(waiting, batching.Size)
 	call := batching.CallTime(size)
 	calls := (waiting + batching.Size - 1) / batching.Size
-	domain := s.queue.items[0].piece.Domain
+	domain := s.queue.items[0].domain()
 	need := s.queue.items[0].piece.Bytes
 	var best *worker
 	var bestLocal bool
--- a/pkg/batch/queue.go
+++ b/pkg/batch/queue.go
@@ -29,6 +29,9 @@
 	// none is left, read is called, and none of the pieces can be made again.
 	unread int
 	read   func()
+	// domain is the failure domain that its first piece was sent to: the others are best
+	// made there too.
+	domain string
 }
 
 func newGroup(n int, read func()) *group {
@@ -78,7 +81,21 @@
 // late tells whether a piece can't be made before its request's objective ends.
 func (i *item) late(soonest time.Time) bool { return soonest.After(i.piece.Due) }
 
-// drop removes pieces that nobody waits for, and settles those whose deadline has passed.
+// inputsExpired tells whether a piece's inputs have gone by themselves.
+func (i *item) inputsExpired(now time.Time) bool {
+	return !i.piece.InputsUntil.IsZero() && now.After(i.piece.InputsUntil)
+}
+
+// domain is the failure domain where a piece is best made; empty: any.
+func (i *item) domain() string {
+	if i.group.domain != "" {
+		return i.group.domain
+	}
+	return i.piece.Domain
+}
+
+// drop removes pieces that nobody waits for, and settles those whose deadline has passed
+// or whose inputs have gone.
 func (q *queue) drop(now time.Time) {
 	q.items = slices.DeleteFunc(q.items, func(i *item) bool {
 		if i.group.abandoned {
@@ -88,23 +105,93 @@
 			i.group.settle(i.slot, Result{Reason: Late})
 			return true
 		}
+		if i.inputsExpired(now) {
+			i.group.settle(i.slot, Result{Reason: Gone})
+			return true
+		}
 		return false
 	})
 }
 
 // take removes the first pieces that fit: at most size of them, of at most room bytes, of
-// those that wanted holds for.
+// those that wanted holds for. Pieces of a request go together where they can, so that no
+// result waits for others that are made in a later call; parts of requests are taken only
+// first, and to fill a call that would be far from full.
 func (q *queue) take(size int, room int64, wanted func(*item) bool) []*item {
-	var taken []*item
-	rest := make([]*item, 0, len(q.items))
+	filling := &filling{size: size, room: room, taken: make(map[*item]bool, size)}
+	runs := q.runs(wanted)
+	for n, run := range runs {
+		if n == 0 || filling.fits(run) {
+			filling.add(run)
+		}
+	}
+	if float64(len(filling.taken)) < wellFilled*float64(min(size, len(q.items))) {
+		for _, run := range runs {
+			filling.add(run)
+		}
+	}
+	return q.remove(filling.taken)
+}
+
+// wellFilled is the part of a full call, or of what waits, from which a call is not filled
+// with parts of requests.
+const wellFilled = 0.8
+
+// runs returns the wanted pieces, those of one group that wait next to each other together.
+func (q *queue) runs(wanted func(*item) bool) [][]*item {
+	var runs [][]*item
+	var last *group
 	for _, i := range q.items {
-		if len(taken) < size && i.piece.Bytes <= room && wanted(i) {
-			taken = append(taken, i)
-			room -= i.piece.Bytes
+		if !wanted(i) {
+			continue
+		}
+		if i.group != last {
+			runs = append(runs, nil)
+			last = i.group
+		}
+		runs[len(runs)-1] = append(runs[len(runs)-1], i)
+	}
+	return runs
+}
+
+// remove takes pieces out and returns them in order.
+func (q *queue) remove(taken map[*item]bool) []*item {
+	removed := make([]*item, 0, len(taken))
+	rest := make([]*item, 0, len(q.items)-len(taken))
+	for _, i := range q.items {
+		if taken[i] {
+			removed = append(removed, i)
 			continue
 		}
 		rest = append(rest, i)
 	}
 	q.items = rest
-	return taken
+	return removed
+}
+
+// filling is a call that is being filled.
+type filling struct {
+	size  int
+	room  int64
+	taken map[*item]bool
+}
+
+// fits tells whether all pieces of a run fit.
+func (f *filling) fits(run []*item) bool {
+	bytes := int64(0)
+	for _, i := range run {
+		bytes += i.piece.Bytes
+	}
+	return len(run) <= f.size-len(f.taken) && bytes <= f.room
+}
+
+// add takes those of a run that fit.
+func (f *filling) add(run []*item) {
+	for _, i := range run {
+		if f.taken[i] || len(f.taken) >= f.size || i.piece.Bytes > f.room {
+			continue
+		}
+		f.taken[i] = true
+		f.room -= i.piece.Bytes
+	}
 }
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -133,6 +133,14 @@
 	return time.Duration(float64(call) * w.slowness)
 }
 
+// patience is how long a call of the expected time is waited for.
+func (w *worker) patience(expected time.Duration) time.Duration {
+	if w.shared {
+		return time.Duration(sharedOverdueFactor*float64(expected)) + sharedOverdueSlack
+	}
+	return time.Duration(overdueFactor*float64(expected)) + overdueSlack
+}
+
 // learn takes in how long a call took that the configuration gives another time.
 func (w *worker) learn(took, configured time.Duration) {
 	if configured <= 0 {
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -192,11 +192,15 @@
 
 func (w *work) stagePieces(i int, stage *Stage) []batch.Piece {
 	var inputs []string
+	var until time.Time
 	domain := w.plan.Domain
 	w.mu.Lock()
 	for _, before := range stage.After {
 		for _, r := range w.made[before] {
 			inputs = append(inputs, r.Handle)
+			if until.IsZero() || r.Until.Before(until) {
+				until = r.Until
+			}
 		}
 	}
 	if len(stage.After) > 0 {
@@ -212,15 +216,16 @@
 	pieces := make([]batch.Piece, stage.Pieces)
 	for n := range pieces {
 		pieces[n] = batch.Piece{
-			Request:  w.plan.Request,
-			Stage:    i,
-			Index:    n,
-			Inputs:   inputs,
-			Bytes:    stage.Bytes,
-			Due:      w.plan.Due.Add(-later),
-			Deadline: w.plan.Deadline,
-			Priority: w.plan.Priority,
-			Domain:   domain,
+			Request:     w.plan.Request,
+			Stage:       i,
+			Index:       n,
+			Inputs:      inputs,
+			InputsUntil: until,
+			Bytes:       stage.Bytes,
+			Due:         w.plan.Due.Add(-later),
+			Deadline:    w.plan.Deadline,
+			Priority:    w.plan.Priority,
+			Domain:      domain,
 		}
 		if len(stage.After) == 0 {
 			pieces[n].Key = w.plan.Key
--- a/service/handover/knowledge.go
+++ b/service/handover/knowledge.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// relaysPerDomain is how many instances of a failure domain watch the source for
-	// the others. fewInDomain is how many instances all watch it themselves.
+	// relaysPerDomain is how many instances of a failure domain relay to the others; the
+	// second follows the first. fewInDomain is how many instances all watch it themselves.
 	relaysPerDomain = 2
 	fewInDomain     = 4
 )
@@ -52,7 +52,8 @@
 }
 
 // Relays implements discovery.Peers: in a failure domain with many instances, the first two
-// by rendezvous hashing watch the source for the others.
+// by rendezvous hashing relay to the others. The first watches the source; the second
+// follows the first, and watches the source when that one does not answer.
 func (k *Knowledge) Relays() []string {
 	domain := []membership.Self{k.Self}
 	for _, m := range k.Live() {
@@ -69,7 +70,7 @@
 	var relays []string
 	for _, member := range domain[:relaysPerDomain] {
 		if member.Name == k.Self.Name {
-			return nil
+			return relays
 		}
 		relays = append(relays, member.PeerAddress)
 	}
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -33,8 +33,12 @@
 	// all others still pass it over.
 	trialLasts = time.Second
 	// joining is how long after its start an instance takes the contacts of its settings
-	// for the owners: others that start with it know no more members than it does.
+	// for the owners, though it has not heard of them: others that start with it know no
+	// more members than it does.
 	joining = 1500 * time.Millisecond
+	// suspectsOfDomain is how many suspected instances of another failure domain make the
+	// others of it be passed over too.
+	suspectsOfDomain = 2
 )
 
 // suspicion is that of one instance.
@@ -50,7 +54,7 @@
 	clock clockwork.Clock
 	self  membership.Self
 	live  func() []membership.Member
-	// contacts own the parts until joined.
+	// contacts own the first parts, one each while it lives, and until joined all parts.
 	contacts []string
 	joined   time.Time
 
@@ -85,12 +89,12 @@
 // candidates returns the peer addresses that a plan is handed to, in turn, until one
 // answers: the owner, then the one that is first in the own failure domain, which all
 // instances choose that are cut off together. This instance's own stands for the end.
+//
+// Contacts are owners before others, so that instances that start together, and know
+// nobody else yet, choose the same owners at first as later.
 func (o *owners) candidates(part pipeline.Part) []string {
 	list := o.ranked(part)
-	var chosen []string
-	if o.clock.Now().Before(o.joined) {
-		chosen = o.contactsFor(part)
-	}
+	chosen := o.contactsFor(part, list)
 	if !slices.Contains(chosen, o.self.PeerAddress) {
 		chosen = append(chosen, list[0].address, firstOf(list[1:], o.self.FailureDomain), o.self.PeerAddress)
 	}
@@ -100,18 +104,29 @@
 	return chosen
 }
 
-// contactsFor returns the contacts in the order in which they own a part.
-func (o *owners) contactsFor(part pipeline.Part) []string {
+// contactsFor returns the contacts that own a part: while this instance joins, all in the
+// part's order; later the one whose part it is, if it ranks.
+func (o *owners) contactsFor(part pipeline.Part, list []owner) []string {
 	var chosen []string
-	for i := range o.contacts {
-		address := o.contacts[(part.Number+i)%len(o.contacts)]
-		if !o.suspected(address) {
-			chosen = append(chosen, address)
+	if o.clock.Now().Before(o.joined) {
+		for i := range o.contacts {
+			address := o.contacts[(part.Number+i)%len(o.contacts)]
+			if !o.suspected(address) {
+				chosen = append(chosen, address)
+			}
 		}
+		return chosen
+	}
+	if part.Number < len(o.contacts) && ranks(list, o.contacts[part.Number]) {
+		chosen = append(chosen, o.contacts[part.Number])
 	}
 	return chosen
 }
 
+func ranks(list []owner, address string) bool {
+	return slices.ContainsFunc(list, func(candidate owner) bool { return candidate.address == address })
+}
+
 // firstOf returns the address of the first of a failure domain; empty if there is none.
 func firstOf(list []owner, domain string) string {
 	for _, candidate := range list {
@@ -138,8 +153,10 @@
 func (o *owners) ranked(part pipeline.Part) []owner {
 	name := strconv.Itoa(part.Number) + "/"
 	list := []owner{{o.self.PeerAddress, o.self.FailureDomain, xxhash.Sum64String(name + o.self.Name)}}
-	for _, m := range o.live() {
-		if !o.suspected(m.PeerAddress) {
+	live := o.live()
+	silent := o.silentDomains(live)
+	for _, m := range live {
+		if !o.suspected(m.PeerAddress) && !silent[m.FailureDomain] {
 			list = append(list, owner{m.PeerAddress, m.FailureDomain, xxhash.Sum64String(name + m.Name)})
 		}
 	}
@@ -147,6 +164,20 @@
 	return list
 }
 
+// silentDomains returns the other failure domains of which several are suspected.
+func (o *owners) silentDomains(live []membership.Member) map[string]bool {
+	suspects := map[string]int{}
+	silent := map[string]bool{}
+	for _, m := range live {
+		if m.FailureDomain == o.self.FailureDomain || !o.suspected(m.PeerAddress) {
+			continue
+		}
+		suspects[m.FailureDomain]++
+		silent[m.FailureDomain] = suspects[m.FailureDomain] >= suspectsOfDomain
+	}
+	return silent
+}
+
 func (o *owners) suspected(address string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/config"
 	"github.com/cobaltcroft/cobaltcroft/pkg/once"
@@ -36,6 +37,9 @@
 type Client struct {
 	hello api.Hello
 
+	// dials makes one connection to a peer for all calls that wait for it.
+	dials singleflight.Group
+
 	mu    sync.Mutex
 	conns map[string]*link
 }
@@ -114,13 +118,26 @@
 	if rpc != nil {
 		return rpc, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dialed := c.dials.DoChan(address, func() (any, error) { return c.dial(address) })
+	select {
+	case result := <-dialed:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*link), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial makes a connection to a peer and presents this instance on it.
+func (c *Client) dial(address string) (*link, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	rpc = &link{Conn: jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, newCodec(maxMessage)), nothing{})}
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	rpc := &link{Conn: jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, newCodec(maxMessage)), nothing{})}
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	var reply struct{}
 	if err := rpc.Call(ctx, api.MethodHello, c.hello, &reply); err != nil {
