--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -21,6 +21,8 @@
 	// a piece of a later one reads.
 	Key    string   `json:"key,omitempty"`
 	Inputs []string `json:"inputs,omitempty"`
+	// InputBytes is the approximate size of all inputs.
+	InputBytes int64 `json:"input_bytes,omitempty"`
 	// InputsUntil is when the first of the inputs goes; the zero time if it has none.
 	InputsUntil time.Time `json:"-"`
 	// Bytes is the approximate size of the result.
@@ -35,6 +37,14 @@
 	Domain string `json:"domain,omitempty"`
 }
 
+// movedBytes is what has to be moved to or from an endpoint in another failure domain.
+func (p *Piece) movedBytes() int64 {
+	if len(p.Inputs) > 0 {
+		return p.InputBytes
+	}
+	return p.Bytes
+}
+
 // Result is what came of a piece: a handle, or a reason why there is none.
 type Result struct {
 	Handle string `json:"handle,omitempty"`
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -504,6 +504,44 @@
 		Expect(next().endpoint).To(Equal("here"))
 	})
 
+	It("has pieces with large inputs made where those are, unless that takes too long", func() {
+		e.ready = []fleet.Endpoint{{ID: "here", FailureDomain: "here"}, {ID: "there", FailureDomain: "there"}}
+		reading := func(request string, bytes int64) []batch.Piece {
+			list := pieces(request, 1, time.Hour)
+			list[0].Inputs, list[0].InputBytes, list[0].Domain = []string{"h"}, bytes, "here"
+			return list
+		}
+		have(reading("r1", 800_000), nil)
+		Expect(next().endpoint).To(Equal("here"))
+		have(reading("r2", 800_000), nil)
+		none()
+		have(reading("r3", 1_000), nil)
+		Expect(next().endpoint).To(Equal("there"))
+	})
+
+	It("gives each part endpoints of each failure domain", func() {
+		var all []fleet.Endpoint
+		for n := range 17 {
+			all = append(all, fleet.Endpoint{ID: fmt.Sprint("e", n), FailureDomain: fmt.Sprint("zone-", n%4)})
+		}
+		counts := map[string]int{}
+		for part := range 2 {
+			ids := batch.PartIDs(batch.Queue{Service: "s", Part: part, Parts: 2}, all)
+			Expect(len(ids)).To(BeElementOf(8, 9))
+			for _, id := range ids {
+				for _, endpoint := range all {
+					if endpoint.ID == id {
+						counts[fmt.Sprint(part, endpoint.FailureDomain)]++
+					}
+				}
+			}
+		}
+		Expect(counts).To(HaveLen(8))
+		for _, n := range counts {
+			Expect(n).To(BeElementOf(2, 3))
+		}
+	})
+
 	It("sends nothing to an endpoint that leaves", func() {
 		e.mu.Lock()
 		e.ready = nil
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -27,8 +27,8 @@
 	// fetchTime is how long after a call was sent its endpoint has fetched the inputs,
 	// if it had no other call.
 	fetchTime = 80 * time.Millisecond
-	// byteCost is the time that a byte of a result is worth which is made in another
-	// failure domain than the one where it will be read.
+	// byteCost is the time that a byte is worth which is read in another failure domain
+	// than the one where it was made.
 	byteCost = 500 * time.Nanosecond
 	// smallCall is the part of a full call, or of what waits, below which a call for
 	// which there is too little room waits up to roomWait for more.
--- a/pkg/batch/choice.go
+++ b/pkg/batch/choice.go
@@ -24,8 +24,9 @@
 	return true
 }
 
-// wanted tells which pieces a worker takes: not those whose result is large enough that it
-// is better made in the failure domain where it will be read, though it is made later there.
+// wanted tells which pieces a worker takes: not those whose inputs, or else whose result,
+// are so large that they are better made in the failure domain where the inputs are, or
+// where the result will be read, though they are made later there.
 func (s *service) wanted(now time.Time, w *worker, workers []*worker, batching *route.Batching) func(*item) bool {
 	call := batching.CallTime(batching.Size)
 	own := now.Add(w.expected(call))
@@ -48,7 +49,7 @@
 		}
 		there = there.Add(time.Duration(ahead[domain]/batching.Size) * call)
 		ahead[domain]++
-		saved := time.Duration(i.piece.Bytes) * byteCost
+		saved := time.Duration(i.piece.movedBytes()) * byteCost
 		return there.After(own.Add(saved)) || there.After(i.piece.Due) && !own.After(i.piece.Due)
 	}
 }
--- a/pkg/batch/part.go
+++ b/pkg/batch/part.go
@@ -11,17 +11,20 @@
 )
 
 // endpoints returns those of the queue's part: by rendezvous hashing, but at most an equal
-// share for each part, so that few endpoints change their part when one comes or goes.
+// share for each part, of all endpoints and of each failure domain's, so that results can be
+// read where they were made; and few endpoints change their part when one comes or goes.
 func (q Queue) endpoints(ready []fleet.Endpoint) []fleet.Endpoint {
 	if q.Parts <= 1 {
 		return ready
 	}
-	share := (len(ready) + q.Parts - 1) / q.Parts
-	taken := make([]int, q.Parts)
+	domains := map[string]int{}
+	for _, e := range ready {
+		domains[e.FailureDomain]++
+	}
+	cut := &cutting{of: q.Parts, share: share(len(ready), q.Parts), taken: make([]int, q.Parts), domains: map[domainPart]int{}}
 	var own []fleet.Endpoint
 	for _, e := range byHash(ready) {
-		part := bestPart(e.ID, q.Parts, func(part int) bool { return taken[part] < share })
-		taken[part]++
+		part := cut.choose(e, share(domains[e.FailureDomain], q.Parts))
 		if part == q.Part {
 			own = append(own, e)
 		}
@@ -29,6 +32,39 @@
 	return own
 }
 
+// share is an equal share of n, rounded up.
+func share(n, of int) int { return (n + of - 1) / of }
+
+// domainPart is a part of a failure domain's endpoints.
+type domainPart struct {
+	domain string
+	part   int
+}
+
+// cutting counts what the parts have been given.
+type cutting struct {
+	of      int
+	share   int
+	taken   []int
+	domains map[domainPart]int
+}
+
+// choose gives an endpoint to a part that has less than its share, of its failure domain's
+// endpoints too if there is one.
+func (c *cutting) choose(e fleet.Endpoint, ofDomain int) int {
+	open := func(part int) bool { return c.taken[part] < c.share }
+	openHere := func(part int) bool {
+		return open(part) && c.domains[domainPart{e.FailureDomain, part}] < ofDomain
+	}
+	part, found := bestPart(e.ID, c.of, openHere)
+	if !found {
+		part, _ = bestPart(e.ID, c.of, open)
+	}
+	c.taken[part]++
+	c.domains[domainPart{e.FailureDomain, part}]++
+	return part
+}
+
 func byHash(ready []fleet.Endpoint) []fleet.Endpoint {
 	sorted := slices.Clone(ready)
 	slices.SortFunc(sorted, func(a, b fleet.Endpoint) int {
@@ -37,14 +73,14 @@
 	return sorted
 }
 
-// bestPart returns the open part with the greatest weight for an endpoint.
-func bestPart(id string, parts int, open func(part int) bool) int {
-	best, most := 0, uint64(0)
+// bestPart returns the open part with the greatest weight for an endpoint, if one is open.
+func bestPart(id string, parts int, open func(part int) bool) (best int, found bool) {
+	most := uint64(0)
 	for part := range parts {
 		weight := xxhash.Sum64String(id + "/" + strconv.Itoa(part))
-		if open(part) && weight >= most {
-			best, most = part, weight
+		if open(part) && (!found || weight > most) {
+			best, most, found = part, weight, true
 		}
 	}
-	return best
+	return best, found
 }
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -123,6 +123,8 @@
 	lastEvent string
 	events    int
 	begun     bool
+	// firstAfter is how long after the request the first event came; 0 if none has.
+	firstAfter time.Duration
 	// mayHaveRun says that some endpoint may have run the request.
 	mayHaveRun bool
 	// redone says that the stages were made a second time, restarted since when.
@@ -240,7 +242,7 @@
 	fields := logrus.Fields{
 		"event": "request", "id": u.request.ID, "status": status, "outcome": reason,
 		"ms": u.Clock.Since(u.request.Arrived).Milliseconds(), "attempts": u.attempts,
-		"events": u.events, "may_have_run": u.mayHaveRun,
+		"events": u.events, "first_ms": u.firstAfter.Milliseconds(), "may_have_run": u.mayHaveRun,
 	}
 	if u.route != nil {
 		fields["route"] = u.route.Name
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -27,6 +27,8 @@
 	ctx, cancel := u.untilDrained(ctx)
 	defer cancel()
 	begin := u.Clock.Now()
+	ctx, stop := context.WithDeadline(ctx, u.stagesUntil())
+	defer stop()
 	plan := u.plan()
 	outcome := u.Stages.Run(ctx, plan)
 	u.Log.WithFields(logrus.Fields{
@@ -46,6 +48,21 @@
 	return nil
 }
 
+// heldPart is the part of a request's time for which it is held at most while its stages
+// are made: then its caller still has the time to come back.
+const heldPart = 0.45
+
+// stagesUntil is when a request is given up whose stages are not made, unless its objective
+// ends later.
+func (u *run) stagesUntil() time.Time {
+	held := time.Duration(heldPart * float64(u.limit()))
+	until := u.request.Arrived.Add(held)
+	if due := u.due(); due.After(until) {
+		until = due
+	}
+	return until
+}
+
 // plan is the work of the route's stages.
 func (u *run) plan() pipeline.Plan {
 	call, domain := u.Balancer.Expect(u.View().Fleet.Ready(u.service.Name), u.need())
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -46,7 +46,8 @@
 	if !u.begun {
 		u.begun = true
 		u.mayHaveRun = true
-		u.firstEventSeconds.UpdateDuration(u.request.Arrived)
+		u.firstAfter = u.Clock.Since(u.request.Arrived)
+		u.firstEventSeconds.Update(u.firstAfter.Seconds())
 		u.freeInputs()
 		if err := u.responder.Begin(answer.Status, httpconn.EndToEnd(answer.Header)); err != nil {
 			u.clientLeft()
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -192,12 +192,14 @@
 
 func (w *work) stagePieces(i int, stage *Stage) []batch.Piece {
 	var inputs []string
+	var inputBytes int64
 	var until time.Time
 	domain := w.plan.Domain
 	w.mu.Lock()
 	for _, before := range stage.After {
 		for _, r := range w.made[before] {
 			inputs = append(inputs, r.Handle)
+			inputBytes += r.Bytes
 			if until.IsZero() || r.Until.Before(until) {
 				until = r.Until
 			}
@@ -220,6 +222,7 @@
 			Stage:       i,
 			Index:       n,
 			Inputs:      inputs,
+			InputBytes:  inputBytes,
 			InputsUntil: until,
 			Bytes:       stage.Bytes,
 			Due:         w.plan.Due.Add(-later),
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +18,6 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
 	// pingPeriod is the time between pings of a connection with calls under way, and
 	// pingTimeout the silence after which it is closed, so that those calls end.
 	pingPeriod  = 250 * time.Millisecond
@@ -132,7 +130,7 @@
 
 // dial makes a connection to a peer and presents this instance on it.
 func (c *Client) dial(address string) (*link, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := dial(address)
 	if err != nil {
 		return nil, err
 	}
