discovery: entries that lapsed in an outage of the source are waited for two seconds

Change: after two seconds without word from the source, endpoints whose entries are gone are kept for two seconds, but those that were leaving; peers are told of listed endpoints alone.

--- a/cmd/cobaltcroftd/gateway/stages_test.go
+++ b/cmd/cobaltcroftd/gateway/stages_test.go
@@ -191,6 +191,27 @@
 		Expect(d.Runs("model", got.id)).To(BeEmpty())
 	})
 
+	It("are given up, not run, while their callers have time to come back", func() {
+		for _, e := range d.Of("second") {
+			e.SetTimes(20*time.Second, 0)
+		}
+		for n := range d.Config.Routes {
+			d.Config.Routes[n].TimeoutMs = 20_000
+		}
+		d.Put()
+		i := start(d.Address())
+		id := newID()
+		r := i.request(http.MethodPost, "staged", id, "")
+		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+		r.Header.Set("Cobaltcroft-Deadline-Ms", "8000")
+		begin := time.Now()
+		got := send(r)
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(time.Since(begin)).To(BeNumerically("<", 6*time.Second))
+		Expect(d.Runs("model", id)).To(BeEmpty())
+	})
+
 	It("are refused at once, not run, when they would not be done in time", func() {
 		i := start(d.Address())
 		for _, service := range d.Config.Services[2:] {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -199,6 +199,50 @@
 		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
 	})
 
+	// outage has the source out for long enough that entries may lapse there.
+	outage := func() {
+		GinkgoHelper()
+		store.set(func(s *source) { s.out = true })
+		Eventually(func() time.Duration { return f.View().Age(time.Now()) }).Should(BeNumerically(">", 2200*time.Millisecond))
+	}
+
+	It("keeps endpoints for a while whose entries lapsed while the source was out", func() {
+		put(store, state(5, 4, 3, "a", "b", "c"))
+		Eventually(ready).Should(Equal(3))
+		outage()
+		store.set(func(s *source) { s.out, s.gone, s.state = false, true, state(9, 8, 7, "b") })
+		Eventually(version).Should(Equal(uint64(7)))
+		Expect(ready()).To(Equal(3))
+		back := state(10, 8, 7, "a", "b")
+		put(store, back)
+		Consistently(ready).WithTimeout(time.Second).Should(Equal(3))
+		Eventually(ready).Should(Equal(2))
+		Expect(f.View().Fleet.MayGetWork("a")).To(BeTrue())
+		Consistently(ready).WithTimeout(500 * time.Millisecond).Should(Equal(2))
+	})
+
+	It("tells peers of no endpoint that lapsed, and keeps none that was leaving", func() {
+		leaving := state(5, 4, 3, "a", "b")
+		leaving.Endpoints[0].Leaving = true
+		put(store, leaving)
+		Eventually(ready).Should(Equal(1))
+		outage()
+		store.set(func(s *source) { s.out, s.gone, s.state = false, true, state(9, 8, 7) })
+		Eventually(version).Should(Equal(uint64(7)))
+		Expect(f.View().Fleet.All()).To(HaveLen(1))
+		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
+		told, _ := f.State()
+		Expect(told.Endpoints).To(BeEmpty())
+	})
+
+	It("takes an endpoint as gone at once whose entry goes while the source answers", func() {
+		put(store, state(5, 4, 3, "a", "b"))
+		Eventually(ready).Should(Equal(2))
+		store.set(func(s *source) { s.gone, s.state = true, state(9, 8, 7, "b") })
+		Eventually(version).Should(Equal(uint64(7)))
+		Expect(ready()).To(Equal(1))
+	})
+
 	It("leaves the watching to a relay, and goes back to the source when that is out or old", func() {
 		put(store, state(5, 4, 3, "a"))
 		Eventually(ready).Should(Equal(1))
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -58,6 +58,10 @@
 	// refused is the revision of a document that does not compile, so that it is
 	// told once. It belongs to the goroutine of Run.
 	refused uint64
+	// lapses belong to the goroutine of Run, as does release, which tells when what was
+	// kept after an outage is to be taken as gone.
+	lapses  lapses
+	release <-chan time.Time
 }
 
 // event is news for the goroutine that owns the view.
@@ -75,7 +79,8 @@
 // New returns a follower with an empty view.
 func New(source Source, peers Peers, clock clockwork.Clock, log *logrus.Entry) *Follower {
 	f := &Follower{source: source, peers: peers, clock: clock, log: log, events: make(chan event), history: newHistory()}
-	f.view.Store(&View{Fleet: fleet.New(0, nil)})
+	none := fleet.New(0, nil)
+	f.view.Store(&View{Fleet: none, listed: none})
 	return f
 }
 
@@ -85,7 +90,7 @@
 // State returns what is known, to be told to a peer, and its age.
 func (f *Follower) State() (State, time.Duration) {
 	view := f.View()
-	return State{Revision: view.Fleet.Revision, Document: view.Document, Endpoints: view.Fleet.All()}, view.Age(f.clock.Now())
+	return State{Revision: view.Fleet.Revision, Document: view.Document, Endpoints: view.listed.All()}, view.Age(f.clock.Now())
 }
 
 // Run follows source and peers until t dies.
@@ -98,6 +103,8 @@
 		case e := <-f.events:
 			f.apply(e)
 			close(e.accepted)
+		case <-f.release:
+			f.takeLapsed()
 		case <-ctx.Done():
 			return nil
 		}
@@ -262,20 +269,35 @@
 		if e.state.Revision > view.Fleet.Revision {
 			defer f.history.restart()
 		}
-		view.Fleet = fleet.New(e.state.Revision, e.state.Endpoints)
+		view.listed = fleet.New(e.state.Revision, e.state.Endpoints)
 		f.applyDocument(&view, e.state.Document, e.from)
 	case e.changes != nil && e.since <= view.Fleet.Revision && e.changes.Revision >= view.Fleet.Revision:
 		defer f.history.add(view.Fleet.Revision, *e.changes)
-		view.Fleet = view.Fleet.With(e.changes.Revision, e.changes.Endpoints)
+		view.listed = view.listed.With(e.changes.Revision, e.changes.Endpoints)
 		f.applyDocument(&view, e.changes.Document, e.from)
 	case e.state != nil:
 		return
 	case e.changes != nil && e.changes.Revision < view.Fleet.Revision:
 		// A peer told more already; the source's later changes follow.
 	}
+	now := f.clock.Now()
 	if e.at.After(view.Confirmed) {
+		if f.lapses.confirmed(view.Confirmed, e.at) {
+			f.release = f.clock.After(f.lapses.until.Sub(now))
+		}
 		view.Confirmed = e.at
 	}
+	view.Fleet = f.lapses.keep(now, view.Fleet, view.listed)
+	f.view.Store(&view)
+}
+
+// takeLapsed takes endpoints as gone that were kept after an outage.
+func (f *Follower) takeLapsed() {
+	view := *f.View()
+	if lapsed := len(view.Fleet.All()) - len(view.listed.All()); lapsed > 0 {
+		f.log.WithFields(logrus.Fields{"event": "endpoints_lapsed", "endpoints": lapsed, "revision": view.listed.Revision}).Info()
+	}
+	view.Fleet = view.listed
 	f.view.Store(&view)
 }
 
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -67,7 +67,11 @@
 	// Table is nil until a configuration is known.
 	Table    *route.Table
 	Document Document
-	Fleet    *fleet.Snapshot
+	// Fleet has the endpoints that may be alive: those listed, and for a while after an
+	// outage of the source those whose entries have lapsed.
+	Fleet *fleet.Snapshot
+	// listed has the endpoints that the source listed.
+	listed *fleet.Snapshot
 	// Confirmed is when the source last confirmed all this, by the steady clock;
 	// the zero time if never.
 	Confirmed time.Time
