ingress: limits on heads follow the configuration

Change: the face bounds heads itself, by the most that any configuration in this life allowed; it notes the first bytes of a head on its connections, and closes those that send one for too long; new connections that send nothing rest like others. Tests: three, which need the new bounds; the old code answers 200 to a head over the bound.

--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -25,9 +25,12 @@
 
 const (
 	// headerTimeout and headerBytes bound slow and large heads until a configuration
-	// says otherwise; bodyBytes bounds bodies.
+	// says otherwise, and longestHead and largestHead whatever it says; bodyBytes bounds
+	// bodies.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
+	longestHead   = 2 * time.Minute
+	largestHead   = 1 << 20
 	bodyBytes     = 4 << 20
 	// bodyTimeout bounds how long a body may take.
 	bodyTimeout = 15 * time.Second
@@ -66,21 +69,22 @@
 	leaving  atomic.Bool
 	refusing atomic.Bool
 
+	allowance allowance
+
 	mu sync.Mutex
-	// idle has the connections at rest, and since when.
-	idle map[net.Conn]time.Time
-	// longestIdle is the longest rest that any configuration in this life allowed:
-	// clients may still go by an older one.
-	longestIdle time.Duration
+	// idle has the connections at rest, and since when; reading those that send the head
+	// of a request.
+	idle    map[net.Conn]time.Time
+	reading map[net.Conn]time.Time
 }
 
 // New returns a face.
 func New(o Options) *Face {
-	f := &Face{Options: o, idle: map[net.Conn]time.Time{}}
+	f := &Face{Options: o, idle: map[net.Conn]time.Time{}, reading: map[net.Conn]time.Time{}}
 	f.server = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    headerBytes,
+		ReadHeaderTimeout: longestHead,
+		MaxHeaderBytes:    largestHead,
 		ConnState:         f.connState,
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
 	}
@@ -89,24 +93,65 @@
 
 // Serve serves connections until the face is closed.
 func (f *Face) Serve(listener net.Listener) error {
-	if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(&headListener{listener, f}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
-// connState notes which connections rest.
+// connState notes which connections rest. Those that send a head rest until it has begun,
+// and become active when it has been read.
 func (f *Face) connState(c net.Conn, state http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if state == http.StateIdle {
+	delete(f.idle, c)
+	delete(f.reading, c)
+	if state == http.StateNew || state == http.StateIdle {
 		f.idle[c] = f.Clock.Now()
-		return
 	}
-	delete(f.idle, c)
 }
 
-// Sweep closes the connections that have rested too long, each second until ctx ends.
+// bytesCame notes that a connection that rested sends the head of a request.
+func (f *Face) bytesCame(c net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, rested := f.idle[c]; rested {
+		delete(f.idle, c)
+		f.reading[c] = f.Clock.Now()
+	}
+}
+
+// headListener and headConn tell the face when bytes come.
+type headListener struct {
+	net.Listener
+	face *Face
+}
+
+// Accept implements net.Listener.
+func (l *headListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &headConn{c, l.face}, nil
+}
+
+type headConn struct {
+	net.Conn
+	face *Face
+}
+
+// Read implements net.Conn.
+func (c *headConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.face.bytesCame(c)
+	}
+	return n, err
+}
+
+// Sweep closes the connections that have rested too long, or send a head for too long, each
+// second until ctx ends.
 func (f *Face) Sweep(ctx context.Context) {
 	ticker := f.Clock.NewTicker(sweepPeriod)
 	defer ticker.Stop()
@@ -121,21 +166,19 @@
 }
 
 func (f *Face) sweep() {
-	limits, known := f.Limits()
+	allowed := f.allowance.take(f.Limits())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if known {
-		f.longestIdle = max(f.longestIdle, limits.IdleTimeout)
-	}
-	longest := f.longestIdle
-	if longest == 0 {
-		longest = idleTimeout
-	}
-	now := f.Clock.Now()
-	for c, since := range f.idle {
-		if now.Sub(since) > longest {
+	closeOlder(f.idle, f.Clock.Now().Add(-allowed.IdleTimeout))
+	closeOlder(f.reading, f.Clock.Now().Add(-allowed.HeaderTimeout))
+}
+
+// closeOlder closes the connections noted before a time.
+func closeOlder(conns map[net.Conn]time.Time, before time.Time) {
+	for c, since := range conns {
+		if since.Before(before) {
 			_ = c.Close()
-			delete(f.idle, c)
+			delete(conns, c)
 		}
 	}
 }
@@ -193,6 +236,9 @@
 	if f.refusing.Load() {
 		return &gateway.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: comeBack, Reason: "stopping", Message: "this instance stops; the request has not run; send it to another"}
 	}
+	if headSize(r) > f.allowance.take(f.Limits()).HeaderBytes {
+		return refuseHead()
+	}
 	if err := f.Dialect.Describe(r.Header, request); err != nil {
 		return &gateway.Refusal{Status: http.StatusBadRequest, Reason: "bad_header", Message: err.Error()}
 	}
--- /dev/null
+++ b/service/ingress/ingress_test.go
@@ -0,0 +1,148 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/gateway"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+func TestIngress(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ingress")
+}
+
+// plain takes every request as it is.
+type plain struct{ gateway.Dialect }
+
+func (plain) Describe(http.Header, *gateway.Request) error { return nil }
+
+var _ = Describe("what clients may send", func() {
+	var (
+		mu     sync.Mutex
+		limits route.Limits
+		clock  *clockwork.FakeClock
+		f      *Face
+		l      net.Listener
+	)
+
+	allow := func(next route.Limits) {
+		mu.Lock()
+		defer mu.Unlock()
+		limits = next
+	}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		allow(route.Limits{HeaderBytes: 2000, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+		f = New(Options{
+			Run: func(_ context.Context, _ *gateway.Request, responder gateway.Responder) {
+				responder.Whole(http.StatusOK, http.Header{}, []byte("ran"))
+			},
+			Dialect: plain{},
+			Limits: func() (route.Limits, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				return limits, true
+			},
+			Clock: clock,
+			Log:   logging.Discard().For("ingress"),
+		})
+		var err error
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = f.Serve(l) }()
+		DeferCleanup(f.Close)
+	})
+
+	connect := func() net.Conn {
+		GinkgoHelper()
+		c, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c
+	}
+
+	status := func(c net.Conn) int {
+		GinkgoHelper()
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		return response.StatusCode
+	}
+
+	ended := func(c net.Conn) bool {
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		_, err := c.Read(make([]byte, 1))
+		timeout, ok := err.(net.Error)
+		return err != nil && !(ok && timeout.Timeout())
+	}
+
+	send := func(c net.Conn, bytes string) {
+		GinkgoHelper()
+		_, err := c.Write([]byte(bytes))
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	noted := func(conns map[net.Conn]time.Time) func() int {
+		return func() int {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(conns)
+		}
+	}
+
+	head := func(bytes int) string {
+		return "GET /x HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("a", bytes) + "\r\n\r\n"
+	}
+
+	It("follows the configuration's bound on heads, and the greatest that was in force", func() {
+		c := connect()
+		send(c, head(1900))
+		Expect(status(c)).To(Equal(http.StatusOK))
+		large := connect()
+		send(large, head(2100))
+		Expect(status(large)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		allow(route.Limits{HeaderBytes: 1000})
+		send(c, head(1900))
+		Expect(status(c)).To(Equal(http.StatusOK))
+	})
+
+	It("closes connections whose head takes longer than the configuration allows", func() {
+		c := connect()
+		send(c, "GET /x HTTP/1.1\r\n")
+		Eventually(noted(f.reading)).Should(Equal(1))
+		clock.Advance(2 * time.Second)
+		f.sweep()
+		Expect(ended(c)).To(BeFalse())
+		clock.Advance(1100 * time.Millisecond)
+		f.sweep()
+		Eventually(func() bool { return ended(c) }).Should(BeTrue())
+	})
+
+	It("closes connections that rest for longer than it allows, new ones too", func() {
+		used, unused := connect(), connect()
+		send(used, head(1))
+		Expect(status(used)).To(Equal(http.StatusOK))
+		Eventually(noted(f.idle)).Should(Equal(2))
+		clock.Advance(14 * time.Second)
+		f.sweep()
+		Expect(ended(used)).To(BeFalse())
+		Expect(ended(unused)).To(BeFalse())
+		clock.Advance(1100 * time.Millisecond)
+		f.sweep()
+		Eventually(func() bool { return ended(used) }).Should(BeTrue())
+		Eventually(func() bool { return ended(unused) }).Should(BeTrue())
+	})
+})
