pipeline, handover: the planner hears of failures at the engines that it chose

Change: an instance tells the planner that chose an engine of a failure there; each counts 300 ms against it, and half of that is forgotten in two seconds. Tests: planner, handler and router.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -58,6 +58,7 @@
 		case finished:
 			return nil
 		case unreached:
+			u.endpointFailed(ctx, call.Endpoint.ID)
 			u.tried[call.Endpoint.ID] = true
 			if unreachedCount++; unreachedCount >= maxUnreached {
 				return u.giveUp(refuseNoEndpoint(u.comeBack()))
@@ -65,6 +66,7 @@
 		case elsewhere:
 			u.tried[call.Endpoint.ID] = true
 		case again:
+			u.endpointFailed(ctx, call.Endpoint.ID)
 			u.tried[call.Endpoint.ID] = true
 			u.mayHaveRun = true
 			if !u.route.Repeatable() {
@@ -276,6 +278,9 @@
 		return again
 	}
 	u.mayHaveRun = true
+	if answer.Status >= http.StatusInternalServerError {
+		u.endpointFailed(ctx, call.Endpoint.ID)
+	}
 	u.logEnd(answer.Status, "answered")
 	u.responder.Whole(answer.Status, httpconn.EndToEnd(answer.Header), body)
 	return finished
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -116,8 +116,10 @@
 	deadline time.Time
 	// inputs are the results of stages that the request reads.
 	inputs []batch.Result
-	// reader is the endpoint that the planner of the stages chose; empty: none.
-	reader string
+	// reader is the endpoint that the planner of the stages chose; empty: none. planner is
+	// that planner's peer address.
+	reader  string
+	planner string
 	// tried has the endpoints that the request was sent to.
 	tried    map[string]bool
 	attempts int
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -18,6 +18,9 @@
 	Run(ctx context.Context, plan pipeline.Plan) pipeline.Outcome
 	// Free gives the results of a plan up.
 	Free(results []batch.Result)
+	// ReaderFailed tells the planner of an outcome that an endpoint failed which it may
+	// choose for others.
+	ReaderFailed(planner, endpoint string)
 }
 
 // makeStages has the route's stages made.
@@ -37,7 +40,7 @@
 		"left_ms": plan.Due.Sub(begin).Milliseconds(), "results": len(outcome.Results), "domain": plan.Domain,
 	}).Info()
 	u.inputs = outcome.Results
-	u.reader = outcome.Reader
+	u.reader, u.planner = outcome.Reader, outcome.Planner
 	u.readInputs = u.readInputs || len(u.inputs) > 0
 	switch {
 	case outcome.Reason != "" && u.draining():
@@ -108,6 +111,13 @@
 	return readers
 }
 
+// endpointFailed tells the planner that chose an endpoint for the request of a failure.
+func (u *run) endpointFailed(ctx context.Context, endpoint string) {
+	if u.reader != "" && ctx.Err() == nil {
+		u.Stages.ReaderFailed(u.planner, endpoint)
+	}
+}
+
 // freeInputs gives up the results that the request reads.
 func (u *run) freeInputs() {
 	if len(u.inputs) > 0 {
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -273,6 +273,18 @@
 		Expect(readerOf("r5")).To(BeEmpty())
 	})
 
+	It("passes an endpoint over for a while at which requests failed", func() {
+		best := pipeline.Reader{Endpoint: "best", Domain: "made", CostMs: 100}
+		second := pipeline.Reader{Endpoint: "second", Domain: "made", CostMs: 150}
+		p.ReaderFailed("best")
+		p.ReaderFailed("best")
+		Expect(readerOf("r1", best, second)).To(Equal("second"))
+		clock.Advance(5 * time.Second)
+		Expect(readerOf("r2", best, second)).To(Equal("second"))
+		clock.Advance(5 * time.Second)
+		Expect(readerOf("r3", best, second)).To(Equal("best"))
+	})
+
 	It("chooses an endpoint near the results where those are large", func() {
 		far := pipeline.Reader{Endpoint: "far", Domain: "far", CostMs: 100}
 		near := pipeline.Reader{Endpoint: "near", Domain: "made", CostMs: 150}
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -45,6 +45,8 @@
 	Results []batch.Result `json:"results,omitempty"`
 	// Reader is the endpoint, of the plan's, where the request best runs; empty: any.
 	Reader string `json:"reader,omitempty"`
+	// Planner is the peer address of the instance whose planner it was; empty: this one's.
+	Planner string `json:"-"`
 	// Reason says why there are none.
 	Reason batch.Reason `json:"reason,omitempty"`
 	// RetryAfter is when a request that was refused may come back; 0: not told.
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -87,6 +87,13 @@
 	return outcome
 }
 
+// ReaderFailed notes that a request failed at the endpoint that was chosen for it.
+func (p *Planner) ReaderFailed(endpoint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readers.failed(p.clock.Now(), endpoint)
+}
+
 // chooseReader chooses where a request runs whose stages are made.
 func (p *Planner) chooseReader(plan *Plan, results []batch.Result) string {
 	p.mu.Lock()
--- a/pkg/pipeline/readers.go
+++ b/pkg/pipeline/readers.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"math"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
@@ -23,9 +24,44 @@
 // readers is what the requests of a planner, which are those of all instances in a part,
 // have their endpoints read. An instance alone sees a few of them only. Not safe for
 // concurrent use.
-type readers struct{ busyUntil map[string]time.Time }
+type readers struct {
+	busyUntil map[string]time.Time
+	failures  map[string]failures
+}
+
+// failures are those of one endpoint, as requests' instances told of them: a number that
+// halves in each failureHalfLife.
+type failures struct {
+	number float64
+	at     time.Time
+}
+
+const (
+	failureHalfLife = 2 * time.Second
+	// failureCost is what each failure speaks against an endpoint.
+	failureCost = 300 * time.Millisecond
+	// fewFailures is the number below which failures are forgotten.
+	fewFailures = 0.05
+)
+
+// left is what is left of the failures at a time.
+func (f failures) left(now time.Time) float64 {
+	return f.number * math.Exp2(-float64(now.Sub(f.at))/float64(failureHalfLife))
+}
+
+func newReaders() readers {
+	return readers{busyUntil: map[string]time.Time{}, failures: map[string]failures{}}
+}
 
-func newReaders() readers { return readers{busyUntil: map[string]time.Time{}} }
+// failed notes that a request failed at an endpoint.
+func (r *readers) failed(now time.Time, endpoint string) {
+	r.failures[endpoint] = failures{number: r.failures[endpoint].left(now) + 1, at: now}
+	for other, f := range r.failures {
+		if f.left(now) < fewFailures {
+			delete(r.failures, other)
+		}
+	}
+}
 
 // choose returns the endpoint with the least cost for a request that reads results, and
 // counts its reading in; empty if there is no choice.
@@ -47,6 +83,7 @@
 
 func (r *readers) cost(now time.Time, option *Reader, results []batch.Result) time.Duration {
 	cost := time.Duration(option.CostMs)*time.Millisecond + r.wait(now, option)
+	cost += time.Duration(r.failures[option.Endpoint].left(now) * float64(failureCost))
 	for _, result := range results {
 		if result.Domain != option.Domain {
 			cost += time.Duration(result.Bytes) * byteCost
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -19,6 +19,8 @@
 	MethodRun      = "pipeline.run"
 	MethodCancel   = "pipeline.cancel"
 	MethodFree     = "pipeline.free"
+	// MethodReaderFailed tells the planner of a failure of an endpoint that it chose.
+	MethodReaderFailed = "pipeline.reader_failed"
 )
 
 // Hello presents the peers' token.
@@ -133,6 +135,11 @@
 	Call string `json:"call"`
 }
 
+// ReaderFailed names an endpoint at which a request failed. It has no answer.
+type ReaderFailed struct {
+	Endpoint string `json:"endpoint"`
+}
+
 // Free gives results up. It has no answer.
 type Free struct {
 	Results []batch.Result `json:"results"`
--- /dev/null
+++ b/service/handover/failures_test.go
@@ -0,0 +1,71 @@
+package handover
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+)
+
+// instantPieces makes pieces at once.
+type instantPieces struct{}
+
+func (instantPieces) Make(_ context.Context, _ batch.Queue, pieces []batch.Piece, _ func()) []batch.Result {
+	results := make([]batch.Result, len(pieces))
+	for i := range results {
+		results[i] = batch.Result{Handle: "h", Domain: "made"}
+	}
+	return results
+}
+
+func (instantPieces) Free([]batch.Result) {}
+
+func (instantPieces) Capacity(batch.Queue) batch.Capacity {
+	return batch.Capacity{PerSecond: 10, AtOnce: 10, Call: time.Millisecond}
+}
+
+var _ = Describe("failures of the endpoint that a planner chose", func() {
+	var (
+		clock   *clockwork.FakeClock
+		planner *pipeline.Planner
+	)
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		planner = pipeline.NewPlanner(instantPieces{}, clock, metrics.NewSet(), logging.Discard().For("pipeline"))
+	})
+
+	chosen := func() string {
+		plan := pipeline.Plan{
+			Stages:  []pipeline.Stage{{Service: "s", Pieces: 1}},
+			Due:     clock.Now().Add(time.Minute),
+			Readers: []pipeline.Reader{{Endpoint: "best", CostMs: 100}, {Endpoint: "second", CostMs: 200}},
+		}
+		return planner.Run(context.Background(), pipeline.Part{Of: 1}, plan).Reader
+	}
+
+	It("that a peer tells of have it pass that one over", func() {
+		Expect(chosen()).To(Equal("best"))
+		raw, err := json.Marshal(api.ReaderFailed{Endpoint: "best"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = NewHandler(planner, nil, nil, clock).Answer(context.Background(), api.MethodReaderFailed, raw)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(chosen()).To(Equal("second"))
+	})
+
+	It("of this instance's own planner need no peer", func() {
+		router := NewRouter(Options{Planner: planner, Clock: clock, Log: logging.Discard().For("handover"), Live: func() []membership.Member { return nil }})
+		router.ReaderFailed("", "best")
+		Expect(chosen()).To(Equal("second"))
+	})
+})
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -69,6 +69,13 @@
 		}
 		h.local.Free(call.Results)
 		return struct{}{}, nil
+	case api.MethodReaderFailed:
+		call, err := peers.Params[api.ReaderFailed](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		h.planner.ReaderFailed(call.Endpoint)
+		return struct{}{}, nil
 	case api.MethodRelay:
 		call, err := peers.Params[api.RelaySelect](method, raw)
 		if err != nil {
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -98,6 +98,7 @@
 		return pipeline.Outcome{}, false
 	}
 	r.owners.trust(address)
+	outcome.Planner = address
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, result := range outcome.Results {
@@ -133,6 +134,21 @@
 	}
 }
 
+// ReaderFailed implements gateway.Stages.
+func (r *Router) ReaderFailed(planner, endpoint string) {
+	if planner == "" {
+		r.planner.ReaderFailed(endpoint)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+		defer cancel()
+		if err := r.client.Notify(ctx, planner, api.MethodReaderFailed, api.ReaderFailed{Endpoint: endpoint}); err != nil {
+			r.log.WithFields(logrus.Fields{"event": "failure_not_told", "owner": planner, "endpoint": endpoint}).Debug(err)
+		}
+	}()
+}
+
 // freeAt has the owner free results, or does so itself if the owner is not reached.
 func (r *Router) freeAt(address string, results []batch.Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
