batch, handover: the first call to an endpoint is waited for longer; a planned stop waits for others' plans

A stopping instance exited while it made plans for others. Ruled out: waiting for others' calls after a first one was slow: that is known since. Failed try: to take a new endpoint as shared outright also kept its inputs until the call ended, which a test of the room forbids.

--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -32,7 +32,7 @@
 
 // stop ends the instance as planned: it withdraws readiness, serves on while the balancer
 // may still send connections, then refuses new requests, and exits when nothing is under
-// way or the grace time is over. A second signal ends it at once, but for SIGHUP.
+// way, of other instances' plans either, or the grace time is over. A second signal ends it at once, but for SIGHUP.
 func (g *Gateway) stop(signal os.Signal, signals <-chan os.Signal) {
 	begin := g.clock.Now()
 	g.log.WithFields(logrus.Fields{"event": "stopping", "signal": signal.String(), "in_flight": g.face.InFlight()}).Info()
@@ -52,7 +52,7 @@
 		if now.After(drain) {
 			g.executor.Drain()
 		}
-		if g.face.InFlight() > 0 {
+		if g.face.InFlight() > 0 || g.handler.UnderWay() > 0 {
 			quietSince = now
 		}
 		if now.Sub(begin) >= balancerTime+quietTime && now.Sub(quietSince) >= quietTime {
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -55,6 +55,8 @@
 	// shared says that its last call took so long that it must have waited for a call
 	// of another instance, or for one that was given up.
 	shared bool
+	// fresh says that no call to it has been answered yet.
+	fresh bool
 	// idleSince is when it last became free of calls.
 	idleSince time.Time
 }
@@ -64,8 +66,10 @@
 	until time.Time
 }
 
+// newWorker returns a worker that may be at work for others: for an instance that has died,
+// or one that made calls before.
 func newWorker(e fleet.Endpoint) *worker {
-	return &worker{endpoint: e, slowness: 1, held: map[string]heldResult{}}
+	return &worker{endpoint: e, slowness: 1, fresh: true, held: map[string]heldResult{}}
 }
 
 // room returns the bytes free for results.
@@ -135,7 +139,7 @@
 
 // patience is how long a call of the expected time is waited for.
 func (w *worker) patience(expected time.Duration) time.Duration {
-	if w.shared {
+	if w.shared || w.fresh {
 		return time.Duration(sharedOverdueFactor*float64(expected)) + sharedOverdueSlack
 	}
 	return time.Duration(overdueFactor*float64(expected)) + overdueSlack
@@ -151,6 +155,7 @@
 	w.margin *= marginKept
 	w.slowness += speedWeight * (ratio - w.slowness)
 	w.rest = 0
+	w.fresh = false
 }
 
 // failed makes the worker rest, longer each time. It gets calls again when it has been
--- a/service/handover/failures_test.go
+++ b/service/handover/failures_test.go
@@ -34,6 +34,37 @@
 	return batch.Capacity{PerSecond: 10, AtOnce: 10, Call: time.Millisecond}
 }
 
+// slowPieces makes pieces when it is told to.
+type slowPieces struct {
+	instantPieces
+	begin chan struct{}
+}
+
+func (s slowPieces) Make(ctx context.Context, at batch.Queue, pieces []batch.Piece, read func()) []batch.Result {
+	<-s.begin
+	return s.instantPieces.Make(ctx, at, pieces, read)
+}
+
+var _ = Describe("plans of other instances", func() {
+	It("are counted until they are made, so that a planned stop can wait for them", func() {
+		clock := clockwork.NewFakeClock()
+		slow := slowPieces{begin: make(chan struct{})}
+		planner := pipeline.NewPlanner(slow, clock, metrics.NewSet(), logging.Discard().For("pipeline"))
+		h := NewHandler(planner, nil, nil, clock)
+		call := api.Run{Call: "c", Part: pipeline.Part{Of: 1}, DueMs: 10_000, DeadlineMs: 10_000}
+		call.Plan.Stages = []pipeline.Stage{{Service: "s", Pieces: 1}}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			h.run(context.Background(), call)
+		}()
+		Eventually(h.UnderWay).Should(Equal(1))
+		close(slow.begin)
+		Eventually(done).Should(BeClosed())
+		Expect(h.UnderWay()).To(BeZero())
+	})
+})
+
 var _ = Describe("failures of the endpoint that a planner chose", func() {
 	var (
 		clock   *clockwork.FakeClock
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -40,6 +40,13 @@
 // Leave has further plans refused; those under way are made.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
+// UnderWay is the number of plans of other instances that are being made.
+func (h *Handler) UnderWay() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.calls)
+}
+
 // Answer implements peers.Handler.
 func (h *Handler) Answer(ctx context.Context, method string, raw json.RawMessage) (any, error) {
 	switch method {
