--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -191,6 +191,13 @@
 		none()
 	})
 
+	It("allows for plans that last longer than forecast", func() {
+		// Three calls of 300 ms, and the 100 ms that are allowed for at first.
+		Expect(outcomeOf(run(chain("late", 950*time.Millisecond))).Reason).To(Equal(pipeline.Busy))
+		run(chain("in time", 1050*time.Millisecond))
+		next()
+	})
+
 	It("counts what is ahead of a request, and counts it out again", func() {
 		var admitted []chan pipeline.Outcome
 		for n := range 20 {
