--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -26,115 +24,6 @@
 
 var queue = batch.Queue{Service: "s"}
 
-// call is a call at the stand-in, which the test answers.
-type call struct {
-	endpoint string
-	pieces   []batch.Piece
-	answer   chan reply
-}
-
-type reply struct {
-	results []batch.Result
-	outcome batch.CallOutcome
-}
-
-// made answers a call with a result for each piece.
-func (c *call) made() {
-	results := make([]batch.Result, len(c.pieces))
-	for i, p := range c.pieces {
-		results[i].Handle = fmt.Sprintf("%s/%s-%d-%d", c.endpoint, p.Request, p.Stage, p.Index)
-	}
-	c.answer <- reply{results, batch.Made}
-}
-
-// endpoints stands in for endpoints, and for what is known of them.
-type endpoints struct {
-	calls    chan *call
-	batching route.Batching
-	budget   int
-
-	mu    sync.Mutex
-	ready []fleet.Endpoint
-	freed []string
-	// cut are the endpoints that can't be reached, and reaches how often one was tried.
-	cut     map[string]bool
-	reaches int
-}
-
-func (e *endpoints) Run(ctx context.Context, endpoint fleet.Endpoint, pieces []batch.Piece) ([]batch.Result, batch.CallOutcome) {
-	c := &call{endpoint.ID, pieces, make(chan reply, 1)}
-	e.calls <- c
-	select {
-	case r := <-c.answer:
-		return r.results, r.outcome
-	case <-ctx.Done():
-		return nil, batch.Lost
-	}
-}
-
-func (e *endpoints) Reach(_ context.Context, endpoint fleet.Endpoint) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.reaches++
-	if e.cut[endpoint.ID] {
-		return errors.New("cut off")
-	}
-	return nil
-}
-
-func (e *endpoints) setCut(id string, cut bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cut = map[string]bool{id: cut}
-}
-
-func (e *endpoints) Reaches() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.reaches
-}
-
-func (e *endpoints) Free(_ context.Context, _ fleet.Endpoint, handles []string) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.freed = append(e.freed, handles...)
-	return nil
-}
-
-func (e *endpoints) Freed() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]string(nil), e.freed...)
-}
-
-func (e *endpoints) Batching(string) *route.Batching { return &e.batching }
-
-func (e *endpoints) Ready(string) []fleet.Endpoint {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.ready
-}
-
-func (e *endpoints) Endpoint(id string) (fleet.Endpoint, bool) {
-	return fleet.Endpoint{ID: id, FailureDomain: "zone"}, true
-}
-
-func (e *endpoints) Count(string, int) {}
-
-func (e *endpoints) Take(string, int) bool {
-	e.budget--
-	return e.budget >= 0
-}
-
-// requests counts the pieces of each request.
-func requests(pieces []batch.Piece) map[string]int {
-	counts := map[string]int{}
-	for _, p := range pieces {
-		counts[p.Request]++
-	}
-	return counts
-}
-
 var _ = Describe("a batcher", func() {
 	var (
 		e     *endpoints
