batch, balance: a failure domain of which an endpoint was silent is reached before it gets work

Change: when a call was not reached after 200 ms, or was given up, the idle stage endpoints of the domain are connected to before they get pieces; in the choice of an engine its domain counts two seconds more for a second, or until one of it answers. An endpoint that refuses at once speaks for itself alone.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -97,6 +97,19 @@
 		Entry("refused a call", balance.Refused),
 	)
 
+	It("passes a failure domain over for a while of which an endpoint was silent, until one answers", func() {
+		c := b.Pick(all[:1], need)
+		clock.Advance(300 * time.Millisecond)
+		c.End(balance.Unreachable, nil)
+		Expect(b.Pick(all, need).Endpoint.FailureDomain).To(Equal("b"))
+		c = b.Pick(all[1:2], need)
+		c.Begun()
+		c.End(balance.Well, nil)
+		Expect(b.Pick(all, need).Endpoint.ID).To(Equal("a2"))
+		b.Pick(all[:1], need).End(balance.Unreachable, nil)
+		Expect(b.Pick(all, need).Endpoint.ID).To(Equal("a2"), "a process that has ended refuses at once")
+	})
+
 	It("uses those left out when there is no other", func() {
 		for range 3 {
 			b.Pick(all[:1], need).End(balance.Unreachable, nil)
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -78,8 +78,18 @@
 	mu        sync.Mutex
 	endpoints map[string]*seen
 	shares    *shares
+	// silent is until when failure domains are suspected to be cut off.
+	silent map[string]time.Time
 }
 
+const (
+	// silentAfter is how long it takes at least to find an endpoint silent. One whose
+	// process has ended refuses at once.
+	silentAfter = 200 * time.Millisecond
+	// silentFor is how long a failure domain is suspected of which an endpoint was silent.
+	silentFor = time.Second
+)
+
 // seen is what this instance has seen of one endpoint.
 type seen struct {
 	calls    map[*Call]struct{}
@@ -107,7 +117,7 @@
 
 // New returns a balancer that has seen nothing.
 func New(clock clockwork.Clock) *Balancer {
-	return &Balancer{clock: clock, endpoints: map[string]*seen{}, shares: newShares()}
+	return &Balancer{clock: clock, endpoints: map[string]*seen{}, shares: newShares(), silent: map[string]time.Time{}}
 }
 
 // Call is a call counted in at its endpoint.
@@ -238,7 +248,7 @@
 	if need.Domain != "" && e.FailureDomain != need.Domain {
 		d += otherDomain + need.DomainCost
 	}
-	if s.overdue(now) {
+	if s.overdue(now) || now.Before(b.silent[e.FailureDomain]) {
 		d += suspectCost
 	}
 	cost := float64(d)/float64(time.Millisecond) + rand.Float64()
@@ -318,6 +328,7 @@
 		return
 	}
 	c.begun = true
+	delete(b.silent, c.Endpoint.FailureDomain)
 	s := b.seen(c.Endpoint.ID)
 	took := b.clock.Since(c.begin)
 	if s.sampled.IsZero() {
@@ -376,6 +387,9 @@
 	if load != nil {
 		s.load, s.loadAt = *load, now
 	}
+	if outcome == Unreachable && now.Sub(c.begin) >= silentAfter {
+		b.silent[c.Endpoint.FailureDomain] = now.Add(silentFor)
+	}
 	s.judge(now, outcome)
 }
 
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -168,6 +168,24 @@
 		Expect(handles(<-done)).To(HaveLen(1))
 	})
 
+	It("reaches the idle endpoints of a failure domain of which one was silent, before they get pieces", func() {
+		e.ready = []fleet.Endpoint{{ID: "a", FailureDomain: "cut"}, {ID: "b", FailureDomain: "cut"}}
+		e.setCut("b", true)
+		done := have(pieces("r", 1, time.Hour), nil)
+		c := next()
+		if c.endpoint == "b" {
+			e.setCut("a", true)
+		}
+		clock.Advance(300 * time.Millisecond)
+		c.answer <- reply{nil, batch.NotSent}
+		Eventually(e.Reaches).Should(Equal(1), "the other one, at once")
+		none()
+		e.setCut("none", true)
+		pass()
+		next().made()
+		Expect(handles(<-done)).To(HaveLen(1))
+	})
+
 	It("sends no more than there was room for while others' results take it, and more again later", func() {
 		e.batching.RoomBytes = 2000
 		list := pieces("r1", 4, time.Hour)
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -266,6 +266,9 @@
 	if outcome == Made {
 		w.learn(now.Sub(begin), call)
 	}
+	if (outcome == NotSent || outcome == Lost) && now.Sub(begin) >= silentAfter {
+		b.suspectDomain(w.endpoint.FailureDomain, now)
+	}
 	if outcome == Lost {
 		w.slowness = max(w.slowness, float64(now.Sub(begin))/float64(call))
 		w.shared = true
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -71,7 +71,7 @@
 	slots := 0
 	slowness := 0.0
 	for _, w := range workers {
-		if w.unproved || now.Before(w.restUntil.Add(-lastFullRest)) {
+		if w.out() || now.Before(w.restUntil.Add(-lastFullRest)) {
 			continue
 		}
 		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slowness)
--- a/pkg/batch/proving.go
+++ b/pkg/batch/proving.go
@@ -7,8 +7,29 @@
 	"github.com/sirupsen/logrus"
 )
 
-// reachTimeout bounds how long an endpoint may take to be reached.
-const reachTimeout = 300 * time.Millisecond
+const (
+	// reachTimeout bounds how long an endpoint may take to be reached.
+	reachTimeout = 300 * time.Millisecond
+	// silentAfter is how long a call that failed has taken at least if its endpoint was
+	// silent. One whose process has ended refuses at once.
+	silentAfter = 200 * time.Millisecond
+)
+
+// suspectDomain has the workers of a failure domain reached that have no calls: it may be
+// cut off, and each of them would cost its pieces the time of a call that fails.
+func (b *Batcher) suspectDomain(domain string, now time.Time) {
+	for _, s := range b.services {
+		for _, w := range s.workers {
+			if w.endpoint.FailureDomain != domain || w.running > 0 || w.unproved {
+				continue
+			}
+			w.unproved = true
+			w.restUntil = now
+			w.proving = true
+			go b.reach(s, w)
+		}
+	}
+}
 
 // prove has the workers reached whose last call failed and which have rested: pieces
 // that are urgent do not wait for an endpoint that may be cut off.
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -113,6 +113,10 @@
 	return !w.unproved && w.running < max(1, batching.Slots) && !now.Before(w.restUntil)
 }
 
+// out tells whether its last call failed, and it has not been reached since. One that is
+// only suspected, since another of its failure domain was silent, is not.
+func (w *worker) out() bool { return w.unproved && w.rest > 0 }
+
 // never is a time that no call waits for.
 const never = time.Hour
 
