--- a/pkg/balance/homes.go
+++ b/pkg/balance/homes.go
@@ -16,7 +16,7 @@
 	unseenTokens = 100_000
 	// homesPerShare is by how much the engines of a first part are more than its share of
 	// all tokens would take, so that its subjects spread.
-	homesPerShare = 6
+	homesPerShare = 1.5
 	// maxFirsts bounds the first parts that are noted.
 	maxFirsts = 4096
 )
