balance: homes of first parts taken back

Cause of the failure: an instance sees two requests a second; what instances hold of a part's share differs by more than a power of two.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -77,7 +78,6 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*seen
-	shares    *shares
 	// silent is until when failure domains are suspected to be cut off.
 	silent map[string]time.Time
 }
@@ -117,7 +117,7 @@
 
 // New returns a balancer that has seen nothing.
 func New(clock clockwork.Clock) *Balancer {
-	return &Balancer{clock: clock, endpoints: map[string]*seen{}, shares: newShares(), silent: map[string]time.Time{}}
+	return &Balancer{clock: clock, endpoints: map[string]*seen{}, silent: map[string]time.Time{}}
 }
 
 // Call is a call counted in at its endpoint.
@@ -211,9 +211,6 @@
 	s := b.seen(e.ID)
 	c := &Call{Endpoint: e, balancer: b, begin: now, parts: need.Parts}
 	if need.Engine {
-		if len(need.Parts) > 0 {
-			b.shares.add(now, need.Parts[0].ID, need.tokens())
-		}
 		c.unread = need.tokens() - s.kept.match(need.Parts)
 		c.expected = readTime(c.unread+s.reading, s.slowness)
 		s.reading += c.unread
@@ -300,6 +297,26 @@
 	return false
 }
 
+// homeOf returns the endpoint that is first for the shared parts of a prompt, so that all
+// instances send kindred requests to the same one; empty if there is none. The last part
+// is the request's own.
+func (b *Balancer) homeOf(now time.Time, candidates []fleet.Endpoint, need Need) string {
+	if !need.Engine || len(need.Parts) < 2 {
+		return ""
+	}
+	shared := need.Parts[len(need.Parts)-2].ID
+	home, most := "", uint64(0)
+	for _, e := range candidates {
+		if now.Before(b.seen(e.ID).outUntil) {
+			continue
+		}
+		if weight := xxhash.Sum64String(shared + "/" + e.ID); home == "" || weight > most {
+			home, most = e.ID, weight
+		}
+	}
+	return home
+}
+
 // Expect returns the time to the first event, and the failure domain of the endpoint, that
 // a call which is made some time later is likely to have.
 func (b *Balancer) Expect(candidates []fleet.Endpoint, need Need) (time.Duration, string) {
