--- a/cmd/cobaltcroftd/gateway/stages_test.go
+++ b/cmd/cobaltcroftd/gateway/stages_test.go
@@ -192,7 +192,7 @@
 	})
 
 	It("are given up, not run, while their callers have time to come back", func() {
-		for _, e := range d.Of("second") {
+		for _, e := range d.Of("first") {
 			e.Always(platformtest.Full)
 		}
 		for n := range d.Config.Routes {
