batch, pipeline: slowness is forgotten, and lateness that alone has plans refused falls

The process that stood still took its calls for slow; slow endpoints are avoided, so that nothing more was learnt of them, and since their mean slowness entered the forecast all later plans were refused on it (2,200 to 2,600 ms for 1,400). The lateness that is allowed for could stick in the same way. Ruled out: pieces counted ahead and never out (ahead falls to nothing in the logs). Change: half of a worker's slowness is forgotten in three seconds; a typical call takes the time at which the workers together get through their calls, to which slow ones add little; a refusal that the forecast alone would not have made lowers the lateness. The plan's log line tells it (allowed_ms).

--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -208,7 +208,7 @@
 	}
 	now := b.clock.Now()
 	call := batching.CallTime(len(items))
-	expected := w.expected(call)
+	expected := w.expected(now, call)
 	w.running++
 	w.busyUntil = now.Add(expected)
 	w.reserved += bytes
@@ -264,13 +264,13 @@
 	waiting := len(s.queue.items)
 	unused := b.settle(s, w, items, results, outcome, batching, now)
 	if outcome == Made {
-		w.learn(now.Sub(begin), call)
+		w.learn(now, now.Sub(begin), call)
 	}
 	if (outcome == NotSent || outcome == Lost) && now.Sub(begin) >= silentAfter {
 		b.suspectDomain(w.endpoint.FailureDomain, now)
 	}
 	if outcome == Lost {
-		w.slowness = max(w.slowness, float64(now.Sub(begin))/float64(call))
+		w.slowness, w.learntAt = max(w.slow(now), float64(now.Sub(begin))/float64(call)), now
 		w.shared = true
 	}
 	b.dispatch(s)
--- a/pkg/batch/choice.go
+++ b/pkg/batch/choice.go
@@ -29,7 +29,7 @@
 // where the result will be read, though they are made later there.
 func (s *service) wanted(now time.Time, w *worker, workers []*worker, batching *route.Batching) func(*item) bool {
 	call := batching.CallTime(batching.Size)
-	own := now.Add(w.expected(call))
+	own := now.Add(w.expected(now, call))
 	local := map[string]time.Time{}
 	for _, other := range workers {
 		finish := other.finish(now, call)
@@ -75,7 +75,7 @@
 			continue
 		}
 		local := domain != "" && w.endpoint.FailureDomain == domain
-		if best == nil || local && !bestLocal || local == bestLocal && w.slowness < best.slowness {
+		if best == nil || local && !bestLocal || local == bestLocal && w.slow(now) < best.slow(now) {
 			best, bestLocal = w, local
 		}
 	}
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -69,19 +69,19 @@
 	full := batching.CallTime(batching.Size).Seconds()
 	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
 	slots := 0
-	slowness := 0.0
+	speed := 0.0
 	for _, w := range workers {
 		if w.out() || now.Before(w.restUntil.Add(-lastFullRest)) {
 			continue
 		}
-		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slowness)
+		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slow(now))
 		c.AtOnce += batching.Size * max(1, batching.Slots)
 		slots += max(1, batching.Slots)
-		slowness += w.slowness * float64(max(1, batching.Slots))
+		speed += float64(max(1, batching.Slots)) / w.slow(now)
 	}
 	if slots > 0 {
 		size := max(int(s.typical+0.5), 1+len(s.queue.items)/slots)
-		call := float64(batching.CallTime(min(batching.Size, size))) * slowness / float64(slots)
+		call := float64(batching.CallTime(min(batching.Size, size))) * float64(slots) / speed
 		c.Call = time.Duration(call) + time.Duration(call)/time.Duration(2*slots)
 	}
 	return c
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -10,6 +11,8 @@
 const (
 	// speedWeight is the weight of a new sample in a worker's smoothed speed.
 	speedWeight = 0.4
+	// slownessHalfLife is the time in which half of a worker's slowness is forgotten.
+	slownessHalfLife = 3 * time.Second
 	// firstRest and lastRest bound how long a worker that failed gets no calls.
 	firstRest = 200 * time.Millisecond
 	lastRest  = 3 * time.Second
@@ -33,8 +36,10 @@
 	running int
 	// busyUntil is when the calls under way are expected to end.
 	busyUntil time.Time
-	// slowness is the smoothed time of calls, as a multiple of the configured time.
+	// slowness is the smoothed time of calls, as a multiple of the configured time, as of
+	// learntAt. One that is avoided since it was slow is called again when that is forgotten.
 	slowness float64
+	learntAt time.Time
 	// restUntil is until when it gets no calls; rest is how long the last rest was.
 	restUntil time.Time
 	rest      time.Duration
@@ -133,12 +138,19 @@
 	if w.restUntil.After(begin) {
 		begin = w.restUntil
 	}
-	return begin.Add(w.expected(call))
+	return begin.Add(w.expected(now, call))
 }
 
 // expected is the time that a call of the configured time takes here.
-func (w *worker) expected(call time.Duration) time.Duration {
-	return time.Duration(float64(call) * w.slowness)
+func (w *worker) expected(now time.Time, call time.Duration) time.Duration {
+	return time.Duration(float64(call) * w.slow(now))
+}
+
+// slow is the slowness at a time: what sets it apart from the configured time is forgotten
+// by half in each slownessHalfLife.
+func (w *worker) slow(now time.Time) float64 {
+	known := math.Exp2(-float64(now.Sub(w.learntAt)) / float64(slownessHalfLife))
+	return 1 + known*(w.slowness-1)
 }
 
 // patience is how long a call of the expected time is waited for.
@@ -150,11 +162,12 @@
 }
 
 // learn takes in how long a call took that the configuration gives another time.
-func (w *worker) learn(took, configured time.Duration) {
+func (w *worker) learn(now time.Time, took, configured time.Duration) {
 	if configured <= 0 {
 		return
 	}
 	ratio := float64(took) / float64(configured)
+	w.slowness, w.learntAt = w.slow(now), now
 	w.shared = ratio > sharedFactor*w.slowness
 	w.margin *= marginKept
 	w.slowness += speedWeight * (ratio - w.slowness)
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -17,6 +17,9 @@
 	defer p.mu.Unlock()
 	forecast = p.forecast(part, plan)
 	if forecast+p.lateness.allowed > left {
+		if forecast <= left {
+			p.lateness.refused()
+		}
 		return forecast, false
 	}
 	p.countLocked(part, plan)
--- a/pkg/pipeline/lateness.go
+++ b/pkg/pipeline/lateness.go
@@ -19,6 +19,12 @@
 
 func newLateness() lateness { return lateness{allowed: firstLateness} }
 
+// refused takes in a plan that was refused for the lateness that is allowed for alone: if
+// those are all, nothing else would be learnt.
+func (l *lateness) refused() {
+	l.allowed = max(0, l.allowed-time.Duration(lateShare*float64(latenessStep)))
+}
+
 // learn takes in how a plan that was made ended.
 func (l *lateness) learn(forecast, lasted time.Duration) {
 	step := -time.Duration(lateShare * float64(latenessStep))
--- a/pkg/pipeline/lateness_test.go
+++ b/pkg/pipeline/lateness_test.go
@@ -58,3 +58,16 @@
 		t.Fatalf("a new overload has lasted %v", got)
 	}
 }
+
+func TestLatenessFallsWhereItAloneHasPlansRefused(t *testing.T) {
+	l := newLateness()
+	for range 200 {
+		l.learn(0, time.Minute)
+	}
+	for range 200 {
+		l.refused()
+	}
+	if l.allowed != 0 {
+		t.Fatalf("allowed %v after 200 refusals for it alone", l.allowed)
+	}
+}
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -65,7 +65,7 @@
 	forecast, admitted := p.admit(part, &plan)
 	p.log.WithFields(logrus.Fields{
 		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": forecast.Milliseconds(),
-		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "admitted": admitted, "domain": plan.Domain,
+		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "allowed_ms": p.allowed().Milliseconds(), "admitted": admitted, "domain": plan.Domain,
 	}).Info()
 	if !admitted {
 		p.refused.Inc()
@@ -94,6 +94,13 @@
 	p.readers.failed(p.clock.Now(), endpoint)
 }
 
+// allowed is by how much plans may last longer than forecast.
+func (p *Planner) allowed() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lateness.allowed
+}
+
 // chooseReader chooses where a request runs whose stages are made.
 func (p *Planner) chooseReader(plan *Plan, results []batch.Result) string {
 	p.mu.Lock()
