peers, handover: sockets for peers in one place; contacts own all parts at first only where those are few

Cause: listenPeers stood twice, in daemon and gateway; and by arithmetic three contacts would get all plans of the users' planned size for 1.5 s when all instances start together. Change: peers.Listen and peers.ListenTCP; contacts own all parts of instances that join only if there are at most four parts for each.

--- a/cmd/cobaltcroftd/daemon/faces.go
+++ b/cmd/cobaltcroftd/daemon/faces.go
@@ -38,7 +38,7 @@
 type httpFace struct{ server *http.Server }
 
 func startHTTP(t *tomb.Tomb, log *logrus.Entry, face, address string, handler http.Handler) (*httpFace, error) {
-	listener, err := listen(face, address)
+	listener, err := peers.ListenTCP(face, address)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/cobaltcroftd/daemon/services.go
+++ b/cmd/cobaltcroftd/daemon/services.go
@@ -81,7 +81,7 @@
 		return err
 	}
 	log := b.logs.For("peers")
-	s.listener, s.udp, err = listenPeers(b.settings.Listen.Peers)
+	s.listener, s.udp, err = peers.Listen(b.settings.Listen.Peers)
 	if err != nil {
 		return err
 	}
@@ -104,42 +104,12 @@
 	return nil
 }
 
-// peerPortTries bounds the search for a port that is free for TCP and UDP alike,
-// where the settings leave the choice to the system.
-const peerPortTries = 20
-
-func listenPeers(address string) (net.Listener, *net.UDPConn, error) {
-	var last error
-	for range peerPortTries {
-		listener, err := listen("peers", address)
-		if err != nil {
-			return nil, nil, err
-		}
-		tcp := listener.Addr().(*net.TCPAddr)
-		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: tcp.IP, Port: tcp.Port})
-		if err == nil {
-			return listener, udp, nil
-		}
-		last = err
-		_ = listener.Close()
-	}
-	return nil, nil, problem.Wrap(last, problem.Invalid, "use an address whose port is free for UDP too", "listen.peers %s", address)
-}
-
 // Stop implements kernel.Service.
 func (s *peersService) Stop() {
 	_ = s.listener.Close()
 	s.client.Close()
 }
 
-func listen(face, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, problem.Wrap(err, problem.Invalid, "use an address of this machine with a free port", "listen.%s %s", face, address)
-	}
-	return listener, nil
-}
-
 func logListening(log *logrus.Entry, face, address string) {
 	log.WithFields(logrus.Fields{"event": "listening", "face": face, "address": address}).Info()
 }
--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -30,7 +30,6 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
-	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
@@ -125,37 +124,15 @@
 func (g *Gateway) listen() error {
 	l := g.settings.Listen
 	var errs [4]error
-	g.listeners.requests, errs[0] = listenTCP("requests", l.Requests)
-	g.listeners.readiness, errs[1] = listenTCP("readiness", l.Readiness)
-	g.listeners.peers, g.listeners.heartbeat, errs[2] = listenPeers(l.Peers)
+	g.listeners.requests, errs[0] = peers.ListenTCP("requests", l.Requests)
+	g.listeners.readiness, errs[1] = peers.ListenTCP("readiness", l.Readiness)
+	g.listeners.peers, g.listeners.heartbeat, errs[2] = peers.Listen(l.Peers)
 	if l.Metrics != "" {
-		g.listeners.metrics, errs[3] = listenTCP("metrics", l.Metrics)
+		g.listeners.metrics, errs[3] = peers.ListenTCP("metrics", l.Metrics)
 	}
 	return errors.Join(errs[:]...)
 }
 
-// peerPortTries bounds the search for a port that is free for TCP and UDP alike, where the
-// settings leave the choice to the system.
-const peerPortTries = 20
-
-func listenPeers(address string) (net.Listener, *net.UDPConn, error) {
-	var last error
-	for range peerPortTries {
-		listener, err := listenTCP("peers", address)
-		if err != nil {
-			return nil, nil, err
-		}
-		tcp := listener.Addr().(*net.TCPAddr)
-		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: tcp.IP, Port: tcp.Port})
-		if err == nil {
-			return listener, udp, nil
-		}
-		last = err
-		_ = listener.Close()
-	}
-	return nil, nil, problem.Wrap(last, problem.Invalid, "use an address whose port is free for UDP too", "listen.peers %s", address)
-}
-
 // Addresses are those at which an instance listens.
 type Addresses struct {
 	Requests  string
@@ -179,14 +156,6 @@
 	}
 }
 
-func listenTCP(face, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, problem.Wrap(err, problem.Invalid, "use an address of this machine with a free port", "listen.%s %s", face, address)
-	}
-	return listener, nil
-}
-
 // assemble makes the parts, from those that need nothing to those that need most.
 func (g *Gateway) assemble() {
 	s := g.settings
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -36,6 +36,9 @@
 	// for the owners, though it has not heard of them: others that start with it know no
 	// more members than it does.
 	joining = 1500 * time.Millisecond
+	// partsPerContact is how many parts a contact can own meanwhile. Where there are more,
+	// instances that start together plan for themselves at first.
+	partsPerContact = 4
 	// suspectsOfDomain is how many suspected instances of another failure domain make the
 	// others of it be passed over too.
 	suspectsOfDomain = 2
@@ -108,7 +111,7 @@
 // part's order; later the one whose part it is, if it ranks.
 func (o *owners) contactsFor(part pipeline.Part, list []owner) []string {
 	var chosen []string
-	if o.clock.Now().Before(o.joined) {
+	if o.clock.Now().Before(o.joined) && part.Of <= partsPerContact*len(o.contacts) {
 		for i := range o.contacts {
 			address := o.contacts[(part.Number+i)%len(o.contacts)]
 			if !o.suspected(address) {
--- a/service/handover/owners_test.go
+++ b/service/handover/owners_test.go
@@ -151,6 +151,12 @@
 		Expect(o.candidates(pipeline.Part{Number: 1})).To(Equal([]string{self(5).PeerAddress, "gone", self(3).PeerAddress}))
 	})
 
+	It("are not the contacts at first where those would have too many parts", func() {
+		o := newOwners(clock, self(0), func() []membership.Member { return nil }, []string{self(3).PeerAddress})
+		Expect(o.candidates(pipeline.Part{Number: 1, Of: 4})[0]).To(Equal(self(3).PeerAddress))
+		Expect(o.candidates(pipeline.Part{Number: 1, Of: 8})).To(Equal([]string{self(0).PeerAddress}))
+	})
+
 	It("stay the contacts while they live, each for one part, whatever else is known", func() {
 		contacts := []string{self(3).PeerAddress, self(5).PeerAddress, "gone"}
 		for n := range 8 {
