discovery: what came is delivered though its call's time is over

A watch's answer was handed to the owner of the view under the call's own deadline: one that came as that ended was dropped half of the time, while the next watch went on after it. The store was slow then (a change was acknowledged 0.56 s after it was sent), so that answers came near their ends. Change: the deadline bounds the call alone. Test: a source whose answers come when their time is over; it failed before, and passes.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -29,10 +29,12 @@
 
 // source is a source, or the peers, whose state the test sets.
 type source struct {
-	mu      sync.Mutex
-	state   discovery.State
-	out     bool
-	gone    bool
+	mu    sync.Mutex
+	state discovery.State
+	out   bool
+	gone  bool
+	// tardy has answers come when the time of their calls is over.
+	tardy   bool
 	relays  []string
 	watches int
 	relayed int
@@ -75,12 +77,22 @@
 			for _, e := range state.Endpoints {
 				changes.Endpoints = append(changes.Endpoints, fleet.Change{Endpoint: e})
 			}
+			if s.isTardy() {
+				<-ctx.Done()
+				return changes, nil
+			}
 			return changes, ctx.Err()
 		}
 		time.Sleep(time.Millisecond)
 	}
 }
 
+func (s *source) isTardy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tardy
+}
+
 func (s *source) takeGone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,6 +211,16 @@
 		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
 	})
 
+	It("takes changes in that come when the time of their call is over", func() {
+		put(store, state(5, 4, 1, "a"))
+		Eventually(version).Should(Equal(uint64(1)))
+		store.set(func(s *source) { s.tardy = true })
+		for n := uint64(2); n <= 8; n++ {
+			put(store, state(5*n, 5*n, n, "a"))
+			Eventually(version).WithTimeout(4 * time.Second).Should(Equal(n))
+		}
+	})
+
 	// outage has the source out for long enough that entries may lapse there.
 	outage := func() {
 		GinkgoHelper()
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -168,13 +168,14 @@
 	return now
 }
 
-// step reads all, or waits for changes, and returns the revision to go on from.
+// step reads all, or waits for changes, and returns the revision to go on from. What came
+// is delivered though the time of its call is over: the next watch goes on after it.
 func (f *Follower) step(ctx context.Context, since uint64) (uint64, error) {
 	at := f.clock.Now()
 	if since == 0 {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		state, err := f.source.State(ctx)
+		state, err := f.source.State(callCtx)
 		if err != nil {
 			return 0, err
 		}
@@ -182,9 +183,9 @@
 		return state.Revision, nil
 	}
 	wait := f.watchWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	changes, err := f.source.Watch(ctx, since, wait)
+	changes, err := f.source.Watch(callCtx, since, wait)
 	if err != nil {
 		return 0, err
 	}
