--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
@@ -78,6 +79,7 @@
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
 	face     *ingress.Face
+	router   *handover.Router
 	handler  *handover.Handler
 	server   *peers.Server
 
@@ -168,7 +170,7 @@
 	g.store = platform.NewStore(s.Store)
 	g.client = peers.NewClient(s.Instance, s.PeerToken)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
-	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter}, g.gossip, g.clock, g.logs.For("peers"))
+	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims}, g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers}, g.clock, g.logs.For("discovery"))
 	g.conns = httpconn.NewPool(g.clock, g.metrics)
 	g.balancer = balance.New(g.clock)
@@ -176,9 +178,11 @@
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower}, g.pieces, g.clock, g.metrics, g.logs.For("batch"))
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
-	router := handover.NewRouter(handover.Options{
+	g.router = handover.NewRouter(handover.Options{
 		Self:      self,
 		Live:      g.group.Live,
+		Leaving:   g.group.Leaving,
+		Tell:      g.group.Tell,
 		Contacts:  s.Peers,
 		Client:    g.client,
 		Planner:   planner,
@@ -193,7 +197,7 @@
 		Conns:     g.conns,
 		Balancer:  g.balancer,
 		Budget:    g.budget,
-		Stages:    router,
+		Stages:    g.router,
 		Clock:     g.clock,
 		Log:       g.logs.For("request"),
 		Metrics:   g.metrics,
@@ -201,7 +205,7 @@
 		Instances: g.instances,
 	})
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.handler = handover.NewHandler(planner, g.batcher, g.follower, g.clock)
+	g.handler = handover.NewHandler(g.router, g.follower)
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.logs.For("peers"))
 }
 
@@ -209,6 +213,11 @@
 	return retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window()}
 }
 
+// claims and hearClaims tell and hear who owns which part. Heartbeats begin when all is put
+// together.
+func (g *Gateway) claims() []ownership.Claim          { return g.router.Claims() }
+func (g *Gateway) hearClaims(heard []ownership.Claim) { g.router.HearClaims(heard) }
+
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -38,7 +38,6 @@
 	g.log.WithFields(logrus.Fields{"event": "stopping", "signal": signal.String(), "in_flight": g.face.InFlight()}).Info()
 	g.stopping.begin()
 	g.group.Leave()
-	g.handler.Leave()
 	g.face.Leave()
 	end := begin.Add(g.settings.StopGrace() - exitSlack)
 	drain := begin.Add(time.Duration(drainPart * float64(g.settings.StopGrace())))
@@ -52,6 +51,7 @@
 		if now.After(drain) {
 			g.executor.Drain()
 		}
+		g.router.Leave()
 		if g.face.InFlight() > 0 || g.handler.UnderWay() > 0 {
 			quietSince = now
 		}
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -56,8 +56,10 @@
 	Bytes int64 `json:"bytes,omitempty"`
 	// Queue is where the piece waited.
 	Queue Queue `json:"queue"`
-	// Until is when the maker gives it up by itself.
-	Until time.Time `json:"-"`
+	// Until is when the maker gives it up by itself; LeftMs is the same as the time left in
+	// milliseconds, for the way between instances.
+	Until  time.Time `json:"-"`
+	LeftMs int64     `json:"left_ms,omitempty"`
 }
 
 // Queue names where pieces wait: at a service, or at one of the equal parts into which its
@@ -75,6 +77,9 @@
 	// calls when all work on full ones.
 	PerSecond float64
 	AtOnce    int
+	// Others is how many pieces could be made in the time that calls of another planner still
+	// take.
+	Others float64
 	// Call is the time that a call takes that is made now.
 	Call time.Duration
 	// RoomBytes is an endpoint's memory for results, and Size the pieces of a full call.
@@ -106,6 +111,8 @@
 	Failed Reason = "failed"
 	// Exhausted: it failed, and may not be tried again.
 	Exhausted Reason = "exhausted"
+	// Moved: another instance plans the part now; what was not made is to be made there.
+	Moved Reason = "moved"
 	// Stopped: the instance that was to have it made stopped.
 	Stopped Reason = "stopped"
 )
@@ -131,6 +138,8 @@
 type Caller interface {
 	// Run makes a call. Results are in the order of the pieces if the outcome is Made.
 	Run(ctx context.Context, endpoint fleet.Endpoint, pieces []Piece) ([]Result, CallOutcome)
+	// Report asks an endpoint what it does.
+	Report(ctx context.Context, endpoint fleet.Endpoint) (Report, error)
 	// Reach tells whether an endpoint can be reached; it asks nothing of it.
 	Reach(ctx context.Context, endpoint fleet.Endpoint) error
 	// Free gives results up at their maker.
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -62,6 +62,12 @@
 	workers map[string]*worker
 	// typical is the smoothed number of pieces in a call.
 	typical float64
+	// released says that another instance plans here now: no call begins.
+	released bool
+	// lookedAt is when something was last sent to or asked of the endpoints; inspection is
+	// closed when those under way have been asked, nil if none is.
+	lookedAt   time.Time
+	inspection chan struct{}
 }
 
 // typicalWeight is the weight of a new call in the typical number of pieces.
@@ -154,6 +160,10 @@
 	batching := b.known.Batching(s.at.Service)
 	now := b.clock.Now()
 	s.queue.drop(now)
+	if s.released {
+		s.queue.settleAll(Moved)
+		return
+	}
 	if batching == nil {
 		return
 	}
@@ -207,6 +217,7 @@
 		}
 	}
 	now := b.clock.Now()
+	s.lookedAt = now
 	call := batching.CallTime(len(items))
 	expected := w.expected(now, call)
 	w.running++
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -74,7 +74,11 @@
 		if w.out() || now.Before(w.restUntil.Add(-lastFullRest)) {
 			continue
 		}
-		c.PerSecond += float64(batching.Size*max(1, batching.Slots)) / (full * w.slow(now))
+		perSecond := float64(batching.Size*max(1, batching.Slots)) / (full * w.slow(now))
+		c.PerSecond += perSecond
+		if w.others.running(now) > 0 {
+			c.Others += perSecond * w.others.until.Sub(now).Seconds()
+		}
 		c.AtOnce += batching.Size * max(1, batching.Slots)
 		slots += max(1, batching.Slots)
 		speed += float64(max(1, batching.Slots)) / w.slow(now)
--- a/pkg/batch/queue.go
+++ b/pkg/batch/queue.go
@@ -113,6 +113,16 @@
 	})
 }
 
+// settleAll settles all that waits with a reason.
+func (q *queue) settleAll(reason Reason) {
+	for _, i := range q.items {
+		if !i.group.abandoned {
+			i.group.settle(i.slot, Result{Reason: reason})
+		}
+	}
+	q.items = nil
+}
+
 // take removes the first pieces that fit: at most size of them, of at most room bytes, of
 // those that wanted holds for. Pieces of a request go together where they can, so that no
 // result waits for others that are made in a later call; parts of requests are taken only
--- a/pkg/batch/standin_test.go
+++ b/pkg/batch/standin_test.go
@@ -42,6 +42,8 @@
 	mu    sync.Mutex
 	ready []fleet.Endpoint
 	freed []string
+	// reports are what endpoints tell that answer when asked.
+	reports map[string]batch.Report
 	// cut are the endpoints that can't be reached, and reaches how often one was tried.
 	cut     map[string]bool
 	reaches int
@@ -68,6 +70,16 @@
 	return nil
 }
 
+func (e *endpoints) Report(_ context.Context, endpoint fleet.Endpoint) (batch.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report, ok := e.reports[endpoint.ID]
+	if !ok {
+		return batch.Report{}, errors.New("does not answer")
+	}
+	return report, nil
+}
+
 func (e *endpoints) setCut(id string, cut bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -108,6 +120,8 @@
 func (e *endpoints) Count(string, int) {}
 
 func (e *endpoints) Take(string, int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.budget--
 	return e.budget >= 0
 }
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -36,6 +36,8 @@
 	running int
 	// busyUntil is when the calls under way are expected to end.
 	busyUntil time.Time
+	// others are the calls of another planner that are under way there.
+	others othersWork
 	// slowness is the smoothed time of calls, as a multiple of the configured time, as of
 	// learntAt. One that is avoided since it was slow is called again when that is forgotten.
 	slowness float64
@@ -79,16 +81,21 @@
 
 // room returns the bytes free for results.
 func (w *worker) room(now time.Time, batching *route.Batching) int64 {
-	used := w.reserved
+	used := w.reserved + w.others.reserved(now) + w.heldBytes(now) + w.othersRoom(now, batching)
+	return int64(float64(batching.RoomBytes)*(1-w.margin)) - used
+}
+
+// heldBytes is the room of the results that the endpoint keeps.
+func (w *worker) heldBytes(now time.Time) int64 {
+	bytes := int64(0)
 	for handle, r := range w.held {
 		if now.After(r.until) {
 			delete(w.held, handle)
 			continue
 		}
-		used += r.bytes
+		bytes += r.bytes
 	}
-	used += w.othersRoom(now, batching)
-	return int64(float64(batching.RoomBytes)*(1-w.margin)) - used
+	return bytes
 }
 
 // othersRoom is the room that results of others still take, which go one by one.
@@ -115,7 +122,7 @@
 
 // usable tells whether it can take a call now.
 func (w *worker) usable(now time.Time, batching *route.Batching) bool {
-	return !w.unproved && w.running < max(1, batching.Slots) && !now.Before(w.restUntil)
+	return !w.unproved && w.running+w.others.running(now) < max(1, batching.Slots) && !now.Before(w.restUntil)
 }
 
 // out tells whether its last call failed, and it has not been reached since. One that is
@@ -131,16 +138,25 @@
 	if w.unproved {
 		return now.Add(never)
 	}
-	begin := now
-	if w.running > 0 && w.busyUntil.After(now) {
-		begin = w.busyUntil
-	}
+	begin := w.busyAt(now)
 	if w.restUntil.After(begin) {
 		begin = w.restUntil
 	}
 	return begin.Add(w.expected(now, call))
 }
 
+// busyAt is when the calls under way are expected to have ended; now if there are none.
+func (w *worker) busyAt(now time.Time) time.Time {
+	until := now
+	if w.running > 0 && w.busyUntil.After(until) {
+		until = w.busyUntil
+	}
+	if w.others.until.After(until) {
+		until = w.others.until
+	}
+	return until
+}
+
 // expected is the time that a call of the configured time takes here.
 func (w *worker) expected(now time.Time, call time.Duration) time.Duration {
 	return time.Duration(float64(call) * w.slow(now))
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -13,6 +13,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 )
 
 const (
@@ -30,6 +31,10 @@
 	Contacts     []string
 	Heartbeat    time.Duration
 	SuspectAfter time.Duration
+	// Claims returns what is told of the owners of parts; HeardClaims takes in what others
+	// tell, and must not block. Both may be nil.
+	Claims      func() []ownership.Claim
+	HeardClaims func([]ownership.Claim)
 }
 
 // Transport sends heartbeats. Its method must not block.
@@ -44,13 +49,15 @@
 	clock     clockwork.Clock
 	log       *logrus.Entry
 	heard     chan membership.Heartbeat
-	leaving   atomic.Bool
-	members   atomic.Pointer[[]membership.Member]
+	// news says that something was decided here which the others are told at once.
+	news    chan struct{}
+	leaving atomic.Bool
+	members atomic.Pointer[[]membership.Member]
 }
 
 // New returns a group that knows its contacts only.
 func New(settings Settings, transport Transport, clock clockwork.Clock, log *logrus.Entry) *Group {
-	g := &Group{settings: settings, transport: transport, clock: clock, log: log, heard: make(chan membership.Heartbeat, queueLength)}
+	g := &Group{settings: settings, transport: transport, clock: clock, log: log, heard: make(chan membership.Heartbeat, queueLength), news: make(chan struct{}, 1)}
 	g.members.Store(&[]membership.Member{})
 	return g
 }
@@ -67,17 +74,34 @@
 }
 
 // Leave has the others told that this instance leaves.
-func (g *Group) Leave() { g.leaving.Store(true) }
+func (g *Group) Leave() {
+	g.leaving.Store(true)
+	g.Tell()
+}
+
+// Tell has a heartbeat sent at once.
+func (g *Group) Tell() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
 
 // Live returns the other members that live and are not leaving.
-func (g *Group) Live() []membership.Member {
-	var live []membership.Member
+func (g *Group) Live() []membership.Member { return g.with(membership.Live) }
+
+// Leaving returns the other members that are leaving.
+func (g *Group) Leaving() []membership.Member { return g.with(membership.Leaving) }
+
+// with returns the other members in a state.
+func (g *Group) with(state membership.State) []membership.Member {
+	var members []membership.Member
 	for _, m := range *g.members.Load() {
-		if m.State == membership.Live {
-			live = append(live, m)
+		if m.State == state {
+			members = append(members, m)
 		}
 	}
-	return live
+	return members
 }
 
 // Run owns the state until t dies.
@@ -92,6 +116,11 @@
 		select {
 		case h := <-g.heard:
 			g.tell(members.Observe(g.clock.Now(), h))
+			if g.settings.HeardClaims != nil && len(h.Claims) > 0 {
+				g.settings.HeardClaims(h.Claims)
+			}
+		case <-g.news:
+			g.beat(members)
 		case <-ticker.Chan():
 			g.tell(members.Tick(g.clock.Now()))
 			g.beat(members)
@@ -111,6 +140,9 @@
 func (g *Group) beat(members *membership.Members) {
 	h, to := members.Next(g.clock.Now(), rand.IntN)
 	h.Leaving = g.leaving.Load()
+	if g.settings.Claims != nil {
+		h.Claims = g.settings.Claims()
+	}
 	g.transport.Broadcast(h, nil, to)
 }
 
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 )
 
 // State of a member.
@@ -45,6 +47,11 @@
 	PeerAddress   string
 }
 
+// Owner is this instance as the owner of a part.
+func (s Self) Owner() ownership.Owner {
+	return ownership.Owner{Name: s.Name, Incarnation: s.Incarnation, PeerAddress: s.PeerAddress}
+}
+
 // Heartbeat is what one instance tells of itself and what it knows.
 type Heartbeat struct {
 	From     Self
@@ -55,6 +62,8 @@
 	Suspects []string
 	// Known are a few live instances.
 	Known []Self
+	// Claims say who owns parts of the stage endpoints, as far as the sender tells.
+	Claims []ownership.Claim
 }
 
 // Member is what is known of one other instance.
@@ -63,7 +72,9 @@
 	State    State
 	Revision uint64
 	// Heard is when its last heartbeat came.
-	Heard    time.Time
+	Heard time.Time
+	// Since is when its state last changed.
+	Since    time.Time
 	sequence uint64
 	// witnesses are the instances that miss it, and when they last said so.
 	witnesses map[string]time.Time
@@ -140,6 +151,7 @@
 		member.State = Leaving
 	}
 	if member.State != before {
+		member.Since = now
 		changes = append(changes, Change{Member: member.Self, State: member.State, New: isNew})
 	}
 	m.hearSuspects(now, h)
@@ -200,6 +212,7 @@
 		}
 		if member.State == Live && m.suspect(now, member) {
 			member.State = Suspected
+			member.Since = now
 			changes = append(changes, Change{Member: member.Self, State: Suspected})
 		}
 	}
--- /dev/null
+++ b/pkg/ownership/table.go
@@ -0,0 +1,123 @@
+// Package ownership says which instance owns each part of the stage endpoints. It is a state
+// machine without I/O or clock: claims that were heard are handed in.
+//
+// An owner keeps its part while it lives, whoever else would rank first. Each claim carries a
+// term, which grows with every change of owner; of two claims the one with the greater term
+// holds, and whoever held the other yields. Owning is a preference, not a right: two owners at
+// once, which have not heard of each other yet, only send smaller calls.
+package ownership
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Part is one of the equal parts into which the stage endpoints are cut.
+type Part struct {
+	Number int `json:"number"`
+	Of     int `json:"of"`
+}
+
+// Owner is one life of an instance that owns a part.
+type Owner struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	PeerAddress string `json:"peer_address"`
+}
+
+// Claim says that an instance owns a part since a term. The zero claim is nobody's.
+type Claim struct {
+	Part  Part   `json:"part"`
+	Term  uint64 `json:"term"`
+	Owner Owner  `json:"owner"`
+}
+
+// Beats tells whether a claim holds against another of the same part. Claims of one term were
+// made by instances that did not reach each other; all choose the same of them.
+func (c Claim) Beats(other Claim) bool {
+	return cmp.Or(
+		cmp.Compare(c.Term, other.Term),
+		cmp.Compare(c.Owner.Name, other.Owner.Name),
+		cmp.Compare(c.Owner.Incarnation, other.Owner.Incarnation),
+	) > 0
+}
+
+// maxTermStep bounds by how much one heard claim may raise a term, so that a damaged one does
+// not use the terms up.
+const maxTermStep = 1 << 32
+
+// Table is what one instance knows of the owners. Not safe for concurrent use.
+type Table struct {
+	self   Owner
+	claims map[Part]Claim
+}
+
+// NewTable returns a table without claims.
+func NewTable(self Owner) *Table {
+	return &Table{self: self, claims: map[Part]Claim{}}
+}
+
+// Self is this instance.
+func (t *Table) Self() Owner { return t.self }
+
+// Holder returns the claim that holds for a part, as far as is known.
+func (t *Table) Holder(part Part) (Claim, bool) {
+	claim, ok := t.claims[part]
+	return claim, ok
+}
+
+// Owns tells whether this instance owns a part.
+func (t *Table) Owns(part Part) bool {
+	return t.claims[part].Owner == t.self
+}
+
+// Claim makes this instance the owner of a part, in a term after all that it has heard of.
+func (t *Table) Claim(part Part) Claim { return t.Assign(part, t.self) }
+
+// Assign makes an instance the owner of a part, in a term after all that this one has heard of.
+func (t *Table) Assign(part Part, owner Owner) Claim {
+	claim := Claim{Part: part, Term: t.claims[part].Term + 1, Owner: owner}
+	t.claims[part] = claim
+	return claim
+}
+
+// Change is a change of a part's owner as this instance sees it.
+type Change struct {
+	Before Claim
+	After  Claim
+}
+
+// Hear takes claims in that others told of, and returns what they changed. A claim that does
+// not hold against the known one changes nothing.
+func (t *Table) Hear(claims []Claim) []Change {
+	var changes []Change
+	for _, claim := range claims {
+		before := t.claims[claim.Part]
+		if !valid(claim) || claim.Term-min(before.Term, claim.Term) > maxTermStep || !claim.Beats(before) {
+			continue
+		}
+		t.claims[claim.Part] = claim
+		changes = append(changes, Change{Before: before, After: claim})
+	}
+	return changes
+}
+
+// valid tells whether a claim says something: that of an unknown part or of nobody does not.
+func valid(c Claim) bool {
+	return c.Term > 0 && c.Owner.Name != "" && c.Owner.PeerAddress != "" &&
+		c.Part.Of >= 1 && c.Part.Number >= 0 && c.Part.Number < c.Part.Of
+}
+
+// Own returns the claims of this instance, in the order of their parts.
+func (t *Table) Own() []Claim {
+	var own []Claim
+	for _, claim := range t.claims {
+		if claim.Owner == t.self {
+			own = append(own, claim)
+		}
+	}
+	slices.SortFunc(own, func(a, b Claim) int {
+		return cmp.Or(cmp.Compare(a.Part.Of, b.Part.Of), cmp.Compare(a.Part.Number, b.Part.Number))
+	})
+	return own
+}
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -16,6 +16,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	forecast = p.forecast(part, plan)
+	if plan.begun() {
+		p.countLocked(part, plan)
+		return forecast, true
+	}
 	if forecast+p.lateness.allowed > left {
 		if forecast <= left {
 			p.lateness.refused()
@@ -50,8 +54,8 @@
 }
 
 func (p *Planner) countLocked(part Part, plan *Plan) {
-	for _, stage := range plan.Stages {
-		p.ahead[part.queue(stage.Service)] += stage.Pieces
+	for i, pieces := range plan.missing() {
+		p.ahead[queueOf(part, plan.Stages[i].Service)] += len(pieces)
 	}
 }
 
@@ -69,15 +73,16 @@
 // the wait for what is ahead there beyond what has been done by then, and a call.
 func (p *Planner) forecast(part Part, plan *Plan) time.Duration {
 	ends := make([]time.Duration, len(plan.Stages))
+	missing := plan.missing()
 	var longest time.Duration
 	for i, stage := range plan.Stages {
 		for _, before := range stage.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		if stage.Pieces == 0 {
+		if len(missing[i]) == 0 {
 			continue
 		}
-		ends[i] += p.stageTime(part.queue(stage.Service), stage.Pieces, ends[i])
+		ends[i] += p.stageTime(queueOf(part, stage.Service), len(missing[i]), ends[i])
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -89,7 +94,7 @@
 	if capacity.PerSecond <= 0 {
 		return unknownTime
 	}
-	ahead := float64(p.ahead[queue]+pieces) - float64(capacity.AtOnce) - capacity.PerSecond*begins.Seconds()
+	ahead := capacity.Others + float64(p.ahead[queue]+pieces) - float64(capacity.AtOnce) - capacity.PerSecond*begins.Seconds()
 	wait := time.Duration(max(0, ahead) / capacity.PerSecond * float64(time.Second))
 	return wait + capacity.Call
 }
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -77,6 +77,16 @@
 	return append([]string(nil), m.freed...)
 }
 
+func (m *maker) Inspect(context.Context, []batch.Queue) {}
+
+func (m *maker) Release(int, int) batch.Ledger { return batch.Ledger{} }
+
+func (m *maker) Take(int, int, batch.Ledger) {}
+
+func (m *maker) Resume(int, int) {}
+
+func (m *maker) Adopt([]batch.Result) {}
+
 func (m *maker) Capacity(batch.Queue) batch.Capacity { return m.capacity }
 
 var _ = Describe("a planner", func() {
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 )
 
 // Stage is the work of one request in one stage.
@@ -37,6 +38,9 @@
 	Domain string `json:"domain,omitempty"`
 	// Readers are endpoints where the request may run; none: the planner does not choose.
 	Readers []Reader `json:"readers,omitempty"`
+	// Made has, by stage and piece, the results that another planner had made before the part
+	// moved. Those without a handle are still to be made.
+	Made [][]batch.Result `json:"made,omitempty"`
 }
 
 // Outcome is what came of a plan.
@@ -49,6 +53,8 @@
 	Planner string `json:"-"`
 	// Reason says why there are none.
 	Reason batch.Reason `json:"reason,omitempty"`
+	// Made has what was made of a plan that moved, as the plan's Made.
+	Made [][]batch.Result `json:"made,omitempty"`
 	// RetryAfter is when a request that was refused may come back; 0: not told.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
@@ -56,11 +62,15 @@
 // Busy is the reason of a plan that was refused before anything was made.
 const Busy batch.Reason = "busy"
 
-// Part is one of the equal parts into which the endpoints are cut. Its planner makes the
-// stages of the requests that fall to it.
-type Part struct {
-	Number int `json:"number"`
-	Of     int `json:"of"`
+// Part is one of the equal parts into which the endpoints are cut. The planner of its owner
+// makes the stages of the requests that fall to it.
+type Part = ownership.Part
+
+// Ledger is what one planner knows of a part, for the next one.
+type Ledger struct {
+	Pieces batch.Ledger `json:"pieces"`
+	// LatenessMs is by how much most plans lasted longer than forecast, in milliseconds.
+	LatenessMs int64 `json:"lateness_ms"`
 }
 
 // read tells which stages some other stage reads.
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -19,6 +19,15 @@
 	Make(ctx context.Context, at batch.Queue, pieces []batch.Piece, read func()) []batch.Result
 	// Free gives results up.
 	Free(results []batch.Result)
+	// Inspect asks the endpoints of queues what they do, where that is not known.
+	Inspect(ctx context.Context, queues []batch.Queue)
+	// Release stops the work of a part of so many, and returns what is known of its endpoints;
+	// Take begins it with what another knew, Resume with nothing.
+	Release(part, parts int) batch.Ledger
+	Take(part, parts int, ledger batch.Ledger)
+	Resume(part, parts int)
+	// Adopt counts results in that another planner had made.
+	Adopt(results []batch.Result)
 	// Capacity returns what the endpoints of a queue can do.
 	Capacity(at batch.Queue) batch.Capacity
 }
@@ -54,14 +63,19 @@
 	}
 }
 
-func (part Part) queue(service string) batch.Queue {
+func queueOf(part Part, service string) batch.Queue {
 	return batch.Queue{Service: service, Part: part.Number, Parts: part.Of}
 }
 
-// Run makes the stages of a plan, unless they would not be done in time. If ctx ends
-// before, what was made is freed.
+// Run makes the stages of a plan, or what is missing of them, unless they would not be done in
+// time. If ctx ends before, what was made is freed.
 func (p *Planner) Run(ctx context.Context, part Part, plan Plan) Outcome {
 	begin := p.clock.Now()
+	plan.dropMalformed()
+	p.inspect(ctx, part, &plan)
+	for _, made := range plan.Made {
+		p.pieces.Adopt(made)
+	}
 	forecast, admitted := p.admit(part, &plan)
 	p.log.WithFields(logrus.Fields{
 		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": forecast.Milliseconds(),
@@ -78,6 +92,7 @@
 	}
 	if outcome.Reason == batch.Gone && p.clock.Now().Before(plan.Due) {
 		p.log.WithFields(logrus.Fields{"event": "plan_again", "id": plan.Request}).Info()
+		plan.Made = nil
 		p.count(part, &plan)
 		outcome = newWork(p, part, &plan).run(ctx)
 	}
@@ -111,13 +126,15 @@
 // work is a plan under way.
 type work struct {
 	*Planner
-	part   Part
-	plan   *Plan
-	read   []bool
-	waits  [][]int
-	tails  []int
-	cancel context.CancelFunc
-	done   []chan struct{}
+	part  Part
+	plan  *Plan
+	read  []bool
+	waits [][]int
+	tails []int
+	// missing are the pieces of each stage that are to be made.
+	missing [][]int
+	cancel  context.CancelFunc
+	done    []chan struct{}
 
 	mu     sync.Mutex
 	made   [][]batch.Result
@@ -132,11 +149,16 @@
 		read:    plan.read(),
 		waits:   plan.waits(),
 		tails:   plan.tails(),
+		missing: plan.missing(),
 		done:    make([]chan struct{}, len(plan.Stages)),
 		made:    make([][]batch.Result, len(plan.Stages)),
 	}
 	for i := range w.done {
 		w.done[i] = make(chan struct{})
+		w.made[i] = make([]batch.Result, plan.Stages[i].Pieces)
+		if plan.Made != nil {
+			copy(w.made[i], plan.Made[i])
+		}
 	}
 	return w
 }
@@ -149,9 +171,12 @@
 		group.Go(func() { w.stage(ctx, i) })
 	}
 	group.Wait()
-	if w.reason == "" && ctx.Err() != nil {
+	if (w.reason == "" || w.reason == batch.Moved) && ctx.Err() != nil {
 		w.reason = batch.Late
 	}
+	if w.reason == batch.Moved {
+		return Outcome{Reason: batch.Moved, Made: w.made}
+	}
 	if w.reason != "" {
 		for _, results := range w.made {
 			w.pieces.Free(results)
@@ -171,33 +196,44 @@
 func (w *work) stage(ctx context.Context, i int) {
 	defer close(w.done[i])
 	stage := &w.plan.Stages[i]
-	queue := w.part.queue(stage.Service)
-	defer w.finished(queue, stage.Pieces)
+	queue := queueOf(w.part, stage.Service)
+	defer w.finished(queue, len(w.missing[i]))
 	for _, before := range w.waits[i] {
 		<-w.done[before]
 	}
-	if stage.Pieces == 0 || ctx.Err() != nil || w.failed() {
+	if len(w.missing[i]) == 0 || ctx.Err() != nil || w.failed() {
 		return
 	}
 	begin := w.clock.Now()
 	results := w.pieces.Make(ctx, queue, w.stagePieces(i, stage), w.whenRead(i))
 	reason := firstReason(results)
 	w.log.WithFields(logrus.Fields{
-		"event": "stage", "id": w.plan.Request, "stage": i, "service": stage.Service, "pieces": stage.Pieces,
+		"event": "stage", "id": w.plan.Request, "stage": i, "service": stage.Service, "pieces": len(w.missing[i]),
 		"ms": w.clock.Since(begin).Milliseconds(), "reason": string(reason), "made_in": results[0].Domain,
 	}).Info()
 	w.mu.Lock()
-	w.made[i] = results
-	if reason != "" && w.reason == "" {
-		w.reason = reason
-		w.cancel()
+	for n, index := range w.missing[i] {
+		w.made[i][index] = results[n]
 	}
+	w.fail(reason)
 	w.mu.Unlock()
 	if reason == "" {
 		w.freeRead(i)
 	}
 }
 
+// fail notes why a stage was not made. Stages of a plan that moves are not given up: what can be
+// made of them is.
+func (w *work) fail(reason batch.Reason) {
+	if reason == "" || w.reason != "" && w.reason != batch.Moved {
+		return
+	}
+	w.reason = reason
+	if reason != batch.Moved {
+		w.cancel()
+	}
+}
+
 func firstReason(results []batch.Result) batch.Reason {
 	for _, r := range results {
 		if r.Handle == "" {
@@ -239,14 +275,14 @@
 	w.mu.Unlock()
 	later := time.Duration(0)
 	if w.tails[i] > 1 {
-		later = time.Duration(w.tails[i]-1) * w.pieces.Capacity(w.part.queue(stage.Service)).Call
+		later = time.Duration(w.tails[i]-1) * w.pieces.Capacity(queueOf(w.part, stage.Service)).Call
 	}
-	pieces := make([]batch.Piece, stage.Pieces)
-	for n := range pieces {
+	pieces := make([]batch.Piece, len(w.missing[i]))
+	for n, index := range w.missing[i] {
 		pieces[n] = batch.Piece{
 			Request:     w.plan.Request,
 			Stage:       i,
-			Index:       n,
+			Index:       index,
 			Inputs:      inputs,
 			InputBytes:  inputBytes,
 			InputsUntil: until,
@@ -293,7 +329,7 @@
 	scarce := false
 	for _, before := range stage.After {
 		read := &w.plan.Stages[before]
-		scarce = scarce || w.pieces.Capacity(w.part.queue(read.Service)).Scarce(read.Bytes)
+		scarce = scarce || w.pieces.Capacity(queueOf(w.part, read.Service)).Scarce(read.Bytes)
 	}
 	if !scarce {
 		return nil
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
 
@@ -21,6 +22,8 @@
 	MethodFree     = "pipeline.free"
 	// MethodReaderFailed tells the planner of a failure of an endpoint that it chose.
 	MethodReaderFailed = "pipeline.reader_failed"
+	// MethodTake hands a part over to its next owner.
+	MethodTake = "pipeline.take"
 )
 
 // Hello presents the peers' token.
@@ -119,7 +122,7 @@
 	AgeMs int64 `json:"age_ms"`
 }
 
-// Run has the stages of a plan made; the answer is a pipeline.Outcome.
+// Run has the stages of a plan made; the answer is Ran.
 type Run struct {
 	// Call names the call for MethodCancel; unique among all callers.
 	Call string        `json:"call"`
@@ -128,6 +131,25 @@
 	// DueMs and DeadlineMs are the plan's times as times left, in milliseconds.
 	DueMs      int64 `json:"due_ms"`
 	DeadlineMs int64 `json:"deadline_ms"`
+	// Known is who owns the part as far as the caller knows; it does not reach that one if it
+	// calls another. A version that does not tell it asks the owner by rank.
+	Known ownership.Claim `json:"known"`
+	// Relayed says that the plan comes from an instance that does not reach the owner, over one
+	// that does.
+	Relayed bool `json:"relayed,omitempty"`
+}
+
+// Ran answers MethodRun.
+type Ran struct {
+	pipeline.Outcome
+	// Owner is who owns the part as far as the one asked knows.
+	Owner ownership.Claim `json:"owner"`
+}
+
+// Take hands a part over. It has an empty answer.
+type Take struct {
+	Claim  ownership.Claim `json:"claim"`
+	Ledger pipeline.Ledger `json:"ledger"`
 }
 
 // Cancel gives a call of MethodRun up. It has no answer.
--- a/service/handover/failures_test.go
+++ b/service/handover/failures_test.go
@@ -30,6 +30,16 @@
 
 func (instantPieces) Free([]batch.Result) {}
 
+func (instantPieces) Inspect(context.Context, []batch.Queue) {}
+
+func (instantPieces) Release(int, int) batch.Ledger { return batch.Ledger{} }
+
+func (instantPieces) Take(int, int, batch.Ledger) {}
+
+func (instantPieces) Resume(int, int) {}
+
+func (instantPieces) Adopt([]batch.Result) {}
+
 func (instantPieces) Capacity(batch.Queue) batch.Capacity {
 	return batch.Capacity{PerSecond: 10, AtOnce: 10, Call: time.Millisecond}
 }
@@ -45,18 +55,25 @@
 	return s.instantPieces.Make(ctx, at, pieces, read)
 }
 
+// routerOf is the router of an instance that knows no other.
+func routerOf(planner *pipeline.Planner, clock clockwork.Clock) *Router {
+	return NewRouter(Options{Self: self(0), Planner: planner, Clock: clock, Log: logging.Discard().For("handover"), Live: func() []membership.Member { return nil }})
+}
+
 var _ = Describe("plans of other instances", func() {
 	It("are counted until they are made, so that a planned stop can wait for them", func() {
 		clock := clockwork.NewFakeClock()
 		slow := slowPieces{begin: make(chan struct{})}
 		planner := pipeline.NewPlanner(slow, clock, metrics.NewSet(), logging.Discard().For("pipeline"))
-		h := NewHandler(planner, nil, nil, clock)
+		h := NewHandler(routerOf(planner, clock), nil)
 		call := api.Run{Call: "c", Part: pipeline.Part{Of: 1}, DueMs: 10_000, DeadlineMs: 10_000}
 		call.Plan.Stages = []pipeline.Stage{{Service: "s", Pieces: 1}}
 		done := make(chan struct{})
 		go func() {
+			defer GinkgoRecover()
 			defer close(done)
-			h.run(context.Background(), call)
+			_, err := h.run(context.Background(), call)
+			Expect(err).NotTo(HaveOccurred())
 		}()
 		Eventually(h.UnderWay).Should(Equal(1))
 		close(slow.begin)
@@ -89,14 +106,13 @@
 		Expect(chosen()).To(Equal("best"))
 		raw, err := json.Marshal(api.ReaderFailed{Endpoint: "best"})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = NewHandler(planner, nil, nil, clock).Answer(context.Background(), api.MethodReaderFailed, raw)
+		_, err = NewHandler(routerOf(planner, clock), nil).Answer(context.Background(), api.MethodReaderFailed, raw)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(chosen()).To(Equal("second"))
 	})
 
 	It("of this instance's own planner need no peer", func() {
-		router := NewRouter(Options{Planner: planner, Clock: clock, Log: logging.Discard().For("handover"), Live: func() []membership.Member { return nil }})
-		router.ReaderFailed("", "best")
+		routerOf(planner, clock).ReaderFailed("", "best")
 		Expect(chosen()).To(Equal("second"))
 	})
 })
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,27 +18,23 @@
 
 // Handler answers the calls of other instances' routers and followers.
 type Handler struct {
+	router   *Router
 	planner  *pipeline.Planner
 	local    *batch.Batcher
 	follower *discovery.Follower
 	clock    clockwork.Clock
 
-	leaving atomic.Bool
-
 	mu    sync.Mutex
 	calls map[string]context.CancelFunc
 }
 
 var _ peers.Handler = (*Handler)(nil)
 
-// NewHandler returns a handler that has stages made by a planner.
-func NewHandler(planner *pipeline.Planner, local *batch.Batcher, follower *discovery.Follower, clock clockwork.Clock) *Handler {
-	return &Handler{planner: planner, local: local, follower: follower, clock: clock, calls: map[string]context.CancelFunc{}}
+// NewHandler returns a handler that has stages made as a router says.
+func NewHandler(router *Router, follower *discovery.Follower) *Handler {
+	return &Handler{router: router, planner: router.planner, local: router.local, follower: follower, clock: router.clock, calls: map[string]context.CancelFunc{}}
 }
 
-// Leave has further plans refused; those under way are made.
-func (h *Handler) Leave() { h.leaving.Store(true) }
-
 // UnderWay is the number of plans of other instances that are being made.
 func (h *Handler) UnderWay() int {
 	h.mu.Lock()
@@ -55,13 +50,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if h.leaving.Load() {
-			return nil, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance is leaving")
-		}
 		if h.follower.View().Table == nil {
 			return nil, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance has no configuration yet")
 		}
-		return h.run(ctx, call), nil
+		return h.run(ctx, call)
+	case api.MethodTake:
+		call, err := peers.Params[api.Take](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		h.router.take(call)
+		return struct{}{}, nil
 	case api.MethodCancel:
 		call, err := peers.Params[api.Cancel](method, raw)
 		if err != nil {
@@ -101,7 +100,7 @@
 
 // run has stages made until the caller cancels or its connection breaks. What was made
 // until then is freed.
-func (h *Handler) run(ctx context.Context, call api.Run) pipeline.Outcome {
+func (h *Handler) run(ctx context.Context, call api.Run) (api.Ran, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.mu.Lock()
@@ -115,7 +114,8 @@
 	now := h.clock.Now()
 	call.Plan.Due = now.Add(time.Duration(call.DueMs) * time.Millisecond)
 	call.Plan.Deadline = now.Add(time.Duration(call.DeadlineMs) * time.Millisecond)
-	return h.planner.Run(ctx, call.Part, call.Plan)
+	call.Plan.Made = withTimes(call.Plan.Made, now)
+	return h.router.serve(ctx, call)
 }
 
 func (h *Handler) cancel(call string) {
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -2,9 +2,10 @@
 // all instances' requests are made by one planner, and tells peers what is known of
 // configuration and endpoints.
 //
-// For each part of the endpoints one live instance is the owner, by rendezvous hashing.
-// Owning is a preference, not a right: two owners at once only send smaller batches, and an
-// instance whose owner is silent makes its stages itself.
+// For each part of the endpoints one live instance is the owner: the one that claimed it last
+// (pkg/ownership), and where none has, the first by rendezvous hashing, which claims it when it
+// is handed the first plan. Owning is a preference, not a right: two owners at once only send
+// smaller batches, and an instance that reaches no other makes its stages itself.
 package handover
 
 import (
@@ -12,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,12 +63,17 @@
 	contacts []string
 	joined   time.Time
 
+	// leaving returns the members that live but leave; nil: none. leftAt is when this instance
+	// began to leave; the zero time if it does not.
+	leaving func() []membership.Member
+	leftAt  atomic.Pointer[time.Time]
+
 	mu       sync.Mutex
 	suspects map[string]suspicion
 }
 
-func newOwners(clock clockwork.Clock, self membership.Self, live func() []membership.Member, contacts []string) owners {
-	return owners{clock: clock, self: self, live: live, contacts: contacts, joined: clock.Now().Add(joining), suspects: map[string]suspicion{}}
+func newOwners(clock clockwork.Clock, self membership.Self, live func() []membership.Member, contacts []string) *owners {
+	return &owners{clock: clock, self: self, live: live, contacts: contacts, joined: clock.Now().Add(joining), suspects: map[string]suspicion{}}
 }
 
 // partOf returns the part that a request falls to, where the least service that takes
@@ -96,6 +103,9 @@
 // Contacts are owners before others, so that instances that start together, and know
 // nobody else yet, choose the same owners at first as later.
 func (o *owners) candidates(part pipeline.Part) []string {
+	if later := o.leavingLater(); len(later) > 0 && o.noneStays() {
+		return []string{later[0].PeerAddress, o.self.PeerAddress}
+	}
 	list := o.ranked(part)
 	chosen := o.contactsFor(part, list)
 	if !slices.Contains(chosen, o.self.PeerAddress) {
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -12,27 +12,35 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/gateway"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
-const notifyTimeout = 300 * time.Millisecond
+const (
+	notifyTimeout = 300 * time.Millisecond
+	// maxTurns bounds the instances that one plan is handed to.
+	maxTurns = 6
+	// silentWhenCutOff is how many instances are silent to one plan if this one is taken to be
+	// cut off, rather than them to have failed.
+	silentWhenCutOff = 2
+)
 
 // Router has the stages of requests made by the owner of their part. Safe for concurrent
 // use.
 type Router struct {
-	owners    owners
+	owners    *owners
+	claims    *claims
 	client    *peers.Client
 	planner   *pipeline.Planner
 	local     *batch.Batcher
 	endpoints func() int
 	clock     clockwork.Clock
 	log       *logrus.Entry
-
-	mu sync.Mutex
-	// makers has, by handle, the peer address of the instance that had a result made.
-	makers map[string]string
+	// giving says that a part is being handed over.
+	giving atomic.Bool
 }
 
 var _ gateway.Stages = (*Router)(nil)
@@ -40,8 +48,9 @@
 // Options of a router.
 type Options struct {
 	Self membership.Self
-	// Live returns the other live members.
-	Live func() []membership.Member
+	// Live returns the other live members, Leaving those that leave; nil: none.
+	Live    func() []membership.Member
+	Leaving func() []membership.Member
 	// Contacts are the peer addresses of the settings, which own the parts at first.
 	Contacts []string
 	Client   *peers.Client
@@ -49,13 +58,15 @@
 	Batcher  *batch.Batcher
 	// Endpoints returns how many endpoints the least service that takes pieces has.
 	Endpoints func() int
-	Clock     clockwork.Clock
-	Log       *logrus.Entry
+	// Tell has the others told of a change of owner at once; nil: with the next heartbeat.
+	Tell  func()
+	Clock clockwork.Clock
+	Log   *logrus.Entry
 }
 
 // NewRouter returns a router.
 func NewRouter(o Options) *Router {
-	return &Router{
+	r := &Router{
 		owners:    newOwners(o.Clock, o.Self, o.Live, o.Contacts),
 		client:    o.Client,
 		planner:   o.Planner,
@@ -63,48 +74,152 @@
 		endpoints: o.Endpoints,
 		clock:     o.Clock,
 		log:       o.Log,
-		makers:    map[string]string{},
 	}
+	r.owners.leaving = o.Leaving
+	tell := o.Tell
+	if tell == nil {
+		tell = func() {}
+	}
+	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner(), tell, r.superseded)
+	return r
 }
 
+// Claims returns what the others are told of the owners of parts.
+func (r *Router) Claims() []ownership.Claim { return r.claims.told() }
+
+// HearClaims takes in what another instance tells of the owners of parts.
+func (r *Router) HearClaims(heard []ownership.Claim) { r.claims.hear(heard, "heard") }
+
 // Run implements gateway.Stages.
 func (r *Router) Run(ctx context.Context, plan pipeline.Plan) pipeline.Outcome {
 	part := partOf(plan.Request, r.endpoints())
-	for _, address := range r.owners.candidates(part) {
-		if address == r.owners.self.PeerAddress || ctx.Err() != nil {
+	turned := map[string]bool{}
+	silent := 0
+	for range maxTurns {
+		address := r.next(part, turned)
+		if address == r.owners.self.PeerAddress {
 			break
 		}
-		outcome, ok := r.handOver(ctx, address, part, plan)
-		if ok {
+		outcome, err := r.handOver(ctx, address, part, plan, false)
+		if err != nil {
+			turned[address] = true
+			silent += choose(peers.Answered(err), 0, 1)
+			continue
+		}
+		if outcome.Reason != batch.Moved {
 			return outcome
 		}
+		plan.Made = outcome.Made
+		if holder, known := r.claims.holder(part); !known || holder.Owner.PeerAddress == address {
+			turned[address] = true
+		}
+	}
+	return r.planHere(ctx, part, plan, silent < silentWhenCutOff && !r.owners.alone())
+}
+
+// choose returns one of two values.
+func choose[T any](condition bool, yes, no T) T {
+	if condition {
+		return yes
+	}
+	return no
+}
+
+// next returns the peer address of the instance that a plan is handed to: the owner if it is
+// reached, else the first that would own the part.
+func (r *Router) next(part pipeline.Part, turned map[string]bool) string {
+	if holder, known := r.claims.holder(part); known && r.owners.reaches(holder.Owner) && !turned[holder.Owner.PeerAddress] {
+		r.owners.try(holder.Owner.PeerAddress)
+		return holder.Owner.PeerAddress
+	}
+	for _, address := range r.owners.candidates(part) {
+		if !turned[address] {
+			return address
+		}
 	}
-	return r.planner.Run(ctx, part, plan)
+	return r.owners.self.PeerAddress
 }
 
-// handOver has the stages made by the owner at an address, and tells whether it answered.
-func (r *Router) handOver(ctx context.Context, address string, part pipeline.Part, plan pipeline.Plan) (pipeline.Outcome, bool) {
+// planHere has this instance's planner make the stages. It claims the part if it should; an
+// instance that is cut off should not, since the owner goes on for the others.
+func (r *Router) planHere(ctx context.Context, part pipeline.Part, plan pipeline.Plan, claim bool) pipeline.Outcome {
+	for range maxTurns {
+		if !r.claims.owns(part) {
+			if claim {
+				r.claims.claim(part, "owner_not_reached")
+			}
+			r.planner.Resume(part)
+		}
+		outcome := r.planner.Run(ctx, part, plan)
+		if outcome.Reason != batch.Moved || ctx.Err() != nil {
+			return outcome
+		}
+		plan.Made = outcome.Made
+		if holder, known := r.claims.holder(part); known && !r.claims.owns(part) && r.owners.reaches(holder.Owner) {
+			if moved, err := r.handOver(ctx, holder.Owner.PeerAddress, part, plan, false); err == nil && moved.Reason != batch.Moved {
+				return moved
+			}
+		}
+	}
+	r.freeMade(plan.Made)
+	return pipeline.Outcome{Reason: batch.Late}
+}
+
+// serve has the stages of another instance's plan made: here if this instance owns the part, or
+// is to own it since the owner is not reached. Where another owns it, the answer says so.
+func (r *Router) serve(ctx context.Context, call api.Run) (api.Ran, error) {
+	part, plan := call.Part, call.Plan
+	r.claims.hear([]ownership.Claim{call.Known}, "told_with_plan")
+	holder, known := r.claims.holder(part)
+	if known && !r.claims.owns(part) && r.owners.reaches(holder.Owner) && !call.Relayed {
+		if holder != call.Known {
+			return api.Ran{Outcome: pipeline.Outcome{Reason: batch.Moved, Made: plan.Made}, Owner: holder}, nil
+		}
+		if outcome, err := r.handOver(ctx, holder.Owner.PeerAddress, part, plan, true); err == nil {
+			return r.answer(part, outcome), nil
+		}
+	}
+	if !r.claims.owns(part) {
+		if r.owners.leftAt.Load() != nil && !r.owners.noneStays() {
+			return api.Ran{}, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance is leaving")
+		}
+		r.claims.claim(part, "asked_by_peer")
+		r.planner.Resume(part)
+	}
+	return r.answer(part, r.planner.Run(ctx, part, plan)), nil
+}
+
+// answer is an outcome with who owns the part now.
+func (r *Router) answer(part pipeline.Part, outcome pipeline.Outcome) api.Ran {
+	holder, _ := r.claims.holder(part)
+	outcome.Made = withTimesLeft(outcome.Made, r.clock.Now())
+	return api.Ran{Outcome: outcome, Owner: holder}
+}
+
+// handOver has the stages made by the instance at an address, or tells why it did not answer.
+func (r *Router) handOver(ctx context.Context, address string, part pipeline.Part, plan pipeline.Plan, relayed bool) (pipeline.Outcome, error) {
 	now := r.clock.Now()
-	call := api.Run{Call: uuid.NewString(), Part: part, Plan: plan, DueMs: plan.Due.Sub(now).Milliseconds(), DeadlineMs: plan.Deadline.Sub(now).Milliseconds()}
-	var outcome pipeline.Outcome
-	err := r.client.Call(ctx, address, api.MethodRun, call, &outcome)
+	call := api.Run{Call: uuid.NewString(), Part: part, Plan: plan, DueMs: plan.Due.Sub(now).Milliseconds(), DeadlineMs: plan.Deadline.Sub(now).Milliseconds(), Relayed: relayed}
+	call.Plan.Made = withTimesLeft(plan.Made, now)
+	call.Known, _ = r.claims.holder(part)
+	var ran api.Ran
+	err := r.client.Call(ctx, address, api.MethodRun, call, &ran)
 	if ctx.Err() != nil {
 		r.cancel(address, call.Call)
-		return pipeline.Outcome{Reason: batch.Late}, true
+		return pipeline.Outcome{Reason: batch.Late}, nil
 	}
 	if err != nil {
-		r.owners.suspect(address)
-		r.log.WithFields(logrus.Fields{"event": "owner_silent", "id": plan.Request, "owner": address}).Warn(err)
-		return pipeline.Outcome{}, false
+		if !peers.Answered(err) {
+			r.owners.suspect(address)
+		}
+		r.log.WithFields(logrus.Fields{"event": "owner_silent", "id": plan.Request, "owner": address, "answered": peers.Answered(err)}).Warn(err)
+		return pipeline.Outcome{}, err
 	}
 	r.owners.trust(address)
-	outcome.Planner = address
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, result := range outcome.Results {
-		r.makers[result.Handle] = address
-	}
-	return outcome, true
+	r.claims.hear([]ownership.Claim{ran.Owner}, "told_with_answer")
+	ran.Planner = address
+	ran.Made = withTimes(ran.Made, r.clock.Now())
+	return ran.Outcome, nil
 }
 
 func (r *Router) cancel(address, call string) {
@@ -115,22 +230,27 @@
 	}
 }
 
-// Free implements gateway.Stages.
+// Free implements gateway.Stages: the owner of the part, which counts its makers' room, gives
+// results up.
 func (r *Router) Free(results []batch.Result) {
-	byOwner := map[string][]batch.Result{}
-	r.mu.Lock()
+	byPart := map[pipeline.Part][]batch.Result{}
 	for _, result := range results {
-		address := r.makers[result.Handle]
-		delete(r.makers, result.Handle)
-		byOwner[address] = append(byOwner[address], result)
+		part := pipeline.Part{Number: result.Queue.Part, Of: result.Queue.Parts}
+		byPart[part] = append(byPart[part], result)
 	}
-	r.mu.Unlock()
-	for address, own := range byOwner {
-		if address == "" {
+	for part, own := range byPart {
+		holder, known := r.claims.holder(part)
+		if !known || r.claims.owns(part) || !r.owners.reaches(holder.Owner) {
 			r.local.Free(own)
 			continue
 		}
-		go r.freeAt(address, own)
+		go r.freeAt(holder.Owner.PeerAddress, own)
+	}
+}
+
+func (r *Router) freeMade(stages [][]batch.Result) {
+	for _, results := range stages {
+		r.Free(results)
 	}
 }
 
--- /dev/null
+++ b/service/handover/succession.go
@@ -0,0 +1,177 @@
+package handover
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+)
+
+const (
+	// takeTimeout bounds how long a successor may take to answer.
+	takeTimeout = 300 * time.Millisecond
+	// restartedAfter is by how much later than the others an instance has started that was
+	// restarted since: in a rolling restart its turn is over.
+	restartedAfter = 3 * time.Second
+	// laterBy is by how much later an instance must have begun to leave to own a part for
+	// another that leaves: heartbeats tell of it up to a second late.
+	laterBy = 500 * time.Millisecond
+)
+
+// Leave has the parts of this instance handed over to others that stay. It is called again and
+// again while the instance stops: as long as no other is reached, it goes on owning.
+func (r *Router) Leave() {
+	r.owners.leave()
+	own := r.claims.own()
+	if len(own) == 0 || r.giving.Swap(true) {
+		return
+	}
+	go func() {
+		defer r.giving.Store(false)
+		for _, claim := range own {
+			r.giveToSuccessor(claim.Part)
+		}
+	}()
+}
+
+// giveToSuccessor hands a part over to the first of its successors that takes it.
+func (r *Router) giveToSuccessor(part pipeline.Part) {
+	for _, successor := range r.owners.successors(part) {
+		ledger := r.planner.Release(part)
+		claim := r.claims.assign(part, successor, "leaving")
+		if r.give(claim, ledger) {
+			return
+		}
+		r.claims.claim(part, "successor_not_reached")
+		r.planner.Take(part, ledger)
+	}
+}
+
+// superseded gives up a part that another instance has claimed in a later term, and hands over
+// what is known of it.
+func (r *Router) superseded(claim ownership.Claim) {
+	go func() {
+		ledger := r.planner.Release(claim.Part)
+		if r.claims.owns(claim.Part) {
+			// It came back meanwhile.
+			r.planner.Take(claim.Part, ledger)
+			return
+		}
+		r.give(claim, ledger)
+	}()
+}
+
+// give tells the owner of a part what is known of it, and whether it took that.
+func (r *Router) give(claim ownership.Claim, ledger pipeline.Ledger) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+	defer cancel()
+	err := r.client.Call(ctx, claim.Owner.PeerAddress, api.MethodTake, api.Take{Claim: claim, Ledger: ledger}, &struct{}{})
+	fields := logrus.Fields{"event": "part_given", "part": claim.Part.Number, "term": claim.Term, "to": claim.Owner.Name, "endpoints": len(ledger.Pieces.Endpoints)}
+	if err != nil {
+		r.log.WithFields(fields).Warn(err)
+		return false
+	}
+	r.log.WithFields(fields).Info()
+	return true
+}
+
+// take begins to own a part with what its owner before knew of it.
+func (r *Router) take(call api.Take) {
+	r.claims.hear([]ownership.Claim{call.Claim}, "handed_over")
+	if r.claims.owns(call.Claim.Part) {
+		r.planner.Take(call.Claim.Part, call.Ledger)
+	}
+}
+
+// successors returns the members that may own a part after this instance, which leaves: those
+// that were restarted lately first, since in a rolling restart they stay; else as others would
+// choose the next owner.
+func (o *owners) successors(part pipeline.Part) []ownership.Owner {
+	live := map[string]membership.Member{}
+	for _, m := range o.live() {
+		live[m.PeerAddress] = m
+	}
+	var list []membership.Member
+	for _, candidate := range o.ranked(part) {
+		if m, ok := live[candidate.address]; ok {
+			list = append(list, m)
+		}
+	}
+	restarted := func(m membership.Member) int {
+		if m.Incarnation > o.self.Incarnation+uint64(restartedAfter) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(list, func(a, b membership.Member) int { return cmp.Compare(restarted(a), restarted(b)) })
+	if len(list) == 0 {
+		list = o.leavingLater()
+	}
+	successors := make([]ownership.Owner, len(list))
+	for i, m := range list {
+		successors[i] = m.Owner()
+	}
+	return successors
+}
+
+// leave notes that this instance leaves.
+func (o *owners) leave() {
+	now := o.clock.Now()
+	o.leftAt.CompareAndSwap(nil, &now)
+}
+
+// leavingLater returns the members that have more time left than this instance, which leaves
+// too, the one with the most first; none if this one stays.
+func (o *owners) leavingLater() []membership.Member {
+	leftAt := o.leftAt.Load()
+	if leftAt == nil {
+		return nil
+	}
+	list := slices.DeleteFunc(o.others(), func(m membership.Member) bool {
+		return o.suspected(m.PeerAddress) || m.Since.Sub(*leftAt) < laterBy
+	})
+	slices.SortFunc(list, func(a, b membership.Member) int { return b.Since.Compare(a.Since) })
+	return list
+}
+
+// noneStays tells whether no other instance is reached that does not leave.
+func (o *owners) noneStays() bool {
+	return !slices.ContainsFunc(o.live(), func(m membership.Member) bool { return !o.suspected(m.PeerAddress) })
+}
+
+// reaches tells whether an owner is taken to be reached: it is this life of this instance, or it
+// did not fail to answer lately and has not been succeeded by another life.
+func (o *owners) reaches(owner ownership.Owner) bool {
+	if owner.Name == o.self.Name {
+		return owner == o.self.Owner()
+	}
+	if o.suspected(owner.PeerAddress) {
+		return false
+	}
+	for _, m := range o.live() {
+		if m.Name == owner.Name {
+			return m.Incarnation <= owner.Incarnation
+		}
+	}
+	return true
+}
+
+// alone tells whether no other instance is reached.
+func (o *owners) alone() bool {
+	return o.noneStays() && !slices.ContainsFunc(o.others(), func(m membership.Member) bool { return !o.suspected(m.PeerAddress) })
+}
+
+// others returns the members that leave.
+func (o *owners) others() []membership.Member {
+	if o.leaving == nil {
+		return nil
+	}
+	return o.leaving()
+}
--- /dev/null
+++ b/service/handover/succession_test.go
@@ -0,0 +1,460 @@
+package handover
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
+)
+
+const testToken = "token"
+
+// heldPieces makes pieces when it is told to; those of a part that was given up end as moved.
+type heldPieces struct {
+	instantPieces
+	mu       sync.Mutex
+	made     []batch.Piece
+	waiting  []heldCall
+	released bool
+	taken    []batch.Ledger
+	adopted  []batch.Result
+}
+
+// heldCall is a stage that waits.
+type heldCall struct {
+	pieces []batch.Piece
+	done   chan []batch.Result
+}
+
+func (h *heldPieces) Make(ctx context.Context, _ batch.Queue, pieces []batch.Piece, _ func()) []batch.Result {
+	call := heldCall{pieces, make(chan []batch.Result, 1)}
+	h.mu.Lock()
+	if h.released {
+		h.mu.Unlock()
+		return reasons(pieces, batch.Moved)
+	}
+	h.waiting = append(h.waiting, call)
+	h.mu.Unlock()
+	select {
+	case results := <-call.done:
+		return results
+	case <-ctx.Done():
+		return reasons(pieces, batch.Late)
+	}
+}
+
+func reasons(pieces []batch.Piece, reason batch.Reason) []batch.Result {
+	results := make([]batch.Result, len(pieces))
+	for i := range results {
+		results[i].Reason = reason
+	}
+	return results
+}
+
+// Release ends what waits: the first piece of each stage has been made, the others move.
+func (h *heldPieces) Release(int, int) batch.Ledger {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.released = true
+	for _, call := range h.waiting {
+		results := reasons(call.pieces, batch.Moved)
+		results[0] = batch.Result{Handle: "made before", Domain: "made"}
+		call.done <- results
+	}
+	h.waiting = nil
+	return batch.Ledger{Endpoints: []batch.EndpointLedger{{Endpoint: "e", Calls: 1}}}
+}
+
+func (h *heldPieces) Take(_, _ int, ledger batch.Ledger) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.released = false
+	h.taken = append(h.taken, ledger)
+}
+
+func (h *heldPieces) Resume(int, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.released = false
+}
+
+func (h *heldPieces) Adopt(results []batch.Result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.adopted = append(h.adopted, results...)
+}
+
+// finish makes all that waits.
+func (h *heldPieces) finish() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, call := range h.waiting {
+		results := make([]batch.Result, len(call.pieces))
+		for i, piece := range call.pieces {
+			results[i] = batch.Result{Handle: fmt.Sprint("made ", piece.Index), Domain: "made"}
+		}
+		call.done <- results
+		h.made = append(h.made, call.pieces...)
+	}
+	h.waiting = nil
+}
+
+// Waiting is how many pieces wait.
+func (h *heldPieces) Waiting() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, call := range h.waiting {
+		n += len(call.pieces)
+	}
+	return n
+}
+
+func (h *heldPieces) Made() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.made)
+}
+
+func (h *heldPieces) Taken() []batch.Ledger {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.taken
+}
+
+// instance is an instance over real connections, which knows what the test says.
+type instance struct {
+	self     membership.Self
+	router   *Router
+	pieces   *heldPieces
+	server   *peers.Server
+	listener net.Listener
+	client   *peers.Client
+
+	mu      sync.Mutex
+	members []membership.Member
+}
+
+func (i *instance) with(state membership.State) []membership.Member {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var members []membership.Member
+	for _, m := range i.members {
+		if m.State == state {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// sees sets what the instance knows of another.
+func (i *instance) sees(other *instance, state membership.State, since time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for n := range i.members {
+		if i.members[n].Name == other.self.Name {
+			i.members[n].State, i.members[n].Since = state, since
+		}
+	}
+}
+
+// GomegaString is what a failed test prints.
+func (i *instance) GomegaString() string { return i.self.Name }
+
+// kill ends an instance without a word.
+func (i *instance) kill() {
+	_ = i.listener.Close()
+	i.server.Close()
+	i.client.Close()
+}
+
+// answerer answers runs and parts that are handed over.
+type answerer struct{ *Handler }
+
+func newInstance(n int, clock clockwork.Clock) *instance {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	i := &instance{pieces: &heldPieces{}, listener: listener}
+	i.self = membership.Self{Name: fmt.Sprint("i", n), Incarnation: uint64(n), PeerAddress: listener.Addr().String(), FailureDomain: fmt.Sprint("zone-", n%2)}
+	i.client = peers.NewClient(i.self.Name, testToken)
+	i.router = NewRouter(Options{
+		Self:      i.self,
+		Live:      func() []membership.Member { return i.with(membership.Live) },
+		Leaving:   func() []membership.Member { return i.with(membership.Leaving) },
+		Client:    i.client,
+		Planner:   pipeline.NewPlanner(i.pieces, clock, metrics.NewSet(), logging.Discard().For("pipeline")),
+		Endpoints: func() int { return 1 },
+		Clock:     clock,
+		Log:       logging.Discard().For("handover"),
+	})
+	i.server = peers.NewServer(answerer{NewHandler(i.router, nil)}, testToken, logging.Discard().For("peers"))
+	go i.server.Serve(listener)
+	return i
+}
+
+// Answer leaves out the question for a configuration, which these instances do not have.
+func (a answerer) Answer(ctx context.Context, method string, raw json.RawMessage) (any, error) {
+	if method != api.MethodRun {
+		return a.Handler.Answer(ctx, method, raw)
+	}
+	call, err := peers.Params[api.Run](method, raw)
+	if err != nil {
+		return nil, err
+	}
+	return a.run(ctx, call)
+}
+
+var _ = Describe("the owner of a part", func() {
+	var (
+		clock *clockwork.FakeClock
+		all   []*instance
+		whole = pipeline.Part{Of: 1}
+	)
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		all = nil
+		for n := range 4 {
+			all = append(all, newInstance(n, clock))
+		}
+		for _, i := range all {
+			for _, other := range all {
+				if other != i {
+					i.members = append(i.members, membership.Member{Self: other.self, State: membership.Live})
+				}
+			}
+		}
+		DeferCleanup(func() {
+			for _, i := range all {
+				i.kill()
+			}
+		})
+		clock.Advance(joining)
+	})
+
+	run := func(i *instance, request string) chan pipeline.Outcome {
+		done := make(chan pipeline.Outcome, 1)
+		plan := pipeline.Plan{
+			Request:  request,
+			Stages:   []pipeline.Stage{{Service: "s", Pieces: 2}},
+			Due:      clock.Now().Add(time.Minute),
+			Deadline: clock.Now().Add(time.Minute),
+		}
+		go func() { done <- i.router.Run(context.Background(), plan) }()
+		return done
+	}
+
+	outcomeOf := func(done chan pipeline.Outcome) pipeline.Outcome {
+		GinkgoHelper()
+		var outcome pipeline.Outcome
+		Eventually(done).WithTimeout(5 * time.Second).Should(Receive(&outcome))
+		return outcome
+	}
+
+	planners := func() []*instance {
+		var working []*instance
+		for _, i := range all {
+			if i.pieces.Waiting() > 0 {
+				working = append(working, i)
+			}
+		}
+		return working
+	}
+
+	// ownerOf has a request of an instance planned, and returns who plans it.
+	ownerOf := func(i *instance, request string) *instance {
+		GinkgoHelper()
+		done := run(i, request)
+		Eventually(planners).Should(HaveLen(1))
+		owner := planners()[0]
+		owner.pieces.finish()
+		Expect(outcomeOf(done).Results).To(HaveLen(2))
+		return owner
+	}
+
+	// others returns all but one.
+	others := func(one *instance) []*instance {
+		var rest []*instance
+		for _, i := range all {
+			if i != one {
+				rest = append(rest, i)
+			}
+		}
+		return rest
+	}
+
+	// beat has all tell each other who owns what, as heartbeats do.
+	beat := func() {
+		for _, from := range all {
+			for _, to := range all {
+				to.router.HearClaims(from.router.Claims())
+			}
+		}
+	}
+
+	// restart has an instance live a second time, known to all, at another address.
+	restart := func(old *instance) *instance {
+		GinkgoHelper()
+		var n int
+		_, err := fmt.Sscanf(old.self.Name, "i%d", &n)
+		Expect(err).NotTo(HaveOccurred())
+		young := newInstance(n, clock)
+		young.members = old.members
+		for k, i := range all {
+			if i == old {
+				all[k] = young
+				continue
+			}
+			for m := range i.members {
+				if i.members[m].Name == old.self.Name {
+					i.members[m] = membership.Member{Self: young.self, State: membership.Live}
+				}
+			}
+		}
+		return young
+	}
+
+	It("stays the owner when one that would rank first comes back", func() {
+		first := ownerOf(all[0], "r1")
+		first.kill()
+		second := ownerOf(others(first)[0], "r2")
+		Expect(second).NotTo(Equal(first))
+		back := restart(first)
+		beat()
+		for _, i := range others(second) {
+			Expect(ownerOf(i, "r3")).To(Equal(second))
+		}
+		Expect(back.pieces.Made()).To(BeZero())
+	})
+
+	It("hands a part over when it leaves: one planner at a time, and what waits goes on with what was made", func() {
+		first := ownerOf(all[0], "r1")
+		asking := others(first)[0]
+		waiting := run(asking, "r2")
+		own := run(first, "r3")
+		Eventually(first.pieces.Waiting).Should(Equal(4))
+		first.router.Leave()
+		Eventually(func() int { return len(planners()) }).Should(Equal(1))
+		var second *instance
+		Eventually(func() int {
+			second = planners()[0]
+			return second.pieces.Waiting()
+		}).Should(Equal(2), "one piece of each is missing")
+		Expect(second).NotTo(Equal(first))
+		Expect(first.pieces.Waiting()).To(BeZero())
+		Expect(second.pieces.Taken()).To(ContainElement(HaveField("Endpoints", HaveLen(1))))
+		Expect(second.pieces.adopted).To(ContainElement(HaveField("Handle", "made before")))
+		second.pieces.finish()
+		for _, done := range []chan pipeline.Outcome{waiting, own} {
+			outcome := outcomeOf(done)
+			Expect(outcome.Reason).To(BeEmpty())
+			Expect(outcome.Results).To(ConsistOf(HaveField("Handle", "made before"), HaveField("Handle", "made 1")))
+		}
+		for _, i := range all {
+			Expect(ownerOf(i, "r4")).To(Equal(second))
+		}
+	})
+
+	It("is one at a time in a rolling restart", func() {
+		owner := ownerOf(all[0], "r1")
+		for range 3 {
+			owner.router.Leave()
+			for _, i := range others(owner) {
+				i.sees(owner, membership.Leaving, clock.Now())
+			}
+			Eventually(func() bool { return owner.router.claims.owns(whole) }).Should(BeFalse())
+			var requests []chan pipeline.Outcome
+			for n, i := range all {
+				requests = append(requests, run(i, fmt.Sprint("r", n)))
+			}
+			Eventually(func() int {
+				n := 0
+				for _, i := range all {
+					n += i.pieces.Waiting()
+				}
+				return n
+			}).Should(Equal(2 * len(all)))
+			Expect(planners()).To(HaveLen(1))
+			Expect(planners()[0]).NotTo(Equal(owner))
+			owner = planners()[0]
+			owner.pieces.finish()
+			for _, done := range requests {
+				Expect(outcomeOf(done).Reason).To(BeEmpty())
+			}
+			clock.Advance(time.Second)
+		}
+	})
+
+	It("goes on while all leave, and gives way to the one that left last", func() {
+		owner := ownerOf(all[0], "r1")
+		last := others(owner)[2]
+		owner.router.Leave()
+		for n, i := range others(owner) {
+			for _, other := range others(i) {
+				other.sees(i, membership.Leaving, clock.Now().Add(time.Duration(n+1)*time.Second))
+			}
+		}
+		for _, i := range others(owner) {
+			i.sees(owner, membership.Leaving, clock.Now())
+		}
+		clock.Advance(3 * time.Second)
+		last.router.Leave()
+		Eventually(func() bool {
+			owner.router.Leave()
+			return owner.router.claims.owns(whole)
+		}).Should(BeFalse())
+		for _, i := range []*instance{owner, last} {
+			Expect(ownerOf(i, "r2")).To(Equal(last))
+		}
+	})
+
+	It("yields to a later term, and tells what it knows", func() {
+		first := ownerOf(all[0], "r1")
+		second := others(first)[0]
+		waiting := run(first, "r2")
+		Eventually(first.pieces.Waiting).Should(Equal(2))
+		// The second one was cut off, and claimed the part two times meanwhile.
+		claim := ownership.Claim{Part: whole, Term: 9, Owner: second.self.Owner()}
+		second.router.HearClaims([]ownership.Claim{claim})
+		first.router.HearClaims(second.router.Claims())
+		Eventually(second.pieces.Taken).Should(HaveLen(1))
+		Eventually(second.pieces.Waiting).Should(Equal(1))
+		second.pieces.finish()
+		Expect(outcomeOf(waiting).Results).To(HaveLen(2))
+		Expect(ownerOf(first, "r3")).To(Equal(second))
+	})
+
+	It("is not claimed by an instance that reaches no other", func() {
+		lone := all[0]
+		for _, other := range others(lone) {
+			other.kill()
+			lone.router.owners.suspect(other.self.PeerAddress)
+		}
+		Expect(ownerOf(lone, "r1")).To(Equal(lone))
+		Expect(lone.router.claims.owns(whole)).To(BeFalse())
+	})
+
+	It("refuses a part whose ledger is for another, and changes nothing", func() {
+		owner := ownerOf(all[0], "r1")
+		before := owner.router.Claims()
+		owner.router.take(api.Take{Claim: ownership.Claim{Part: ownership.Part{Number: 3, Of: 1}, Term: 9, Owner: owner.self.Owner()}})
+		owner.router.take(api.Take{Claim: ownership.Claim{Part: whole, Term: 0, Owner: others(owner)[0].self.Owner()}})
+		Expect(owner.router.Claims()).To(Equal(before))
+	})
+})
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/singleflight"
 
@@ -108,6 +109,12 @@
 	return nil
 }
 
+// Answered tells whether a call failed since the peer said so, rather than by its silence.
+func Answered(err error) bool {
+	var refusal *jsonrpc2.Error
+	return errors.As(err, &refusal)
+}
+
 // connect returns the connection to a peer, made anew if there is none.
 func (c *Client) connect(ctx context.Context, address string) (*link, error) {
 	c.mu.Lock()
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -10,6 +10,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
@@ -56,6 +57,9 @@
 	for _, k := range h.Known {
 		wire.Known = append(wire.Known, &pb.KnownInstance{Instance: k.Name, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
 	}
+	for _, c := range h.Claims {
+		wire.Claims = append(wire.Claims, encodeClaim(c, h.From))
+	}
 	body, err := proto.Marshal(wire)
 	if err != nil {
 		return nil, err
@@ -106,12 +110,32 @@
 	for _, d := range wire.Demands {
 		b.demands = append(b.demands, limits.Demand{Organisation: d.Organisation, PerSecond: float64(d.PerSecond)})
 	}
+	for _, c := range wire.Claims {
+		b.heartbeat.Claims = append(b.heartbeat.Claims, decodeClaim(c, b.heartbeat.From))
+	}
 	for _, k := range wire.Known {
 		b.heartbeat.Known = append(b.heartbeat.Known, membership.Self{Name: k.Instance, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
 	}
 	return b, nil
 }
 
+// encodeClaim leaves out who the owner is if that is the sender.
+func encodeClaim(c ownership.Claim, from membership.Self) *pb.Claim {
+	wire := &pb.Claim{Part: uint32(c.Part.Number), Of: uint32(c.Part.Of), Term: c.Term}
+	if c.Owner != from.Owner() {
+		wire.Owner, wire.Incarnation, wire.PeerAddress = c.Owner.Name, c.Owner.Incarnation, c.Owner.PeerAddress
+	}
+	return wire
+}
+
+func decodeClaim(wire *pb.Claim, from membership.Self) ownership.Claim {
+	c := ownership.Claim{Part: ownership.Part{Number: int(wire.Part), Of: int(wire.Of)}, Term: wire.Term, Owner: from.Owner()}
+	if wire.Owner != "" {
+		c.Owner = ownership.Owner{Name: wire.Owner, Incarnation: wire.Incarnation, PeerAddress: wire.PeerAddress}
+	}
+	return c
+}
+
 func signature(body, secret []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
 	mac.Write([]byte("heartbeat:"))
--- a/service/peers/datagram_test.go
+++ b/service/peers/datagram_test.go
@@ -10,6 +10,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
 
@@ -27,6 +28,7 @@
 		demands: []limits.Demand{{Organisation: 7, PerSecond: 2.5}},
 		stamp:   timeline.Stamp{WallMs: 1796204992778, Logical: 3},
 	}
+	b.heartbeat.Claims = []ownership.Claim{{Part: ownership.Part{Number: 1, Of: 4}, Term: 7, Owner: b.heartbeat.From.Owner()}}
 	for i := range 1 {
 		b.heartbeat.Known = append(b.heartbeat.Known, membership.Self{Name: fmt.Sprintf("sala-a-%d", i), FailureDomain: "sala-a", PeerAddress: fmt.Sprintf("10.12.13.%d:7403", i)})
 	}
@@ -42,6 +44,19 @@
 	g.Expect(got).To(Equal(typical()))
 }
 
+func TestDatagramKeepsClaimsOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	b := typical()
+	b.heartbeat.Claims = append(b.heartbeat.Claims, ownership.Claim{
+		Part: ownership.Part{Number: 2, Of: 4}, Term: 9, Owner: ownership.Owner{Name: "sala-b-3", Incarnation: 5, PeerAddress: "10.12.14.3:7403"},
+	})
+	data, err := encode(b, secret)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := decode(data, secret)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(b))
+}
+
 func TestDatagramOfAnotherSecretIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	data, err := encode(typical(), []byte("another secret"))
