pipeline, batch, gateway: urgent requests are forecast and served before less urgent ones

Cause: under 2.4 times the traffic the dearest and most urgent kind was refused most: each request was forecast behind all that waits, though a short objective goes first in the queue, so that a short objective was what got refused. Priorities that the gateway told were the organisations' alone: they hide the routes'.

--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -216,6 +216,19 @@
 	return u.route.Priority
 }
 
+// routeLevels is how many priorities routes may have; greater ones count as the last.
+const routeLevels = 10
+
+// rank orders requests for scarce stages, 0 first: by their organisation's priority, and those of
+// one organisation's, or of organisations of the same, by their route's.
+func (u *run) rank() int {
+	rank := min(max(0, u.route.Priority), routeLevels-1)
+	if u.organisation != nil && u.organisation.Priority != nil {
+		rank += routeLevels * max(0, *u.organisation.Priority)
+	}
+	return rank
+}
+
 // ended returns the refusal of a request whose time may be over.
 func (u *run) ended(ctx context.Context, refusal *Refusal) *Refusal {
 	if ctx.Err() == nil || refusal.Status != http.StatusServiceUnavailable && refusal.Status != http.StatusBadGateway {
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -78,7 +78,7 @@
 		Key:      u.request.PieceKey,
 		Due:      u.due().Add(-call),
 		Deadline: u.deadline,
-		Priority: u.priority(),
+		Priority: u.rank(),
 		Domain:   domain,
 		Readers:  u.readers(candidates),
 	}
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -15,14 +15,16 @@
 	left := plan.Due.Sub(p.clock.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.askedLocked(part, plan)
 	forecast = p.forecast(part, plan)
 	if plan.begun() {
 		p.countLocked(part, plan)
 		return forecast, true
 	}
-	if forecast+p.lateness.allowed > left {
+	lateness := p.latenessLocked(plan.Priority)
+	if forecast+lateness.allowed > left {
 		if forecast <= left {
-			p.lateness.refused()
+			lateness.refused()
 		}
 		return forecast, false
 	}
@@ -35,15 +37,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	late := forecast + p.lateness.allowed - plan.Due.Sub(now)
+	late := forecast + p.latenessLocked(plan.Priority).allowed - plan.Due.Sub(now)
 	return comeBack(late, p.overload.refused(now), plan.Deadline.Sub(now))
 }
 
 // learn takes in how long an admitted plan lasted.
-func (p *Planner) learn(forecast, lasted time.Duration) {
+func (p *Planner) learn(priority int, forecast, lasted time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lateness.learn(forecast, lasted)
+	p.latenessLocked(priority).learn(forecast, lasted)
+}
+
+// latenessLocked returns that of the requests of a priority.
+func (p *Planner) latenessLocked(priority int) *lateness {
+	l := p.lateness[priority]
+	if l == nil {
+		l = newLateness()
+		p.lateness[priority] = l
+	}
+	return l
 }
 
 // count counts the pieces of a plan in.
@@ -55,22 +67,40 @@
 
 func (p *Planner) countLocked(part Part, plan *Plan) {
 	for i, pieces := range plan.missing() {
-		p.ahead[queueOf(part, plan.Stages[i].Service)] += len(pieces)
+		p.backlog(queueOf(part, plan.Stages[i].Service)).add(plan.Priority, len(pieces))
 	}
 }
 
 // finished counts pieces out.
-func (p *Planner) finished(queue batch.Queue, pieces int) {
+func (p *Planner) finished(queue batch.Queue, priority, pieces int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ahead[queue] -= pieces
-	if p.ahead[queue] <= 0 {
-		delete(p.ahead, queue)
+	p.backlog(queue).add(priority, -pieces)
+}
+
+// askedLocked notes what a plan asks for.
+func (p *Planner) askedLocked(part Part, plan *Plan) {
+	now := p.clock.Now()
+	for i, pieces := range plan.missing() {
+		if len(pieces) > 0 {
+			p.backlog(queueOf(part, plan.Stages[i].Service)).asked(now, plan.Priority, len(pieces))
+		}
+	}
+}
+
+// backlog returns that of a queue.
+func (p *Planner) backlog(queue batch.Queue) *backlog {
+	b := p.backlogs[queue]
+	if b == nil {
+		b = &backlog{}
+		p.backlogs[queue] = b
 	}
+	return b
 }
 
-// forecast is how long the longest way through the stages takes from now: at each stage,
-// the wait for what is ahead there beyond what has been done by then, and a call.
+// forecast is how long the longest way through the stages takes from now: at each stage, the
+// wait for what goes before it there beyond what has been done by then, and a call. More urgent
+// requests go before, those that are still to come too.
 func (p *Planner) forecast(part Part, plan *Plan) time.Duration {
 	ends := make([]time.Duration, len(plan.Stages))
 	missing := plan.missing()
@@ -82,19 +112,21 @@
 		if len(missing[i]) == 0 {
 			continue
 		}
-		ends[i] += p.stageTime(queueOf(part, stage.Service), len(missing[i]), ends[i])
+		ends[i] += p.stageTime(queueOf(part, stage.Service), plan.Priority, len(missing[i]), ends[i])
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
 // stageTime is how long a stage takes that begins after a time.
-func (p *Planner) stageTime(queue batch.Queue, pieces int, begins time.Duration) time.Duration {
+func (p *Planner) stageTime(queue batch.Queue, priority, pieces int, begins time.Duration) time.Duration {
 	capacity := p.pieces.Capacity(queue)
 	if capacity.PerSecond <= 0 {
 		return unknownTime
 	}
-	ahead := capacity.Others + float64(p.ahead[queue]+pieces) - float64(capacity.AtOnce) - capacity.PerSecond*begins.Seconds()
-	wait := time.Duration(max(0, ahead) / capacity.PerSecond * float64(time.Second))
+	backlog := p.backlog(queue)
+	left := backlog.left(p.clock.Now(), priority, capacity.PerSecond)
+	ahead := capacity.Others + float64(backlog.before(priority)+pieces) - float64(capacity.AtOnce) - left*begins.Seconds()
+	wait := time.Duration(max(0, ahead) / left * float64(time.Second))
 	return wait + capacity.Call
 }
--- a/pkg/pipeline/lateness.go
+++ b/pkg/pipeline/lateness.go
@@ -8,8 +8,10 @@
 	lateShare = 0.4
 	// latenessStep is by how much the lateness follows one plan.
 	latenessStep = 10 * time.Millisecond
-	// firstLateness is allowed for before anything was learnt; maxLateness bounds what is.
+	// firstLateness is allowed for before anything was learnt; minLateness and maxLateness bound
+	// what is. Where it is negative, plans last shorter than forecast.
 	firstLateness = 100 * time.Millisecond
+	minLateness   = -300 * time.Millisecond
 	maxLateness   = 600 * time.Millisecond
 )
 
@@ -17,12 +19,14 @@
 // lateShare of them keep to. Not safe for concurrent use.
 type lateness struct{ allowed time.Duration }
 
-func newLateness() lateness { return lateness{allowed: firstLateness} }
+func newLateness() *lateness { return &lateness{allowed: firstLateness} }
 
 // refused takes in a plan that was refused for the lateness that is allowed for alone: if
 // those are all, nothing else would be learnt.
 func (l *lateness) refused() {
-	l.allowed = max(0, l.allowed-time.Duration(lateShare*float64(latenessStep)))
+	if l.allowed > 0 {
+		l.allowed = max(0, l.allowed-time.Duration(lateShare*float64(latenessStep)))
+	}
 }
 
 // learn takes in how a plan that was made ended.
@@ -31,5 +35,5 @@
 	if lasted-forecast > l.allowed {
 		step += latenessStep
 	}
-	l.allowed = min(maxLateness, max(0, l.allowed+step))
+	l.allowed = min(maxLateness, max(minLateness, l.allowed+step))
 }
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -229,6 +229,59 @@
 		next()
 	})
 
+	It("admits an urgent request though less urgent ones wait, and those only behind it", func() {
+		// 60 pieces wait for u, of which ten a second are made.
+		for n := range 20 {
+			plan := chain(fmt.Sprint("r", n), time.Minute)
+			plan.Priority = 1
+			run(plan)
+			next()
+		}
+		less := chain("less", 2*time.Second)
+		less.Priority = 1
+		Expect(outcomeOf(run(less)).Reason).To(Equal(pipeline.Busy))
+		run(chain("urgent", 2*time.Second))
+		next()
+	})
+
+	It("refuses a less urgent request at once where urgent ones that come take the endpoints", func() {
+		less := func(request string) pipeline.Plan {
+			plan := chain(request, 2*time.Second)
+			plan.Priority = 1
+			return plan
+		}
+		for n := range 5 {
+			run(less(fmt.Sprint("calm", n)))
+			next()
+		}
+		// 15 pieces of u wait. Urgent plans that ask for 30 come, and more are expected.
+		for n := range 10 {
+			outcomeOf(run(chain(fmt.Sprint("r", n), 0)))
+		}
+		Expect(outcomeOf(run(less("busy"))).Reason).To(Equal(pipeline.Busy))
+		clock.Advance(10 * time.Second)
+		run(less("calm again"))
+		next()
+	})
+
+	It("learns for each priority apart by how much plans last longer", func() {
+		for n := range 40 {
+			plan := chain(fmt.Sprint("r", n), time.Minute)
+			plan.Stages = plan.Stages[:1]
+			plan.Priority = 1
+			done := run(plan)
+			stage := next()
+			clock.Advance(2 * time.Second)
+			stage.finish("")
+			outcomeOf(done)
+		}
+		late := chain("late", 1050*time.Millisecond)
+		late.Priority = 1
+		Expect(outcomeOf(run(late)).Reason).To(Equal(pipeline.Busy))
+		run(chain("in time", 1050*time.Millisecond))
+		next()
+	})
+
 	It("gives up the results of a plan that fails", func() {
 		done := run(chain("r", time.Minute))
 		next().finish("")
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -69,8 +69,9 @@
 // Ledger is what one planner knows of a part, for the next one.
 type Ledger struct {
 	Pieces batch.Ledger `json:"pieces"`
-	// LatenessMs is by how much most plans lasted longer than forecast, in milliseconds.
-	LatenessMs int64 `json:"lateness_ms"`
+	// LatenessMs is by how much most plans lasted longer than forecast, in milliseconds, by their
+	// priority.
+	LatenessMs map[int]int64 `json:"lateness_ms,omitempty"`
 }
 
 // read tells which stages some other stage reads.
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -42,9 +42,10 @@
 	refused  *metrics.Counter
 
 	mu sync.Mutex
-	// ahead counts the pieces of admitted plans that are not made yet.
-	ahead    map[batch.Queue]int
-	lateness lateness
+	// backlogs are what each queue is asked for.
+	backlogs map[batch.Queue]*backlog
+	// lateness is by the requests' priority.
+	lateness map[int]*lateness
 	overload overload
 	readers  readers
 }
@@ -57,8 +58,8 @@
 		log:      log,
 		admitted: set.NewCounter(`cobaltcroft_plans_total{outcome="admitted"}`),
 		refused:  set.NewCounter(`cobaltcroft_plans_total{outcome="refused"}`),
-		ahead:    map[batch.Queue]int{},
-		lateness: newLateness(),
+		backlogs: map[batch.Queue]*backlog{},
+		lateness: map[int]*lateness{},
 		readers:  newReaders(),
 	}
 }
@@ -79,7 +80,7 @@
 	forecast, admitted := p.admit(part, &plan)
 	p.log.WithFields(logrus.Fields{
 		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": forecast.Milliseconds(),
-		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "allowed_ms": p.allowed().Milliseconds(), "admitted": admitted, "domain": plan.Domain,
+		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "allowed_ms": p.allowed(plan.Priority).Milliseconds(), "admitted": admitted, "domain": plan.Domain, "priority": plan.Priority,
 	}).Info()
 	if !admitted {
 		p.refused.Inc()
@@ -88,7 +89,7 @@
 	p.admitted.Inc()
 	outcome := newWork(p, part, &plan).run(ctx)
 	if outcome.Reason == "" {
-		p.learn(forecast, p.clock.Since(begin))
+		p.learn(plan.Priority, forecast, p.clock.Since(begin))
 	}
 	if outcome.Reason == batch.Gone && p.clock.Now().Before(plan.Due) {
 		p.log.WithFields(logrus.Fields{"event": "plan_again", "id": plan.Request}).Info()
@@ -110,10 +111,10 @@
 }
 
 // allowed is by how much plans may last longer than forecast.
-func (p *Planner) allowed() time.Duration {
+func (p *Planner) allowed(priority int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lateness.allowed
+	return p.latenessLocked(priority).allowed
 }
 
 // chooseReader chooses where a request runs whose stages are made.
@@ -197,7 +198,7 @@
 	defer close(w.done[i])
 	stage := &w.plan.Stages[i]
 	queue := queueOf(w.part, stage.Service)
-	defer w.finished(queue, len(w.missing[i]))
+	defer w.finished(queue, w.plan.Priority, len(w.missing[i]))
 	for _, before := range w.waits[i] {
 		<-w.done[before]
 	}
--- a/pkg/pipeline/resuming.go
+++ b/pkg/pipeline/resuming.go
@@ -14,7 +14,10 @@
 	ledger := Ledger{Pieces: p.pieces.Release(part.Number, part.Of)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ledger.LatenessMs = p.lateness.allowed.Milliseconds()
+	ledger.LatenessMs = map[int]int64{}
+	for priority, l := range p.lateness {
+		ledger.LatenessMs[priority] = l.allowed.Milliseconds()
+	}
 	return ledger
 }
 
@@ -23,8 +26,10 @@
 	p.pieces.Take(part.Number, part.Of, ledger.Pieces)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	told := time.Duration(ledger.LatenessMs) * time.Millisecond
-	p.lateness.allowed = min(maxLateness, max(p.lateness.allowed, told))
+	for priority, told := range ledger.LatenessMs {
+		l := p.latenessLocked(priority)
+		l.allowed = min(maxLateness, max(minLateness, time.Duration(told)*time.Millisecond))
+	}
 }
 
 // Resume takes a part over of which nothing is known.
