--- a/pkg/batch/queue.go
+++ b/pkg/batch/queue.go
@@ -62,7 +62,6 @@
 	slices.SortStableFunc(q.items, func(a, b *item) int {
 		return cmp.Or(
 			compareBool(a.late(soonest), b.late(soonest)),
-			cmp.Compare(a.piece.Priority, b.piece.Priority),
 			a.piece.Due.Compare(b.piece.Due),
 			cmp.Compare(a.piece.Request, b.piece.Request),
 		)
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -15,7 +15,6 @@
 	left := plan.Due.Sub(p.clock.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.askedLocked(part, plan)
 	forecast = p.forecast(part, plan)
 	if plan.begun() {
 		p.countLocked(part, plan)
@@ -67,25 +66,15 @@
 
 func (p *Planner) countLocked(part Part, plan *Plan) {
 	for i, pieces := range plan.missing() {
-		p.backlog(queueOf(part, plan.Stages[i].Service)).add(plan.Priority, len(pieces))
+		p.backlog(queueOf(part, plan.Stages[i].Service)).add(plan, len(pieces))
 	}
 }
 
 // finished counts pieces out.
-func (p *Planner) finished(queue batch.Queue, priority, pieces int) {
+func (p *Planner) finished(queue batch.Queue, plan *Plan, pieces int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backlog(queue).add(priority, -pieces)
-}
-
-// askedLocked notes what a plan asks for.
-func (p *Planner) askedLocked(part Part, plan *Plan) {
-	now := p.clock.Now()
-	for i, pieces := range plan.missing() {
-		if len(pieces) > 0 {
-			p.backlog(queueOf(part, plan.Stages[i].Service)).asked(now, plan.Priority, len(pieces))
-		}
-	}
+	p.backlog(queue).add(plan, -pieces)
 }
 
 // backlog returns that of a queue.
@@ -99,8 +88,7 @@
 }
 
 // forecast is how long the longest way through the stages takes from now: at each stage, the
-// wait for what goes before it there beyond what has been done by then, and a call. More urgent
-// requests go before, those that are still to come too.
+// wait for what goes before it there beyond what has been done by then, and a call.
 func (p *Planner) forecast(part Part, plan *Plan) time.Duration {
 	ends := make([]time.Duration, len(plan.Stages))
 	missing := plan.missing()
@@ -112,21 +100,19 @@
 		if len(missing[i]) == 0 {
 			continue
 		}
-		ends[i] += p.stageTime(queueOf(part, stage.Service), plan.Priority, len(missing[i]), ends[i])
+		ends[i] += p.stageTime(queueOf(part, stage.Service), plan, len(missing[i]), ends[i])
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
 // stageTime is how long a stage takes that begins after a time.
-func (p *Planner) stageTime(queue batch.Queue, priority, pieces int, begins time.Duration) time.Duration {
+func (p *Planner) stageTime(queue batch.Queue, plan *Plan, pieces int, begins time.Duration) time.Duration {
 	capacity := p.pieces.Capacity(queue)
 	if capacity.PerSecond <= 0 {
 		return unknownTime
 	}
-	backlog := p.backlog(queue)
-	left := backlog.left(p.clock.Now(), priority, capacity.PerSecond)
-	ahead := capacity.Others + float64(backlog.before(priority)+pieces) - float64(capacity.AtOnce) - left*begins.Seconds()
-	wait := time.Duration(max(0, ahead) / left * float64(time.Second))
+	ahead := capacity.Others + float64(p.backlog(queue).before(plan)+pieces) - float64(capacity.AtOnce) - capacity.PerSecond*begins.Seconds()
+	wait := time.Duration(max(0, ahead) / capacity.PerSecond * float64(time.Second))
 	return wait + capacity.Call
 }
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -198,7 +198,7 @@
 	defer close(w.done[i])
 	stage := &w.plan.Stages[i]
 	queue := queueOf(w.part, stage.Service)
-	defer w.finished(queue, w.plan.Priority, len(w.missing[i]))
+	defer w.finished(queue, w.plan, len(w.missing[i]))
 	for _, before := range w.waits[i] {
 		<-w.done[before]
 	}
