--- a/pkg/batch/inspecting.go
+++ b/pkg/batch/inspecting.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -31,6 +32,9 @@
 	FreeBytes int64
 }
 
+// ErrNoReport is the error of an endpoint that answers, but does not tell what it does.
+var ErrNoReport = errors.New("the endpoint does not tell what it does; it is taken to be free")
+
 // Inspect asks the endpoints of queues what they do to which this planner has sent nothing for
 // a while: they may be at work for another, or hold results of one that has died. It returns
 // when they have answered or ctx ends.
@@ -92,14 +96,21 @@
 	fields := logrus.Fields{"event": "endpoint_inspected", "service": s.at.Service, "endpoint": endpoint.ID}
 	if err != nil {
 		b.log.WithFields(fields).Info(err)
-		return
+	} else {
+		fields["waiting"], fields["busy"], fields["free"] = report.Waiting, report.Busy, report.FreeBytes
+		b.log.WithFields(fields).Info()
 	}
-	fields["waiting"], fields["busy"], fields["free"] = report.Waiting, report.Busy, report.FreeBytes
-	b.log.WithFields(fields).Info()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w.running == 0 {
-		w.inspected(b.clock.Now(), report, batching)
+	switch now := b.clock.Now(); {
+	case w.running > 0:
+		// What was sent meanwhile tells more.
+	case errors.Is(err, ErrNoReport):
+	case err != nil:
+		// It may be cut off: it gets work, and counts in forecasts, when it has been reached.
+		w.failed(now)
+	default:
+		w.inspected(now, report, batching)
 	}
 }
 
--- a/pkg/batch/ledger_test.go
+++ b/pkg/batch/ledger_test.go
@@ -120,7 +120,7 @@
 		Expect(len(next().pieces)).To(BeNumerically("<", 4), "the room of those that died goes bit by bit")
 	})
 
-	It("is not inspected while it goes on, nor waited for where an endpoint does not answer", func() {
+	It("is not inspected while it goes on, and begins at once where an endpoint tells nothing", func() {
 		b := newBatcher()
 		b.Inspect(context.Background(), []batch.Queue{whole})
 		done := have(b, "r1", 1)
@@ -134,6 +134,23 @@
 		Expect(b.Capacity(whole).Others).To(BeNumerically(">", 0))
 	})
 
+	It("goes to those of its endpoints that answer, until the others are reached", func() {
+		e.ready = append(e.ready, fleet.Endpoint{ID: "b", FailureDomain: "other"})
+		e.reports["b"] = batch.Report{FreeBytes: 1000}
+		e.setCut("a", true)
+		b := newBatcher()
+		whole2 := b.Capacity(whole).PerSecond
+		b.Inspect(context.Background(), []batch.Queue{whole})
+		Expect(b.Capacity(whole).PerSecond).To(BeNumerically("~", whole2/2, 0.1))
+		have(b, "r1", 8)
+		Expect(next().endpoint).To(Equal("b"))
+		none()
+		e.setCut("a", false)
+		clock.Advance(300 * time.Millisecond)
+		b.Tick()
+		Expect(next().endpoint).To(Equal("a"))
+	})
+
 	It("is counted at most in the room that there is, where endpoints tell it roughly", func() {
 		e.reports["a"] = batch.Report{FreeBytes: 1_000_000}
 		b := newBatcher()
--- a/pkg/batch/standin_test.go
+++ b/pkg/batch/standin_test.go
@@ -73,9 +73,12 @@
 func (e *endpoints) Report(_ context.Context, endpoint fleet.Endpoint) (batch.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.cut[endpoint.ID] {
+		return batch.Report{}, errors.New("cut off")
+	}
 	report, ok := e.reports[endpoint.ID]
 	if !ok {
-		return batch.Report{}, errors.New("does not answer")
+		return batch.Report{}, batch.ErrNoReport
 	}
 	return report, nil
 }
