--- a/pkg/pipeline/lateness_test.go
+++ b/pkg/pipeline/lateness_test.go
@@ -45,6 +45,14 @@
 	}
 }
 
+func TestComeBackIsNotToldWhenNoTimeIsLeft(t *testing.T) {
+	for _, left := range []time.Duration{0, -time.Millisecond, -time.Minute} {
+		if got := comeBack(time.Second, time.Second, left); got != 0 {
+			t.Fatalf("with %v left, come back after %v", left, got)
+		}
+	}
+}
+
 func TestAnOverloadEndsWhenNothingWasRefusedForAWhile(t *testing.T) {
 	var o overload
 	begin := time.Now()
--- a/pkg/pipeline/overload.go
+++ b/pkg/pipeline/overload.go
@@ -32,8 +32,11 @@
 
 // comeBack is when a request may come back that would be late by so much, in an overload
 // that has lasted for a time: it is taken to last as long again. Those refused together are
-// spread, so that they do not come back together.
+// spread, so that they do not come back together. 0: no time is left for it to come back.
 func comeBack(late, lasted, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
 	wait := max(firstComeBack, late, lasted)
 	wait += rand.N(wait)
 	heeded := time.Duration(heededPart * float64(left))
