handover, pipeline: a planner tells of the stages that it made; plans go on from there when it fails

Cause: a killed planner's 30 to 50 plans began anew, while their results took room at the makers for HandleS. Test first: the first stage was made again.

--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -41,6 +41,9 @@
 	// Made has, by stage and piece, the results that another planner had made before the part
 	// moved. Those without a handle are still to be made.
 	Made [][]batch.Result `json:"made,omitempty"`
+	// Progress is called with the results of each stage that is made while others are not; nil:
+	// nobody wants to know. It must not block.
+	Progress func(stage int, results []batch.Result) `json:"-"`
 }
 
 // Outcome is what came of a plan.
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -140,6 +141,8 @@
 	mu     sync.Mutex
 	made   [][]batch.Result
 	reason batch.Reason
+	// left counts the stages that are not made yet.
+	left int
 }
 
 func newWork(p *Planner, part Part, plan *Plan) *work {
@@ -155,6 +158,9 @@
 		made:    make([][]batch.Result, len(plan.Stages)),
 	}
 	for i := range w.done {
+		if len(w.missing[i]) > 0 {
+			w.left++
+		}
 		w.done[i] = make(chan struct{})
 		w.made[i] = make([]batch.Result, plan.Stages[i].Pieces)
 		if plan.Made != nil {
@@ -219,10 +225,23 @@
 	w.fail(reason)
 	w.mu.Unlock()
 	if reason == "" {
+		w.tell(i)
 		w.freeRead(i)
 	}
 }
 
+// tell tells of a stage that is made, unless it was the last one.
+func (w *work) tell(i int) {
+	w.mu.Lock()
+	results := slices.Clone(w.made[i])
+	w.left--
+	last := w.left == 0
+	w.mu.Unlock()
+	if w.plan.Progress != nil && !last {
+		w.plan.Progress(i, results)
+	}
+}
+
 // fail notes why a stage was not made. Stages of a plan that moves are not given up: what can be
 // made of them is.
 func (w *work) fail(reason batch.Reason) {
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -22,6 +22,8 @@
 	MethodFree     = "pipeline.free"
 	// MethodReaderFailed tells the planner of a failure of an endpoint that it chose.
 	MethodReaderFailed = "pipeline.reader_failed"
+	// MethodProgress tells the instance that handed a plan over of a stage that is made.
+	MethodProgress = "pipeline.progress"
 	// MethodTake hands a part over to its next owner.
 	MethodTake = "pipeline.take"
 )
@@ -131,6 +133,8 @@
 	// DueMs and DeadlineMs are the plan's times as times left, in milliseconds.
 	DueMs      int64 `json:"due_ms"`
 	DeadlineMs int64 `json:"deadline_ms"`
+	// From is the peer address that is told of the plan's progress; empty: none.
+	From string `json:"from,omitempty"`
 	// Known is who owns the part as far as the caller knows; it does not reach that one if it
 	// calls another. A version that does not tell it asks the owner by rank.
 	Known ownership.Claim `json:"known"`
@@ -146,6 +150,13 @@
 	Owner ownership.Claim `json:"owner"`
 }
 
+// Progress tells of a stage of a plan that is made. It has no answer.
+type Progress struct {
+	Call    string         `json:"call"`
+	Stage   int            `json:"stage"`
+	Results []batch.Result `json:"results"`
+}
+
 // Take hands a part over. It has an empty answer.
 type Take struct {
 	Claim  ownership.Claim `json:"claim"`
--- a/service/handover/export_test.go
+++ b/service/handover/export_test.go
@@ -14,3 +14,18 @@
 	}
 	return addresses
 }
+
+// known is how many stages of all plans are known to be made.
+func (p *progress) known() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, stages := range p.made {
+		for _, results := range stages {
+			if len(results) > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -54,6 +54,13 @@
 			return nil, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance has no configuration yet")
 		}
 		return h.run(ctx, call)
+	case api.MethodProgress:
+		call, err := peers.Params[api.Progress](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		results := withTimes([][]batch.Result{call.Results}, h.clock.Now())[0]
+		return struct{}{}, h.router.progress.stageMade(call.Call, call.Stage, results)
 	case api.MethodTake:
 		call, err := peers.Params[api.Take](method, raw)
 		if err != nil {
@@ -115,6 +122,7 @@
 	call.Plan.Due = now.Add(time.Duration(call.DueMs) * time.Millisecond)
 	call.Plan.Deadline = now.Add(time.Duration(call.DeadlineMs) * time.Millisecond)
 	call.Plan.Made = withTimes(call.Plan.Made, now)
+	call.Plan.Progress = h.router.tellProgress(call.From, call.Call)
 	return h.router.serve(ctx, call)
 }
 
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -39,6 +39,7 @@
 	endpoints func() int
 	clock     clockwork.Clock
 	log       *logrus.Entry
+	progress  *progress
 	// giving says that a part is being handed over.
 	giving atomic.Bool
 }
@@ -74,6 +75,7 @@
 		endpoints: o.Endpoints,
 		clock:     o.Clock,
 		log:       o.Log,
+		progress:  newProgress(),
 	}
 	r.owners.leaving = o.Leaving
 	tell := o.Tell
@@ -104,6 +106,7 @@
 		if err != nil {
 			turned[address] = true
 			silent += choose(peers.Answered(err), 0, 1)
+			plan.Made = outcome.Made
 			continue
 		}
 		if outcome.Reason != batch.Moved {
@@ -175,9 +178,11 @@
 		if holder != call.Known {
 			return api.Ran{Outcome: pipeline.Outcome{Reason: batch.Moved, Made: plan.Made}, Owner: holder}, nil
 		}
-		if outcome, err := r.handOver(ctx, holder.Owner.PeerAddress, part, plan, true); err == nil {
+		outcome, err := r.handOver(ctx, holder.Owner.PeerAddress, part, plan, true)
+		if err == nil {
 			return r.answer(part, outcome), nil
 		}
+		plan.Made = outcome.Made
 	}
 	if !r.claims.owns(part) {
 		if r.owners.leftAt.Load() != nil && !r.owners.noneStays() {
@@ -196,14 +201,18 @@
 	return api.Ran{Outcome: outcome, Owner: holder}
 }
 
-// handOver has the stages made by the instance at an address, or tells why it did not answer.
+// handOver has the stages made by the instance at an address, or tells why it did not answer; the
+// outcome then has what it told to be made.
 func (r *Router) handOver(ctx context.Context, address string, part pipeline.Part, plan pipeline.Plan, relayed bool) (pipeline.Outcome, error) {
 	now := r.clock.Now()
 	call := api.Run{Call: uuid.NewString(), Part: part, Plan: plan, DueMs: plan.Due.Sub(now).Milliseconds(), DeadlineMs: plan.Deadline.Sub(now).Milliseconds(), Relayed: relayed}
 	call.Plan.Made = withTimesLeft(plan.Made, now)
 	call.Known, _ = r.claims.holder(part)
+	call.From = r.owners.self.PeerAddress
+	r.progress.begin(call.Call, &plan)
 	var ran api.Ran
 	err := r.client.Call(ctx, address, api.MethodRun, call, &ran)
+	made := r.progress.end(call.Call)
 	if ctx.Err() != nil {
 		r.cancel(address, call.Call)
 		return pipeline.Outcome{Reason: batch.Late}, nil
@@ -213,7 +222,7 @@
 			r.owners.suspect(address)
 		}
 		r.log.WithFields(logrus.Fields{"event": "owner_silent", "id": plan.Request, "owner": address, "answered": peers.Answered(err)}).Warn(err)
-		return pipeline.Outcome{}, err
+		return pipeline.Outcome{Made: made}, err
 	}
 	r.owners.trust(address)
 	r.claims.hear([]ownership.Claim{ran.Owner}, "told_with_answer")
--- a/service/handover/succession_test.go
+++ b/service/handover/succession_test.go
@@ -183,6 +183,17 @@
 	i.client.Close()
 }
 
+// without returns all of a list but one.
+func without(list []*instance, one *instance) []*instance {
+	var rest []*instance
+	for _, i := range list {
+		if i != one {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
 // answerer answers runs and parts that are handed over.
 type answerer struct{ *Handler }
 
@@ -289,15 +300,7 @@
 	}
 
 	// others returns all but one.
-	others := func(one *instance) []*instance {
-		var rest []*instance
-		for _, i := range all {
-			if i != one {
-				rest = append(rest, i)
-			}
-		}
-		return rest
-	}
+	others := func(one *instance) []*instance { return without(all, one) }
 
 	// beat has all tell each other who owns what, as heartbeats do.
 	beat := func() {
@@ -343,6 +346,40 @@
 		Expect(back.pieces.Made()).To(BeZero())
 	})
 
+	It("is followed by one that goes on with the stages that it told to be made, when it is killed", func() {
+		first := ownerOf(all[0], "r1")
+		asking := others(first)[0]
+		done := make(chan pipeline.Outcome, 1)
+		plan := pipeline.Plan{
+			Request:  "r2",
+			Stages:   []pipeline.Stage{{Service: "s", Pieces: 2}, {Service: "t", After: []int{0}, Pieces: 3}},
+			Due:      clock.Now().Add(time.Minute),
+			Deadline: clock.Now().Add(time.Minute),
+		}
+		go func() { done <- asking.router.Run(context.Background(), plan) }()
+		Eventually(first.pieces.Waiting).Should(Equal(2))
+		first.pieces.finish()
+		Eventually(first.pieces.Waiting).Should(Equal(3))
+		Eventually(func() int { return asking.router.progress.known() }).Should(Equal(1))
+		first.kill()
+		Eventually(func() []*instance { return without(planners(), first) }).Should(HaveLen(1))
+		second := without(planners(), first)[0]
+		Expect(second.pieces.Waiting()).To(Equal(3))
+		second.pieces.finish()
+		Expect(outcomeOf(done).Results).To(HaveLen(3))
+		Expect(second.pieces.Made()).To(Equal(3), "the first stage is not made again")
+	})
+
+	It("tells of no stage that the plan does not have", func() {
+		asking := all[0].router
+		asking.progress.begin("call", &pipeline.Plan{Stages: make([]pipeline.Stage, 2)})
+		Expect(asking.progress.stageMade("call", 2, nil)).To(MatchError(ContainSubstring("no stage 2")))
+		Expect(asking.progress.stageMade("call", -1, nil)).To(HaveOccurred())
+		Expect(asking.progress.stageMade("another", 7, nil)).To(Succeed())
+		Expect(asking.progress.end("call")).To(Equal(make([][]batch.Result, 2)))
+		Expect(asking.progress.end("call")).To(BeNil())
+	})
+
 	It("hands a part over when it leaves: one planner at a time, and what waits goes on with what was made", func() {
 		first := ownerOf(all[0], "r1")
 		asking := others(first)[0]
