handover: no storm of claims in a rolling restart of many; leaving instances take no parts

An owner that had given its part up and heard that it owns it again, before the ledger came, sent all plans away as moved; who was sent away claimed the part itself, though the owner answered. Leaving instances took parts over, since heartbeats tell others' domains late who leaves. Found by: the log lines event=owner, by cause and second. Ruled out: silence of owners (two in ten seconds). Change: an instance that hears that it owns a part begins to plan it; a part is claimed only where nobody owns it who is reached; a leaving instance refuses a part while another stays; the claim changes before the part is given up.

--- a/service/handover/claims.go
+++ b/service/handover/claims.go
@@ -24,10 +24,11 @@
 type claims struct {
 	clock clockwork.Clock
 	log   *logrus.Entry
-	// changed is called when this instance decided who owns a part, and lost when it was
-	// superseded. Neither may block.
+	// changed is called when this instance decided who owns a part, lost when it was superseded,
+	// and won when it hears that it owns one. None may block.
 	changed func()
 	lost    func(ownership.Claim)
+	won     func(ownership.Claim)
 
 	mu    sync.Mutex
 	table *ownership.Table
@@ -40,8 +41,8 @@
 	until time.Time
 }
 
-func newClaims(clock clockwork.Clock, log *logrus.Entry, self ownership.Owner, changed func(), lost func(ownership.Claim)) *claims {
-	return &claims{clock: clock, log: log, changed: changed, lost: lost, table: ownership.NewTable(self)}
+func newClaims(clock clockwork.Clock, log *logrus.Entry, self ownership.Owner, changed func(), lost, won func(ownership.Claim)) *claims {
+	return &claims{clock: clock, log: log, changed: changed, lost: lost, won: won, table: ownership.NewTable(self)}
 }
 
 // holder returns the claim that holds for a part, as far as is known.
@@ -103,7 +104,10 @@
 	c.mu.Unlock()
 	for _, change := range changes {
 		c.note(change.Before, change.After, cause)
-		if change.Before.Owner == self {
+		switch self {
+		case change.After.Owner:
+			c.won(change.After)
+		case change.Before.Owner:
 			c.lost(change.After)
 		}
 	}
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -66,8 +66,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h.router.take(call)
-		return struct{}{}, nil
+		return struct{}{}, h.router.take(call)
 	case api.MethodCancel:
 		call, err := peers.Params[api.Cancel](method, raw)
 		if err != nil {
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -14,7 +14,6 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
-	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -82,7 +81,7 @@
 	if tell == nil {
 		tell = func() {}
 	}
-	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner(), tell, r.superseded)
+	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner(), tell, r.superseded, func(won ownership.Claim) { r.planner.Resume(won.Part) })
 	return r
 }
 
@@ -117,7 +116,14 @@
 			turned[address] = true
 		}
 	}
-	return r.planHere(ctx, part, plan, silent < silentWhenCutOff && !r.owners.alone())
+	return r.planHere(ctx, part, plan, silent < silentWhenCutOff && r.ownerless(part))
+}
+
+// ownerless tells whether this instance should claim a part when it makes a plan of it: nobody
+// owns it who is reached, but others are.
+func (r *Router) ownerless(part pipeline.Part) bool {
+	holder, known := r.claims.holder(part)
+	return (!known || !r.owners.reaches(holder.Owner)) && !r.owners.alone()
 }
 
 // choose returns one of two values.
@@ -185,8 +191,8 @@
 		plan.Made = outcome.Made
 	}
 	if !r.claims.owns(part) {
-		if r.owners.leftAt.Load() != nil && !r.owners.noneStays() {
-			return api.Ran{}, problem.New(problem.Unavailable, "hand the plan to the next owner", "this instance is leaving")
+		if r.leavesOthers() {
+			return api.Ran{}, refuseLeaving("hand the plan to the next owner")
 		}
 		r.claims.claim(part, "asked_by_peer")
 		r.planner.Resume(part)
--- a/service/handover/succession.go
+++ b/service/handover/succession.go
@@ -11,6 +11,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
 
@@ -44,8 +45,9 @@
 // giveToSuccessor hands a part over to the first of its successors that takes it.
 func (r *Router) giveToSuccessor(part pipeline.Part) {
 	for _, successor := range r.owners.successors(part) {
-		ledger := r.planner.Release(part)
+		// First the claim: who asks for a plan while the part is given up is sent on.
 		claim := r.claims.assign(part, successor, "leaving")
+		ledger := r.planner.Release(part)
 		if r.give(claim, ledger) {
 			return
 		}
@@ -83,11 +85,25 @@
 }
 
 // take begins to own a part with what its owner before knew of it.
-func (r *Router) take(call api.Take) {
+func (r *Router) take(call api.Take) error {
+	if !r.claims.owns(call.Claim.Part) && r.leavesOthers() {
+		return refuseLeaving("hand the part to another")
+	}
 	r.claims.hear([]ownership.Claim{call.Claim}, "handed_over")
-	if r.claims.owns(call.Claim.Part) {
-		r.planner.Take(call.Claim.Part, call.Ledger)
+	if call.Claim.Owner != r.owners.self.Owner() || !r.claims.owns(call.Claim.Part) {
+		return problem.New(problem.Conflict, "tell it to the owner that the heartbeats name", "part %d of %d is not this instance's in term %d", call.Claim.Part.Number, call.Claim.Part.Of, call.Claim.Term)
 	}
+	r.planner.Take(call.Claim.Part, call.Ledger)
+	return nil
+}
+
+// leavesOthers tells whether this instance leaves while another stays, which is to own its parts.
+func (r *Router) leavesOthers() bool {
+	return r.owners.leftAt.Load() != nil && !r.owners.noneStays()
+}
+
+func refuseLeaving(remedy string) error {
+	return problem.New(problem.Unavailable, remedy, "this instance is leaving")
 }
 
 // successors returns the members that may own a part after this instance, which leaves: those
--- a/service/handover/succession_test.go
+++ b/service/handover/succession_test.go
@@ -31,8 +31,10 @@
 	made     []batch.Piece
 	waiting  []heldCall
 	released bool
-	taken    []batch.Ledger
-	adopted  []batch.Result
+	// stuck says that what was given up is never taken back.
+	stuck   bool
+	taken   []batch.Ledger
+	adopted []batch.Result
 }
 
 // heldCall is a stage that waits.
@@ -90,7 +92,7 @@
 func (h *heldPieces) Resume(int, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.released = false
+	h.released = h.stuck
 }
 
 func (h *heldPieces) Adopt(results []batch.Result) {
@@ -477,6 +479,51 @@
 		Expect(ownerOf(first, "r3")).To(Equal(second))
 	})
 
+	It("plans at once when it hears that it owns a part again, though the ledger is still under way", func() {
+		first := ownerOf(all[0], "r1")
+		first.router.Leave()
+		Eventually(func() bool { return first.router.claims.owns(whole) }).Should(BeFalse())
+		claim, _ := first.router.claims.holder(whole)
+		claim.Term++
+		claim.Owner = first.self.Owner()
+		for _, i := range all {
+			i.router.HearClaims([]ownership.Claim{claim})
+		}
+		for _, i := range all {
+			Expect(ownerOf(i, "r2")).To(Equal(first))
+			Expect(i.router.claims.owns(whole)).To(Equal(i == first))
+		}
+	})
+
+	It("is not taken over from one that answers, though it sends plans away", func() {
+		first := ownerOf(all[0], "r1")
+		asking := others(first)[0]
+		beat()
+		first.pieces.Release(0, 1)
+		first.pieces.stuck = true
+		done := run(asking, "r2")
+		Eventually(asking.pieces.Waiting).Should(Equal(2))
+		asking.pieces.finish()
+		Expect(outcomeOf(done).Reason).To(BeEmpty())
+		for _, i := range all {
+			Expect(i.router.claims.owns(whole)).To(Equal(i == first))
+		}
+	})
+
+	It("does not become one that leaves itself, while another stays", func() {
+		first := ownerOf(all[0], "r1")
+		leaving := others(first)[0]
+		leaving.router.owners.leave()
+		call := api.Take{Claim: ownership.Claim{Part: whole, Term: 9, Owner: leaving.self.Owner()}}
+		Expect(leaving.router.take(call)).To(MatchError(ContainSubstring("leaving")))
+		Expect(leaving.router.claims.owns(whole)).To(BeFalse())
+		for range 3 {
+			first.router.Leave()
+		}
+		Eventually(func() bool { return first.router.claims.owns(whole) }).Should(BeFalse())
+		Consistently(func() bool { return leaving.router.claims.owns(whole) }).WithTimeout(50 * time.Millisecond).Should(BeFalse())
+	})
+
 	It("is not claimed by an instance that reaches no other", func() {
 		lone := all[0]
 		for _, other := range others(lone) {
@@ -490,8 +537,12 @@
 	It("refuses a part whose ledger is for another, and changes nothing", func() {
 		owner := ownerOf(all[0], "r1")
 		before := owner.router.Claims()
-		owner.router.take(api.Take{Claim: ownership.Claim{Part: ownership.Part{Number: 3, Of: 1}, Term: 9, Owner: owner.self.Owner()}})
-		owner.router.take(api.Take{Claim: ownership.Claim{Part: whole, Term: 0, Owner: others(owner)[0].self.Owner()}})
+		for _, claim := range []ownership.Claim{
+			{Part: ownership.Part{Number: 3, Of: 1}, Term: 9, Owner: owner.self.Owner()},
+			{Part: whole, Term: 0, Owner: others(owner)[0].self.Owner()},
+		} {
+			Expect(owner.router.take(api.Take{Claim: claim})).To(MatchError(ContainSubstring("is not this instance's")))
+		}
 		Expect(owner.router.Claims()).To(Equal(before))
 	})
 })
