--- a/service/handover/succession.go
+++ b/service/handover/succession.go
@@ -51,6 +51,10 @@
 		if r.give(claim, ledger) {
 			return
 		}
+		if holder, _ := r.claims.holder(part); holder != claim {
+			// Another has claimed the part meanwhile.
+			return
+		}
 		r.claims.claim(part, "successor_not_reached")
 		r.planner.Take(part, ledger)
 	}
