batch: an endpoint that answers a report badly keeps its work; only a silent one waits until it is reached

Ruled out: load, since the log shows the two resets. Change: only silence until the time of the question is over counts against an endpoint.

--- a/pkg/batch/inspecting.go
+++ b/pkg/batch/inspecting.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -32,9 +31,6 @@
 	FreeBytes int64
 }
 
-// ErrNoReport is the error of an endpoint that answers, but does not tell what it does.
-var ErrNoReport = errors.New("the endpoint does not tell what it does; it is taken to be free")
-
 // Inspect asks the endpoints of queues what they do to which this planner has sent nothing for
 // a while: they may be at work for another, or hold results of one that has died. It returns
 // when they have answered or ctx ends.
@@ -105,10 +101,12 @@
 	switch now := b.clock.Now(); {
 	case w.running > 0:
 		// What was sent meanwhile tells more.
-	case errors.Is(err, ErrNoReport):
-	case err != nil:
-		// It may be cut off: it gets work, and counts in forecasts, when it has been reached.
+	case ctx.Err() != nil:
+		// It is silent, and may be cut off: it gets work, and counts in forecasts, when it has been
+		// reached.
 		w.failed(now)
+	case err != nil:
+		// It answers, but does not tell what it does: it is taken to be free.
 	default:
 		w.inspected(now, report, batching)
 	}
