--- a/service/handover/succession_test.go
+++ b/service/handover/succession_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -320,6 +321,24 @@
 		Expect(lone.router.claims.owns(whole)).To(BeFalse())
 	})
 
+	It("makes plans of instances of the version before, which tell of no owner", func() {
+		owner := all[0]
+		old := json.RawMessage(`{"call":"c","part":{"number":0,"of":1},"plan":{"request":"r","stages":[{"service":"s","bytes":1,"pieces":1}],"priority":0},"due_ms":60000,"deadline_ms":60000}`)
+		done := make(chan any, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer, err := answerer{NewHandler(owner.router, nil)}.Answer(context.Background(), api.MethodRun, old)
+			Expect(err).NotTo(HaveOccurred())
+			done <- answer
+		}()
+		Eventually(owner.pieces.Waiting).Should(Equal(1))
+		owner.pieces.finish()
+		var answer any
+		Eventually(done).Should(Receive(&answer))
+		Expect(answer.(api.Ran).Results).To(HaveLen(1))
+		Expect(owner.router.claims.owns(whole)).To(BeTrue())
+	})
+
 	It("refuses a part whose ledger is for another, and changes nothing", func() {
 		owner := ownerOf(all[0], "r1")
 		before := owner.router.Claims()
