discovery, platform: logs tell how far an answer had come that broke off, and which peer was refused

No logic changes: source_call_failed for each failed call with its time, the bytes that had come in its error, and peer_refused with both sides' revisions and the age that it was refused for.

--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -150,6 +150,7 @@
 			return
 		}
 		reached = f.tellReached(reached, err)
+		f.log.WithFields(logrus.Fields{"event": "source_call_failed", "revision": since, "ms": f.clock.Since(begin).Milliseconds()}).Info(err)
 		sleep(ctx, f.clock, pause.NextBackOff())
 	}
 }
@@ -250,6 +251,10 @@
 	at := f.clock.Now()
 	state, age, err := f.peers.State(ctx, view.Fleet.Revision)
 	if err != nil || age > confirmedFor {
+		f.log.WithFields(logrus.Fields{
+			"event": "peer_refused", "revision": view.Fleet.Revision, "peer_revision": state.Revision,
+			"document": view.Document.Revision, "peer_document": state.Document.Revision, "age_ms": age.Milliseconds(),
+		}).Info(err)
 		return
 	}
 	f.deliver(ctx, event{state: &state, at: at.Add(-age), from: "peer"})
