discovery: a failing test, a newer version of a peer whose own view is old

Cause: askPeer refuses a peer's answer when the peer's own view is older than 1.7 s (confirmedFor), also when its version is newer than the asker's. Test only, no change of logic. Run: go test ./pkg/discovery -ginkgo.focus 'however long ago': fails, version 3 after 5 s.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -243,6 +243,16 @@
 		Consistently(ready).WithTimeout(500 * time.Millisecond).Should(Equal(2))
 	})
 
+	It("takes a newer version from a peer, however long ago the peer heard of the source", func() {
+		put(store, state(5, 4, 3, "a"))
+		Eventually(version).Should(Equal(uint64(3)))
+		outage()
+		peers.set(func(s *source) { s.out, s.state, s.age = false, state(9, 8, 7, "a"), 5*time.Second })
+		Eventually(version).Should(Equal(uint64(7)))
+		By("not taking the peer's old word as news of the source")
+		Expect(f.View().Age(time.Now())).To(BeNumerically(">", 2200*time.Millisecond))
+	})
+
 	It("tells peers of no endpoint that lapsed, and keeps none that was leaving", func() {
 		leaving := state(5, 4, 3, "a", "b")
 		leaving.Endpoints[0].Leaving = true
