--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 	./_scripts/example.sh
 
 test:
-	go test ./...
+	./_scripts/test.sh
 
 race:
-	go test -race ./...
+	./_scripts/test.sh -race
 
 lint:
 	./_scripts/lint.sh
