--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -170,8 +170,8 @@
 	g.store = platform.NewStore(s.Store)
 	g.client = peers.NewClient(s.Instance, s.PeerToken)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
-	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims}, g.gossip, g.clock, g.logs.For("peers"))
-	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers}, g.clock, g.logs.For("discovery"))
+	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Revision: g.documentRevision, HeardRevision: g.hearRevision}, g.gossip, g.clock, g.logs.For("peers"))
+	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
 	g.conns = httpconn.NewPool(g.clock, g.metrics)
 	g.balancer = balance.New(g.clock)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -218,6 +218,10 @@
 func (g *Gateway) claims() []ownership.Claim          { return g.router.Claims() }
 func (g *Gateway) hearClaims(heard []ownership.Claim) { g.router.HearClaims(heard) }
 
+// documentRevision and hearRevision tell and hear which configuration is in force where.
+func (g *Gateway) documentRevision() uint64 { return g.follower.View().Document.Revision }
+func (g *Gateway) hearRevision(r uint64)    { g.follower.Heard(r) }
+
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
@@ -334,7 +338,7 @@
 	switch {
 	case r.URL.Path != platform.ReadyPath:
 		http.NotFound(w, r)
-	case g.stopping.begun() || view.Table == nil || len(view.Fleet.All()) == 0:
+	case g.stopping.begun() || view.Table == nil || len(view.Fleet.All()) == 0 || view.Behind(g.clock.Now()):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -27,12 +27,21 @@
 
 var errOut = errors.New("out")
 
+// held is what a source or a peer has.
+type held struct {
+	Revision  uint64
+	Document  discovery.Document
+	Endpoints []fleet.Endpoint
+}
+
 // source is a source, or the peers, whose state the test sets.
 type source struct {
 	mu    sync.Mutex
-	state discovery.State
+	state held
 	out   bool
-	gone  bool
+	// gone and documentGone have the next watch of each kind told that history is gone.
+	gone         bool
+	documentGone bool
 	// tardy has answers come when the time of their calls is over.
 	tardy   bool
 	relays  []string
@@ -47,41 +56,69 @@
 	change(s)
 }
 
-func (s *source) read() (discovery.State, bool) {
+// forget has both watches told that history is gone, and sets what is there then.
+func (s *source) forget(next held) {
+	s.set(func(s *source) { s.out, s.gone, s.documentGone, s.state = false, true, true, next })
+}
+
+func (s *source) read() (held, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.state, s.out
 }
 
-func (s *source) State(context.Context) (discovery.State, error) {
+func (s *source) State(context.Context, discovery.Progress) (discovery.State, error) {
 	state, out := s.read()
 	if out {
 		return discovery.State{}, errOut
 	}
-	return state, nil
+	return discovery.State{Revision: state.Revision, Endpoints: state.Endpoints}, nil
+}
+
+func (s *source) Document(context.Context, discovery.Progress) (discovery.Newest, error) {
+	state, out := s.read()
+	if out {
+		return discovery.Newest{}, errOut
+	}
+	return discovery.Newest{At: state.Revision, Document: state.Document}, nil
 }
 
-func (s *source) Watch(ctx context.Context, since uint64, wait time.Duration) (discovery.Changes, error) {
+func (s *source) Watch(ctx context.Context, since uint64, wait time.Duration, _ discovery.Progress) (discovery.Changes, error) {
 	s.set(func(s *source) { s.watches++ })
+	state, err := s.await(ctx, since, wait, &s.gone)
+	changes := discovery.Changes{Revision: state.Revision}
+	for _, e := range state.Endpoints {
+		changes.Endpoints = append(changes.Endpoints, fleet.Change{Endpoint: e})
+	}
+	return changes, err
+}
+
+func (s *source) WatchDocument(ctx context.Context, since uint64, wait time.Duration, _ discovery.Progress) (discovery.Newest, error) {
+	state, err := s.await(ctx, since, wait, &s.documentGone)
+	newest := discovery.Newest{At: state.Revision}
+	if state.Document.Revision > since {
+		newest.Document = state.Document
+	}
+	return newest, err
+}
+
+// await returns what is there as soon as it is newer than a revision, or after a time.
+func (s *source) await(ctx context.Context, since uint64, wait time.Duration, gone *bool) (held, error) {
 	until := time.Now().Add(wait)
 	for {
 		state, out := s.read()
 		if out {
-			return discovery.Changes{}, errOut
+			return held{}, errOut
 		}
-		if s.takeGone() {
-			return discovery.Changes{}, discovery.ErrHistoryGone
+		if s.take(gone) {
+			return held{}, discovery.ErrHistoryGone
 		}
 		if state.Revision > since || time.Now().After(until) {
-			changes := discovery.Changes{Revision: state.Revision, Document: state.Document}
-			for _, e := range state.Endpoints {
-				changes.Endpoints = append(changes.Endpoints, fleet.Change{Endpoint: e})
-			}
 			if s.isTardy() {
 				<-ctx.Done()
-				return changes, nil
+				return state, nil
 			}
-			return changes, ctx.Err()
+			return state, ctx.Err()
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -93,12 +130,13 @@
 	return s.tardy
 }
 
-func (s *source) takeGone() bool {
+// take returns a flag and takes it down.
+func (s *source) take(flag *bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	gone := s.gone
-	s.gone = false
-	return gone
+	was := *flag
+	*flag = false
+	return was
 }
 
 func (*source) Decode(d discovery.Document) (route.Config, error) {
@@ -110,18 +148,34 @@
 // peersOf gives what a source holds, as peers.
 type peersOf struct{ *source }
 
-func (p peersOf) State(ctx context.Context, newerThan uint64) (discovery.State, time.Duration, error) {
-	state, err := p.source.State(ctx)
-	if state.Revision < newerThan {
-		state = discovery.State{}
+// oldness is how long ago the peers heard of the source.
+func (p peersOf) oldness() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.age
+}
+
+func (p peersOf) mark(state held) discovery.Mark {
+	return discovery.Mark{Revision: state.Document.Revision, At: state.Revision, Age: p.oldness(), Newest: state.Document.Revision}
+}
+
+func (p peersOf) State(_ context.Context, newerThan uint64) (discovery.Known, error) {
+	state, out := p.read()
+	if out {
+		return discovery.Known{}, errOut
+	}
+	known := discovery.Known{Age: p.oldness(), Mark: p.mark(state)}
+	if state.Revision >= newerThan {
+		known.State = discovery.State{Revision: state.Revision, Endpoints: state.Endpoints}
 	}
-	return state, p.age, err
+	return known, nil
 }
 
-func (p peersOf) Relay(ctx context.Context, _ string, since uint64, wait time.Duration) (discovery.Changes, time.Duration, error) {
+func (p peersOf) Relay(ctx context.Context, _ string, selection discovery.RelaySelect) (discovery.Relayed, error) {
 	p.set(func(s *source) { s.relayed++ })
-	changes, err := p.Watch(ctx, since, wait)
-	return changes, p.age, err
+	changes, err := p.Watch(ctx, selection.Since, selection.Wait, nil)
+	state, _ := p.read()
+	return discovery.Relayed{Changes: changes, Age: p.oldness(), Mark: p.mark(state)}, err
 }
 
 func (p peersOf) Relays() []string {
@@ -130,14 +184,37 @@
 	return p.relays
 }
 
+func (p peersOf) Holders(newerThan uint64) []string {
+	if state, out := p.read(); out || state.Document.Revision <= newerThan {
+		return nil
+	}
+	return []string{"peer"}
+}
+
+func (p peersOf) Piece(_ context.Context, _ string, selection discovery.PieceSelect) (discovery.Piece, error) {
+	state, out := p.read()
+	if out {
+		return discovery.Piece{}, errOut
+	}
+	piece := discovery.Piece{Mark: p.mark(state)}
+	if state.Document.Revision <= selection.NewerThan || selection.MaxAge > 0 && p.oldness() > selection.MaxAge {
+		return piece, nil
+	}
+	digest, data := discovery.Pack(state.Document)
+	piece.Digest, piece.Size, piece.Data = digest, len(data), data
+	return piece, nil
+}
+
+func (peersOf) Announce() {}
+
 func document(revision, version uint64) discovery.Document {
 	data, err := json.Marshal(route.Config{Version: version})
 	Expect(err).NotTo(HaveOccurred())
 	return discovery.Document{Revision: revision, Data: data}
 }
 
-func state(revision, documentRevision, version uint64, endpoints ...string) discovery.State {
-	s := discovery.State{Revision: revision, Document: document(documentRevision, version)}
+func state(revision, documentRevision, version uint64, endpoints ...string) held {
+	s := held{Revision: revision, Document: document(documentRevision, version)}
 	for _, id := range endpoints {
 		s.Endpoints = append(s.Endpoints, fleet.Endpoint{ID: id, Service: "s"})
 	}
@@ -167,8 +244,10 @@
 		}
 		return f.View().Table.Version
 	}
+	// listed is the revision of the endpoints, which come apart from the configuration.
+	listed := func() uint64 { return f.View().Fleet.Revision }
 	ready := func() int { return len(f.View().Fleet.Ready("s")) }
-	put := func(s *source, next discovery.State) { s.set(func(s *source) { s.state = next }) }
+	put := func(s *source, next held) { s.set(func(s *source) { s.state = next }) }
 
 	It("takes versions and endpoints in as they come, never backward", func() {
 		put(store, state(5, 4, 3, "a"))
@@ -206,7 +285,7 @@
 	It("reads all anew when the history is gone", func() {
 		put(store, state(5, 4, 3, "a"))
 		Eventually(ready).Should(Equal(1))
-		store.set(func(s *source) { s.gone, s.state = true, state(9, 8, 7, "b") })
+		store.forget(state(9, 8, 7, "b"))
 		Eventually(func() bool { return f.View().Fleet.MayGetWork("a") }).Should(BeFalse())
 		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
 	})
@@ -232,7 +311,8 @@
 		put(store, state(5, 4, 3, "a", "b", "c"))
 		Eventually(ready).Should(Equal(3))
 		outage()
-		store.set(func(s *source) { s.out, s.gone, s.state = false, true, state(9, 8, 7, "b") })
+		store.forget(state(9, 8, 7, "b"))
+		Eventually(listed).Should(Equal(uint64(9)))
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(ready()).To(Equal(3))
 		back := state(10, 8, 7, "a", "b")
@@ -259,18 +339,19 @@
 		put(store, leaving)
 		Eventually(ready).Should(Equal(1))
 		outage()
-		store.set(func(s *source) { s.out, s.gone, s.state = false, true, state(9, 8, 7) })
+		store.forget(state(9, 8, 7))
+		Eventually(listed).Should(Equal(uint64(9)))
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(f.View().Fleet.All()).To(HaveLen(1))
 		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
-		told, _ := f.State()
-		Expect(told.Endpoints).To(BeEmpty())
+		Expect(f.Known().State.Endpoints).To(BeEmpty())
 	})
 
 	It("takes an endpoint as gone at once whose entry goes while the source answers", func() {
 		put(store, state(5, 4, 3, "a", "b"))
 		Eventually(ready).Should(Equal(2))
-		store.set(func(s *source) { s.gone, s.state = true, state(9, 8, 7, "b") })
+		store.forget(state(9, 8, 7, "b"))
+		Eventually(listed).Should(Equal(uint64(9)))
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(ready()).To(Equal(1))
 	})
@@ -295,20 +376,25 @@
 		Eventually(version).Should(Equal(uint64(13)))
 	})
 
-	It("relays what comes, as soon as it comes, or says that it is not kept", func() {
+	It("relays what comes, as soon as it comes, or everything if the changes are not kept", func() {
 		put(store, state(5, 4, 3, "a"))
-		Eventually(ready).Should(Equal(1))
-		changes, _, err := f.Relay(5, 10*time.Millisecond)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(changes.Revision).To(Equal(uint64(5)))
-		got := make(chan discovery.Changes, 1)
-		go func() {
-			changes, _, _ := f.Relay(5, 5*time.Second)
-			got <- changes
-		}()
-		put(store, state(9, 8, 7, "a", "b"))
-		Eventually(got).Should(Receive(SatisfyAll(HaveField("Revision", uint64(9)), HaveField("Document.Revision", uint64(8)))))
-		_, _, err = f.Relay(3, time.Second)
-		Expect(err).To(MatchError(discovery.ErrHistoryGone))
+		Eventually(version).Should(Equal(uint64(3)))
+		ask := func(since uint64, wait time.Duration) discovery.Relayed {
+			return f.Relay(discovery.RelaySelect{Since: since, Document: 4, Wait: wait})
+		}
+		nothing := ask(5, 10*time.Millisecond)
+		Expect(nothing.Changes.Revision).To(Equal(uint64(5)))
+		Expect(nothing.Mark.Revision).To(Equal(uint64(4)))
+		got := make(chan discovery.Relayed, 1)
+		go func() { got <- ask(5, 5*time.Second) }()
+		put(store, state(9, 4, 3, "a", "b"))
+		Eventually(got).Should(Receive(HaveField("Changes.Revision", uint64(9))))
+		go func() { got <- ask(9, 5*time.Second) }()
+		put(store, state(11, 10, 7, "a", "b"))
+		Eventually(got).Should(Receive(Or(HaveField("Mark.Revision", uint64(10)), HaveField("Changes.Revision", uint64(11)))))
+		Eventually(func() uint64 { return ask(11, 0).Mark.Revision }).Should(Equal(uint64(10)))
+		whole := ask(3, time.Second)
+		Expect(whole.State).NotTo(BeNil())
+		Expect(whole.State.Endpoints).To(HaveLen(2))
 	})
 })
--- /dev/null
+++ b/pkg/discovery/documents.go
@@ -0,0 +1,123 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// relayedFor is how long a relay's word counts that its document is the newest, and
+	// maxMarkAge how long before it the source may have confirmed that: the relay may be
+	// taking in a large answer, which others need not do as well.
+	relayedFor = time.Second
+	maxMarkAge = 3 * time.Second
+	// sourceAfter is how long an instance that leaves the watching to relays looks among its
+	// peers for a document that it lacks, until it reads the source; longestHesitation is how
+	// much longer some wait, so that not all read it at once.
+	sourceAfter       = 600 * time.Millisecond
+	longestHesitation = 400 * time.Millisecond
+	// documentPoll is the time between looks whether the source is to be watched.
+	documentPoll = 100 * time.Millisecond
+)
+
+// followDocument watches the source for documents, unless relays do.
+func (f *Follower) followDocument(ctx context.Context) {
+	retry := newRetry()
+	anew := true
+	for ctx.Err() == nil {
+		if !f.watchesDocument() {
+			sleep(ctx, f.clock, documentPoll)
+			continue
+		}
+		begin := f.clock.Now()
+		err := f.askForDocument(ctx, anew)
+		switch {
+		case err == nil:
+			anew = false
+			retry.Reset()
+			sleep(ctx, f.clock, watchPause-f.clock.Since(begin))
+		case errors.Is(err, ErrHistoryGone):
+			f.log.WithFields(logrus.Fields{"event": "history_gone", "of": "document", "revision": f.View().DocumentAt}).Info()
+			anew = true
+		default:
+			sleep(ctx, f.clock, retry.NextBackOff())
+		}
+	}
+}
+
+// watchesDocument tells whether this instance watches the source for documents: it has no
+// relays, none of them tells that its document is the newest, or no peer gives one that is
+// known to exist.
+func (f *Follower) watchesDocument() bool {
+	view, now := f.View(), f.clock.Now()
+	if lacking, lacks := view.Lacking(now); lacks && lacking > sourceAfter+f.hesitation {
+		return true
+	}
+	relayed := f.relayed.Load()
+	return view.Document.Revision == 0 || len(f.peers.Relays()) == 0 || relayed == nil || now.Sub(*relayed) > relayedFor
+}
+
+// askForDocument reads the newest document, or waits for one. The call is given up when a
+// peer gives a newer one meanwhile.
+func (f *Follower) askForDocument(ctx context.Context, anew bool) error {
+	view := f.View()
+	wait, first := watchWait, watchWait+answerSlack
+	if _, lacks := view.Lacking(f.clock.Now()); anew || lacks || view.Document.Revision == 0 {
+		// The answer to a watch would hold every version that was missed; this one has the newest alone.
+		wait, first = 0, readTimeout
+	}
+	callCtx, transfer := newTransfer(ctx, f.clock, first)
+	defer transfer.end()
+	go f.endWhenNewer(callCtx, transfer, view.Document.Revision)
+	newest, err := f.newest(callCtx, transfer, view.DocumentAt, wait)
+	if err != nil {
+		if f.View().Document.Revision > view.Document.Revision {
+			return nil
+		}
+		f.tellFailed("document", transfer, err)
+		return err
+	}
+	at := transfer.begin
+	if wait > 0 {
+		at = transfer.confirmedAt(wait)
+	}
+	f.takeIn(ctx, newest, at)
+	return nil
+}
+
+func (f *Follower) newest(ctx context.Context, t *transfer, since uint64, wait time.Duration) (Newest, error) {
+	if wait == 0 {
+		return f.source.Document(ctx, t.progress)
+	}
+	return f.source.WatchDocument(ctx, since, wait, t.progress)
+}
+
+// endWhenNewer ends a call when a document is in force that is newer than a revision.
+func (f *Follower) endWhenNewer(ctx context.Context, t *transfer, revision uint64) {
+	for {
+		changed := f.history.changed()
+		if f.View().Document.Revision > revision {
+			t.cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeIn delivers what the source told: a document, or that there is no newer one.
+func (f *Follower) takeIn(ctx context.Context, newest Newest, at time.Time) {
+	view := f.View()
+	n := documentNews{document: newest.Document, at: at, from: "source"}
+	n.mark = Mark{Revision: max(newest.Document.Revision, view.Document.Revision), At: newest.At}
+	if newest.Document.Revision > max(view.Document.Revision, view.refused) {
+		n.table = f.compile(newest.Document, n.from)
+	}
+	f.deliver(ctx, n)
+}
--- /dev/null
+++ b/pkg/discovery/endpoints.go
@@ -0,0 +1,191 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// watchWait is how long one watch waits. A cut that swallows its answer is
+	// noticed after watchWait and answerSlack.
+	watchWait   = 1500 * time.Millisecond
+	answerSlack = 500 * time.Millisecond
+	// relayWatchWait is how long the watches of those wait that relay to others, and
+	// relayWait is how long a call to a relay waits. What a relay tells that is older
+	// than maxRelayAge is not relied on.
+	relayWatchWait = 400 * time.Millisecond
+	relayWait      = 400 * time.Millisecond
+	relayTimeout   = 200 * time.Millisecond
+	maxRelayAge    = 900 * time.Millisecond
+	// readTimeout is how long the answer to a reading of everything may take to begin.
+	readTimeout = time.Second
+	// peerPoll is the time between questions to peers while the source is silent.
+	peerPoll    = 300 * time.Millisecond
+	peerTimeout = 400 * time.Millisecond
+	// relayingFor is how long an instance takes itself to be a relay after it was asked.
+	relayingFor = 5 * time.Second
+)
+
+// followEndpoints follows the endpoints, at a relay or at the source.
+func (f *Follower) followEndpoints(ctx context.Context) {
+	retry := newRetry()
+	reached, anew := true, true
+	for ctx.Err() == nil {
+		if !f.View().Confirmed.IsZero() && f.askRelays(ctx) {
+			anew = false
+			continue
+		}
+		begin := f.clock.Now()
+		err := f.askSource(ctx, anew)
+		switch {
+		case err == nil:
+			anew = false
+			retry.Reset()
+			reached = f.tellReached(reached, nil)
+			sleep(ctx, f.clock, watchPause-f.clock.Since(begin))
+		case errors.Is(err, ErrHistoryGone):
+			f.log.WithFields(logrus.Fields{"event": "history_gone", "of": "endpoints", "revision": f.View().listed.Revision}).Info()
+			anew = true
+		case ctx.Err() == nil:
+			reached = f.tellReached(reached, err)
+			sleep(ctx, f.clock, retry.NextBackOff())
+		}
+	}
+}
+
+func newRetry() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = firstRetry
+	retry.MaxInterval = lastRetry
+	return retry
+}
+
+// tellReached logs a change of whether the source answers.
+func (f *Follower) tellReached(before bool, err error) bool {
+	now := err == nil
+	if now == before {
+		return now
+	}
+	if now {
+		f.log.WithField("event", "source_regained").Info()
+	} else {
+		f.log.WithField("event", "source_lost").WithField("error", err.Error()).Warn()
+	}
+	return now
+}
+
+// askSource reads all endpoints, or waits for changes of those that the view has. What came
+// is delivered though the time of its call is over: the next watch goes on after it.
+func (f *Follower) askSource(ctx context.Context, anew bool) error {
+	if anew {
+		return f.readState(ctx)
+	}
+	wait := f.watchWait()
+	callCtx, transfer := newTransfer(ctx, f.clock, wait+answerSlack)
+	defer transfer.end()
+	since := f.View().listed.Revision
+	changes, err := f.source.Watch(callCtx, since, wait, transfer.progress)
+	if err != nil {
+		f.tellFailed("endpoints", transfer, err)
+		return err
+	}
+	f.deliver(ctx, changeNews{changes: changes, since: since, at: transfer.confirmedAt(wait)})
+	return nil
+}
+
+func (f *Follower) readState(ctx context.Context) error {
+	callCtx, transfer := newTransfer(ctx, f.clock, readTimeout)
+	defer transfer.end()
+	state, err := f.source.State(callCtx, transfer.progress)
+	if err != nil {
+		f.tellFailed("endpoints", transfer, err)
+		return err
+	}
+	f.deliver(ctx, stateNews{state: state, at: transfer.begin})
+	return nil
+}
+
+// tellFailed logs a call to the source that failed, and how far its answer had come.
+func (f *Follower) tellFailed(of string, t *transfer, err error) {
+	if errors.Is(err, ErrHistoryGone) {
+		return
+	}
+	f.log.WithFields(logrus.Fields{
+		"event": "source_call_failed", "of": of, "bytes": t.bytes.Load(), "ms": f.clock.Since(t.begin).Milliseconds(),
+	}).Info(err)
+}
+
+// watchWait is how long a watch waits: less while others rely on this instance.
+func (f *Follower) watchWait() time.Duration {
+	if until := f.relaying.Load(); until != nil && f.clock.Now().Before(*until) {
+		return relayWatchWait
+	}
+	return watchWait
+}
+
+// askRelays takes what is new from a relay, and tells whether one gave it fresh enough.
+func (f *Follower) askRelays(ctx context.Context) bool {
+	for _, relay := range f.peers.Relays() {
+		if f.askRelay(ctx, relay) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Follower) askRelay(ctx context.Context, relay string) bool {
+	view := f.View()
+	selection := RelaySelect{Since: view.listed.Revision, Document: view.Newest(), Wait: relayWait}
+	callCtx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
+	told, err := f.peers.Relay(callCtx, relay, selection)
+	cancel()
+	now := f.clock.Now()
+	if err == nil {
+		f.deliver(ctx, markNews{mark: told.Mark, at: now.Add(-told.Mark.Age)})
+	}
+	if err != nil || told.Age > maxRelayAge {
+		f.log.WithFields(logrus.Fields{"event": "relay_refused", "relay": relay, "revision": selection.Since, "age_ms": told.Age.Milliseconds()}).Info(err)
+		return false
+	}
+	if told.State != nil {
+		f.deliver(ctx, stateNews{state: *told.State, at: now.Add(-told.Age)})
+	} else {
+		f.deliver(ctx, changeNews{changes: told.Changes, since: selection.Since, at: now.Add(-told.Age)})
+	}
+	if told.Mark.Age <= maxMarkAge {
+		f.relayed.Store(&now)
+	}
+	return true
+}
+
+// followPeers asks peers while the source does not confirm the endpoints.
+func (f *Follower) followPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, f.clock, peerPoll)
+		view := f.View()
+		if view.FleetAge(f.clock.Now()) >= confirmedFor {
+			f.askPeer(ctx, view)
+		}
+	}
+}
+
+// askPeer takes what a peer knows. One that knows more is listened to however old its
+// knowledge is; who knows nothing yet begins with what is fresh.
+func (f *Follower) askPeer(ctx context.Context, view *View) {
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	at := f.clock.Now()
+	known, err := f.peers.State(callCtx, view.listed.Revision)
+	if err != nil {
+		f.log.WithFields(logrus.Fields{"event": "peer_refused", "revision": view.listed.Revision}).Info(err)
+		return
+	}
+	if known.Age <= confirmedFor || !view.Confirmed.IsZero() {
+		f.deliver(ctx, stateNews{state: known.State, at: at.Add(-known.Age)})
+	}
+	f.deliver(ctx, markNews{mark: known.Mark, at: at.Add(-known.Mark.Age)})
+}
--- a/pkg/discovery/history.go
+++ b/pkg/discovery/history.go
@@ -2,9 +2,6 @@
 
 import (
 	"sync"
-	"time"
-
-	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
 // historyLength bounds the changes that are kept for those who are relayed to.
@@ -16,7 +13,7 @@
 	changes Changes
 }
 
-// history keeps the last changes, and wakes those who wait for the next. Safe for
+// history keeps the last changes of the endpoints, and wakes those who wait for news. Safe for
 // concurrent use.
 type history struct {
 	mu    sync.Mutex
@@ -40,7 +37,6 @@
 	if len(h.steps) > historyLength {
 		h.steps = h.steps[len(h.steps)-historyLength:]
 	}
-	h.wake()
 }
 
 // restart drops the changes: everything was read anew.
@@ -48,65 +44,73 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.steps = nil
-	h.wake()
 }
 
+// wake wakes those who wait. Changes are added before they are in the view, and told when
+// they are.
 func (h *history) wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	close(h.next)
 	h.next = make(chan struct{})
 }
 
-// changed is closed when changes come after this call.
+// changed returns what is closed when something changes in the view after this call.
 func (h *history) changed() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.next
 }
 
-// since returns the changes after a revision, up to the newest; false if they are not kept.
-func (h *history) since(revision uint64) (Changes, bool) {
+// since returns the changes after a revision, up to another; false if they are not kept.
+func (h *history) since(revision, upTo uint64) (Changes, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var all Changes
 	found := false
 	for _, s := range h.steps {
 		found = found || s.from == revision
-		if !found {
+		if !found || s.changes.Revision > upTo {
 			continue
 		}
 		all.Revision = s.changes.Revision
 		all.Endpoints = append(all.Endpoints, s.changes.Endpoints...)
-		if s.changes.Document.Revision > 0 {
-			all.Document = s.changes.Document
-		}
 	}
-	return all, found
+	return all, found && all.Revision == upTo
 }
 
-// Since waits for changes after a revision, up to a time, and returns them with the age of
-// what is known. It returns ErrHistoryGone if they are not kept.
-func (f *Follower) Since(revision uint64, wait time.Duration) (Changes, time.Duration, error) {
-	timeout := f.clock.After(wait)
+// Relay answers an instance that relies on this one: with what it does not have, or with
+// nothing new after the time to wait.
+func (f *Follower) Relay(selection RelaySelect) Relayed {
+	until := f.clock.Now().Add(relayingFor)
+	f.relaying.Store(&until)
+	timeout := f.clock.After(selection.Wait)
 	for {
-		next := f.history.changed()
+		changed := f.history.changed()
 		view := f.View()
-		age := view.Age(f.clock.Now())
-		if view.Fleet.Revision == revision {
-			select {
-			case <-next:
-				continue
-			case <-timeout:
-				view = f.View()
-				if view.Fleet.Revision != revision {
-					continue
-				}
-				return Changes{Revision: revision, Endpoints: []fleet.Change{}}, view.Age(f.clock.Now()), nil
-			}
+		if view.listed.Revision > selection.Since || view.Newest() > selection.Document {
+			return f.relay(view, selection.Since)
 		}
-		changes, ok := f.history.since(revision)
-		if !ok {
-			return Changes{}, age, ErrHistoryGone
+		select {
+		case <-changed:
+		case <-timeout:
+			return f.relay(f.View(), selection.Since)
 		}
-		return changes, age, nil
 	}
 }
+
+// relay returns what a view has beyond a revision of the endpoints.
+func (f *Follower) relay(view *View, since uint64) Relayed {
+	now := f.clock.Now()
+	told := Relayed{Age: view.FleetAge(now), Mark: view.mark(now)}
+	if view.listed.Revision <= since {
+		told.Changes.Revision = view.listed.Revision
+		return told
+	}
+	if changes, kept := f.history.since(since, view.listed.Revision); kept {
+		told.Changes = changes
+		return told
+	}
+	told.State = &State{Revision: view.listed.Revision, Endpoints: view.listed.All()}
+	return told
+}
--- /dev/null
+++ b/pkg/discovery/news.go
@@ -0,0 +1,141 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+// news is something learnt. The goroutine that owns the view applies it.
+type news interface {
+	// apply changes a copy of the view, and returns what is to be done once that is the view;
+	// nil if nothing is.
+	apply(f *Follower, view *View) (then func())
+}
+
+// stateNews are all endpoints, confirmed at a time.
+type stateNews struct {
+	state State
+	at    time.Time
+}
+
+func (n stateNews) apply(f *Follower, view *View) func() {
+	if n.state.Revision < view.listed.Revision {
+		return nil
+	}
+	before := view.listed.Revision
+	view.listed = fleet.New(n.state.Revision, n.state.Endpoints)
+	f.confirmEndpoints(view, n.at)
+	if n.state.Revision == before {
+		return nil
+	}
+	f.history.restart()
+	return f.history.wake
+}
+
+// changeNews are changes of the endpoints after a revision, confirmed at a time.
+type changeNews struct {
+	changes Changes
+	since   uint64
+	at      time.Time
+}
+
+func (n changeNews) apply(f *Follower, view *View) func() {
+	before := view.listed.Revision
+	if n.since > before || n.changes.Revision < before {
+		// They follow what the view does not have, or it knows more already. They confirm
+		// nothing.
+		return nil
+	}
+	view.listed = view.listed.With(n.changes.Revision, n.changes.Endpoints)
+	f.confirmEndpoints(view, n.at)
+	f.history.add(before, n.changes)
+	return f.history.wake
+}
+
+// documentNews is a document that was the newest as of a revision of the source, confirmed
+// at a time.
+type documentNews struct {
+	document Document
+	// table is what it compiles to; nil if it does not.
+	table *route.Table
+	mark  Mark
+	at    time.Time
+	from  string
+}
+
+func (n documentNews) apply(f *Follower, view *View) func() {
+	if n.document.Revision > view.Document.Revision {
+		return n.putInForce(f, view)
+	}
+	view.confirmDocument(n.mark, n.at)
+	return nil
+}
+
+// putInForce takes the document in, unless it does not compile or is an older version.
+func (n documentNews) putInForce(f *Follower, view *View) func() {
+	fields := logrus.Fields{"event": "configuration_in_force", "revision": n.document.Revision, "from": n.from}
+	if n.table == nil {
+		view.refused = max(view.refused, n.document.Revision)
+		return nil
+	}
+	fields["version"] = n.table.Version
+	if view.Table != nil && n.table.Version < view.Table.Version {
+		view.refused = max(view.refused, n.document.Revision)
+		fields["event"], fields["in_force"] = "configuration_older", view.Table.Version
+		f.log.WithFields(fields).Warn()
+		return nil
+	}
+	now := f.clock.Now()
+	lacked, _ := view.Lacking(now)
+	view.Table, view.Document = n.table, n.document
+	view.DocumentAt, view.DocumentConfirmed = n.mark.At, n.at
+	view.caughtUp(now)
+	fields["bytes"], fields["lacked_ms"] = len(n.document.Data), lacked.Milliseconds()
+	f.log.WithFields(fields).Info()
+	return f.tellDocument
+}
+
+// markNews is what a peer told of its document, as of a time.
+type markNews struct {
+	mark Mark
+	at   time.Time
+}
+
+func (n markNews) apply(f *Follower, view *View) func() {
+	view.confirmDocument(n.mark, n.at)
+	return f.hear(view, max(n.mark.Revision, n.mark.Newest))
+}
+
+// rumourNews is the revision of a document that a peer has in force.
+type rumourNews uint64
+
+func (n rumourNews) apply(f *Follower, view *View) func() {
+	return f.hear(view, uint64(n))
+}
+
+// hear takes in that there is a document of a revision; one that was not heard of before is
+// told on, and taken from a peer.
+func (f *Follower) hear(view *View, revision uint64) func() {
+	if !view.hear(revision, f.clock.Now()) {
+		return nil
+	}
+	return func() {
+		f.history.wake()
+		f.wantDocument()
+	}
+}
+
+// lapseNews says that endpoints kept after an outage are to be taken as gone.
+type lapseNews struct{}
+
+func (lapseNews) apply(f *Follower, view *View) func() {
+	if lapsed := len(view.Fleet.All()) - len(view.listed.All()); lapsed > 0 {
+		f.log.WithFields(logrus.Fields{"event": "endpoints_lapsed", "endpoints": lapsed, "revision": view.listed.Revision}).Info()
+	}
+	view.Fleet = view.listed
+	return nil
+}
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -1,7 +1,8 @@
 // Package discovery follows the configuration and the endpoints. They come from a
-// source, such as a metadata store, and from peers while the source is not reached.
-// What is known carries when it was last confirmed; it never goes backward within the
-// life of a process.
+// source, such as a metadata store, and from peers. The two are followed apart: changes of
+// endpoints are small and urgent, a configuration may be large and is passed on between
+// peers. What is known carries when it was last confirmed; it never goes backward within
+// the life of a process.
 package discovery
 
 import (
@@ -23,64 +24,103 @@
 	Data     []byte `json:"data"`
 }
 
-// State is all that the source holds, as of a revision.
+// State is the endpoints that the source lists, as of a revision.
 type State struct {
 	Revision  uint64           `json:"revision"`
-	Document  Document         `json:"document"`
 	Endpoints []fleet.Endpoint `json:"endpoints"`
 }
 
-// Changes is what has changed up to a revision.
+// Changes is what has changed of the endpoints up to a revision.
 type Changes struct {
-	Revision uint64 `json:"revision"`
-	// Document is the newest configuration among the changes; revision 0 if none is.
-	Document  Document       `json:"document"`
+	Revision  uint64         `json:"revision"`
 	Endpoints []fleet.Change `json:"endpoints,omitempty"`
 }
 
-// Source gives configuration and endpoints. Its calls end with their contexts.
+// Newest is the newest document as of a revision of the source.
+type Newest struct {
+	// At is the revision of the source; each change of anything raises it.
+	At uint64
+	// Document has revision 0 if there is none that the asker does not have.
+	Document Document
+}
+
+// Progress is told each time that bytes of an answer have come.
+type Progress func(bytes int)
+
+// Source gives configuration and endpoints. Its calls end with their contexts, and tell
+// their progress.
 type Source interface {
-	// State reads everything.
-	State(ctx context.Context) (State, error)
-	// Watch returns the changes after a revision as soon as there is one, or none
-	// after the time to wait. It fails with ErrHistoryGone if they are not kept.
-	Watch(ctx context.Context, since uint64, wait time.Duration) (Changes, error)
+	// State reads all endpoints.
+	State(ctx context.Context, progress Progress) (State, error)
+	// Watch returns the changes of endpoints after a revision as soon as there is one, or
+	// none after the time to wait. It fails with ErrHistoryGone if they are not kept.
+	Watch(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Changes, error)
+	// Document reads the newest document.
+	Document(ctx context.Context, progress Progress) (Newest, error)
+	// WatchDocument returns the newest document as soon as one was written after a revision
+	// of the source, or none after the time to wait. It fails as Watch does.
+	WatchDocument(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Newest, error)
 	// Decode reads a document.
 	Decode(d Document) (route.Config, error)
 }
 
+// Mark says which document an instance has in force, and how far it knows that to be the
+// newest.
+type Mark struct {
+	// Revision is that of the document; 0 stands for none.
+	Revision uint64 `json:"revision"`
+	// At is the source's revision as of which it was the newest, confirmed Age before the
+	// mark was given, in nanoseconds.
+	At  uint64        `json:"at"`
+	Age time.Duration `json:"age_ns"`
+	// Newest is the revision of the newest document that the instance has heard of.
+	Newest uint64 `json:"newest"`
+}
+
+// Known is what a peer knows.
+type Known struct {
+	State State `json:"state"`
+	// Age is how long before the answer the source confirmed the state, in nanoseconds.
+	Age  time.Duration `json:"age_ns"`
+	Mark Mark          `json:"mark"`
+}
+
+// Relayed is what a relay tells of the endpoints after a revision.
+type Relayed struct {
+	// State has all endpoints if the changes are not kept; nil otherwise.
+	State   *State  `json:"state,omitempty"`
+	Changes Changes `json:"changes"`
+	// Age is how long before the answer the source confirmed it, in nanoseconds.
+	Age  time.Duration `json:"age_ns"`
+	Mark Mark          `json:"mark"`
+}
+
+// RelaySelect says what the asker of a relay has.
+type RelaySelect struct {
+	// Since is the revision of the endpoints, Document that of the newest document that the
+	// asker has heard of.
+	Since    uint64
+	Document uint64
+	// Wait is how long to wait for something newer.
+	Wait time.Duration
+}
+
 // Peers gives what other instances know.
 type Peers interface {
-	// State asks some live instance for all that it knows, if that is newer than a
-	// revision or as new. The age is how long before the answer the source confirmed it.
-	State(ctx context.Context, newerThan uint64) (state State, age time.Duration, err error)
-	// Relay returns the changes after a revision that a relay knows, as soon as there is
-	// one, or none after the time to wait. It fails with ErrHistoryGone as a source does.
-	Relay(ctx context.Context, relay string, since uint64, wait time.Duration) (changes Changes, age time.Duration, err error)
+	// State asks some live instance for the endpoints that it knows, if that is newer than a
+	// revision or as new.
+	State(ctx context.Context, newerThan uint64) (Known, error)
+	// Relay returns what a relay knows beyond what the asker has, as soon as there is
+	// something, or nothing new after the time to wait.
+	Relay(ctx context.Context, relay string, selection RelaySelect) (Relayed, error)
 	// Relays returns the peer addresses of the instances that may relay the source's
 	// changes to this one, in order; none if this one watches the source itself.
 	Relays() []string
-}
-
-// View is what an instance knows. It is immutable.
-type View struct {
-	// Table is nil until a configuration is known.
-	Table    *route.Table
-	Document Document
-	// Fleet has the endpoints that may be alive: those listed, and for a while after an
-	// outage of the source those whose entries have lapsed.
-	Fleet *fleet.Snapshot
-	// listed has the endpoints that the source listed.
-	listed *fleet.Snapshot
-	// Confirmed is when the source last confirmed all this, by the steady clock;
-	// the zero time if never.
-	Confirmed time.Time
-}
-
-// Age is how long ago the source confirmed the view.
-func (v *View) Age(now time.Time) time.Duration {
-	if v.Confirmed.IsZero() {
-		return 1 << 62
-	}
-	return now.Sub(v.Confirmed)
+	// Holders returns the peer addresses of live instances that have a document in force that
+	// is newer than a revision, best first.
+	Holders(newerThan uint64) []string
+	// Piece returns a piece of the packed document that a peer has in force.
+	Piece(ctx context.Context, peer string, selection PieceSelect) (Piece, error)
+	// Announce has the others told at once which document is in force here.
+	Announce()
 }
--- /dev/null
+++ b/pkg/discovery/view.go
@@ -0,0 +1,129 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+const (
+	// behindGrace is how long an instance serves on by its configuration after it has heard
+	// that there is a newer one. Versions must be in force two seconds after they were
+	// accepted on the strictest deployment; a packed megabyte takes a fifth of a second on a link
+	// of 10 Mbit/s.
+	behindGrace = time.Second
+	// toldFor is how long word of a newer configuration counts after it was last told: when
+	// all who have it have fallen silent, this instance is cut off and serves on. Heartbeats
+	// come each second.
+	toldFor = 3 * time.Second
+	// never is the age of what was never confirmed.
+	never = time.Duration(1 << 62)
+)
+
+// View is what an instance knows. It is immutable.
+type View struct {
+	// Table is nil until a configuration is known.
+	Table    *route.Table
+	Document Document
+	// DocumentAt is the revision of the source as of which Document was the newest, and
+	// DocumentConfirmed when that was confirmed, by the steady clock.
+	DocumentAt        uint64
+	DocumentConfirmed time.Time
+	// Fleet has the endpoints that may be alive: those listed, and for a while after an
+	// outage of the source those whose entries have lapsed.
+	Fleet *fleet.Snapshot
+	// listed has the endpoints that the source listed.
+	listed *fleet.Snapshot
+	// Confirmed is when the source last confirmed the endpoints, by the steady clock; the
+	// zero time if never.
+	Confirmed time.Time
+	// rumour is what others told of newer documents.
+	rumour rumour
+	// refused is the revision of the newest document that does not compile here.
+	refused uint64
+}
+
+// rumour is word of a document that is newer than the one in force.
+type rumour struct {
+	// newest is the revision of the newest document heard of, first heard at newestAt.
+	newest   uint64
+	newestAt time.Time
+	// since is when this instance first heard of one that it still lacks, told when it last
+	// did.
+	since time.Time
+	told  time.Time
+}
+
+// Age is how long ago the source confirmed that the configuration is the newest.
+func (v *View) Age(now time.Time) time.Duration { return since(v.DocumentConfirmed, now) }
+
+// FleetAge is how long ago the source confirmed the endpoints.
+func (v *View) FleetAge(now time.Time) time.Duration { return since(v.Confirmed, now) }
+
+func since(confirmed, now time.Time) time.Duration {
+	if confirmed.IsZero() {
+		return never
+	}
+	return now.Sub(confirmed)
+}
+
+// Newest is the revision of the newest document that this instance has heard of.
+func (v *View) Newest() uint64 { return max(v.Document.Revision, v.rumour.newest) }
+
+// Lacking tells whether there is a newer document than the one in force, and for how long
+// that has been known.
+func (v *View) Lacking(now time.Time) (time.Duration, bool) {
+	if v.rumour.newest <= max(v.Document.Revision, v.refused) {
+		return 0, false
+	}
+	return now.Sub(v.rumour.since), true
+}
+
+// Behind tells whether requests must not be served by the configuration in force: others
+// have a newer one, and have said so for long enough that it should be here.
+func (v *View) Behind(now time.Time) bool {
+	lacking, lacks := v.Lacking(now)
+	return lacks && lacking >= behindGrace && now.Sub(v.rumour.told) < toldFor
+}
+
+// mark is what others are told of the document.
+func (v *View) mark(now time.Time) Mark {
+	return Mark{Revision: v.Document.Revision, At: v.DocumentAt, Age: v.Age(now), Newest: v.Newest()}
+}
+
+// hear takes in that there is a document of a revision, and tells whether none as new was
+// heard of before.
+func (v *View) hear(revision uint64, now time.Time) bool {
+	if revision <= max(v.Document.Revision, v.refused) {
+		return false
+	}
+	if _, lacked := v.Lacking(now); !lacked {
+		v.rumour.since = now
+	}
+	v.rumour.told = now
+	if revision <= v.rumour.newest {
+		return false
+	}
+	v.rumour.newest, v.rumour.newestAt = revision, now
+	return true
+}
+
+// caughtUp takes in that a newer document is in force: what is still lacked has been since
+// the newest was heard of.
+func (v *View) caughtUp(now time.Time) {
+	if _, lacks := v.Lacking(now); lacks {
+		v.rumour.since = v.rumour.newestAt
+	}
+}
+
+// confirmDocument takes in that a mark was true at a time.
+func (v *View) confirmDocument(m Mark, at time.Time) {
+	if m.Revision == 0 || m.Revision != v.Document.Revision {
+		return
+	}
+	v.DocumentAt = max(v.DocumentAt, m.At)
+	if at.After(v.DocumentConfirmed) {
+		v.DocumentConfirmed = at
+	}
+}
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -165,6 +165,9 @@
 	if table == nil {
 		return refuseUnready()
 	}
+	if u.view.Behind(u.Clock.Now()) {
+		return refuseBehind()
+	}
 	unsure := u.age > cautiousAfter
 	u.route = table.Route(u.request.Host, u.request.Path)
 	if u.route == nil {
@@ -263,10 +266,13 @@
 	}
 	if u.route != nil {
 		fields["route"] = u.route.Name
-		fields["version"] = u.view.Table.Version
 	}
 	if u.view.Table != nil {
+		fields["version"] = u.view.Table.Version
 		fields["view_age_ms"] = u.age.Milliseconds()
+		if newest := u.view.Newest(); newest > u.view.Document.Revision {
+			fields["revision"], fields["newer_revision"] = u.view.Document.Revision, newest
+		}
 	}
 	u.Log.WithFields(fields).Info()
 	u.Metrics.GetOrCreateCounter(`cobaltcroft_requests_total{outcome="` + reason + `"}`).Inc()
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -27,6 +27,14 @@
 	return &Refusal{http.StatusServiceUnavailable, time.Second, "stale_configuration", "this instance has not heard of the configuration's source for a while; the request has not run; come back after the time told"}
 }
 
+// behindComeBack is when a client may come back to an instance that lacks a configuration which
+// others have: a packed one is here within a second, and another instance may have it now.
+const behindComeBack = 300 * time.Millisecond
+
+func refuseBehind() *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, behindComeBack, "behind_configuration", "this instance has not got the newest configuration yet; the request has not run; come back after the time told"}
+}
+
 func refuseNoEndpoint(after time.Duration) *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, after, "no_endpoint", "no endpoint of the service can take the request; it has not run; come back after the time told"}
 }
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -35,6 +35,10 @@
 	// tell, and must not block. Both may be nil.
 	Claims      func() []ownership.Claim
 	HeardClaims func([]ownership.Claim)
+	// Revision returns the revision of the configuration in force here, which is told;
+	// HeardRevision takes in that of another member, and must not block. Both may be nil.
+	Revision      func() uint64
+	HeardRevision func(uint64)
 }
 
 // Transport sends heartbeats. Its method must not block.
@@ -116,9 +120,7 @@
 		select {
 		case h := <-g.heard:
 			g.tell(members.Observe(g.clock.Now(), h))
-			if g.settings.HeardClaims != nil && len(h.Claims) > 0 {
-				g.settings.HeardClaims(h.Claims)
-			}
+			g.hearNews(h)
 		case <-g.news:
 			g.beat(members)
 		case <-ticker.Chan():
@@ -137,12 +139,25 @@
 	}
 }
 
+// hearNews passes on what a heartbeat tells beyond its sender's life.
+func (g *Group) hearNews(h membership.Heartbeat) {
+	if g.settings.HeardClaims != nil && len(h.Claims) > 0 {
+		g.settings.HeardClaims(h.Claims)
+	}
+	if g.settings.HeardRevision != nil && h.Revision > 0 {
+		g.settings.HeardRevision(h.Revision)
+	}
+}
+
 func (g *Group) beat(members *membership.Members) {
 	h, to := members.Next(g.clock.Now(), rand.IntN)
 	h.Leaving = g.leaving.Load()
 	if g.settings.Claims != nil {
 		h.Claims = g.settings.Claims()
 	}
+	if g.settings.Revision != nil {
+		h.Revision = g.settings.Revision()
+	}
 	g.transport.Broadcast(h, nil, to)
 }
 
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
-	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
@@ -15,11 +14,15 @@
 	MethodForward  = "callers.forward"
 	MethodStatus   = "instance.status"
 	MethodTimeline = "timeline.select"
-	MethodState    = "discovery.state"
-	MethodRelay    = "discovery.relay"
-	MethodRun      = "pipeline.run"
-	MethodCancel   = "pipeline.cancel"
-	MethodFree     = "pipeline.free"
+	// MethodState, MethodFollow and MethodPiece ask for what is known of endpoints and of the
+	// configuration. Versions of the program before them had discovery.state and
+	// discovery.relay, with whole documents in their answers; they read the source instead.
+	MethodState  = "discovery.known"
+	MethodFollow = "discovery.follow"
+	MethodPiece  = "discovery.piece"
+	MethodRun    = "pipeline.run"
+	MethodCancel = "pipeline.cancel"
+	MethodFree   = "pipeline.free"
 	// MethodReaderFailed tells the planner of a failure of an endpoint that it chose.
 	MethodReaderFailed = "pipeline.reader_failed"
 	// MethodProgress tells the instance that handed a plan over of a stage that is made.
@@ -93,37 +96,22 @@
 	Detail   string `json:"detail,omitempty"`
 }
 
-// StateSelect asks for what an instance knows of configuration and endpoints, if it knows
-// more than a revision; the answer is a KnownState.
+// StateSelect asks for what an instance knows of the endpoints, if it knows
+// more than a revision; the answer is a discovery.Known.
 type StateSelect struct {
 	NewerThan uint64 `json:"newer_than"`
 }
 
-// KnownState answers MethodState.
-type KnownState struct {
-	State discovery.State `json:"state"`
-	// AgeMs is how long before the answer the source confirmed the state, in
-	// milliseconds.
-	AgeMs int64 `json:"age_ms"`
-}
-
-// RelaySelect asks for the changes after a revision, and waits for them; the answer is
-// Relayed.
+// RelaySelect asks for what a relay knows beyond what the asker has, and waits for it; the
+// answer is a discovery.Relayed.
 type RelaySelect struct {
-	Since uint64 `json:"since"`
+	// Since is the revision of the endpoints, Document that of the newest document heard of.
+	Since    uint64 `json:"since"`
+	Document uint64 `json:"document"`
 	// WaitMs is how long to wait, in milliseconds.
 	WaitMs int64 `json:"wait_ms"`
 }
 
-// Relayed answers MethodRelay.
-type Relayed struct {
-	Changes discovery.Changes `json:"changes"`
-	// Gone says that the changes are not kept: all has to be read anew.
-	Gone bool `json:"gone,omitempty"`
-	// AgeMs is how long before the answer the source confirmed it, in milliseconds.
-	AgeMs int64 `json:"age_ms"`
-}
-
 // Run has the stages of a plan made; the answer is Ran.
 type Run struct {
 	// Call names the call for MethodCancel; unique among all callers.
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -88,12 +88,19 @@
 		}
 		h.planner.ReaderFailed(call.Endpoint)
 		return struct{}{}, nil
-	case api.MethodRelay:
+	case api.MethodFollow:
 		call, err := peers.Params[api.RelaySelect](method, raw)
 		if err != nil {
 			return nil, err
 		}
-		return h.relay(call), nil
+		wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
+		return h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Wait: wait}), nil
+	case api.MethodPiece:
+		call, err := peers.Params[discovery.PieceSelect](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		return h.follower.Piece(call)
 	case api.MethodState:
 		call, err := peers.Params[api.StateSelect](method, raw)
 		if err != nil {
@@ -133,21 +140,14 @@
 	}
 }
 
-// state returns what is known here; the state alone is left out if the asker has it.
-func (h *Handler) state(call api.StateSelect) api.KnownState {
-	state, age := h.follower.State()
-	if state.Revision < call.NewerThan {
-		return api.KnownState{AgeMs: age.Milliseconds()}
+// state returns what is known here; the endpoints are left out if the asker knows more.
+func (h *Handler) state(call api.StateSelect) discovery.Known {
+	known := h.follower.Known()
+	if known.State.Revision < call.NewerThan {
+		known.State = discovery.State{}
 	}
-	return api.KnownState{State: state, AgeMs: age.Milliseconds()}
+	return known
 }
 
 // maxRelayWait bounds how long a call for changes waits.
 const maxRelayWait = 2 * time.Second
-
-// relay returns the changes that an instance asks for which does not watch the source.
-func (h *Handler) relay(call api.RelaySelect) api.Relayed {
-	wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
-	changes, age, err := h.follower.Relay(call.Since, wait)
-	return api.Relayed{Changes: changes, Gone: err != nil, AgeMs: age.Milliseconds()}
-}
--- a/service/handover/knowledge.go
+++ b/service/handover/knowledge.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -30,12 +29,14 @@
 	Live   func() []membership.Member
 	// Contacts are asked while no member is known.
 	Contacts []string
+	// Tell has a heartbeat sent at once.
+	Tell func()
 }
 
 var _ discovery.Peers = (*Knowledge)(nil)
 
 // State implements discovery.Peers: it asks one of the peers, another each time.
-func (k *Knowledge) State(ctx context.Context, newerThan uint64) (discovery.State, time.Duration, error) {
+func (k *Knowledge) State(ctx context.Context, newerThan uint64) (discovery.Known, error) {
 	addresses := k.Contacts
 	if live := k.Live(); len(live) > 0 {
 		addresses = nil
@@ -44,11 +45,11 @@
 		}
 	}
 	if len(addresses) == 0 {
-		return discovery.State{}, 0, problem.New(problem.Unavailable, "name some peers in the settings", "no peer is known")
+		return discovery.Known{}, problem.New(problem.Unavailable, "name some peers in the settings", "no peer is known")
 	}
-	var known api.KnownState
+	var known discovery.Known
 	err := k.Client.Call(ctx, addresses[rand.IntN(len(addresses))], api.MethodState, api.StateSelect{NewerThan: newerThan}, &known)
-	return known.State, time.Duration(known.AgeMs) * time.Millisecond, err
+	return known, err
 }
 
 // Relays implements discovery.Peers: in a failure domain with many instances, the first two
@@ -78,11 +79,46 @@
 }
 
 // Relay implements discovery.Peers.
-func (k *Knowledge) Relay(ctx context.Context, relay string, since uint64, wait time.Duration) (discovery.Changes, time.Duration, error) {
-	var relayed api.Relayed
-	err := k.Client.Call(ctx, relay, api.MethodRelay, api.RelaySelect{Since: since, WaitMs: wait.Milliseconds()}, &relayed)
-	if err == nil && relayed.Gone {
-		err = discovery.ErrHistoryGone
+func (k *Knowledge) Relay(ctx context.Context, relay string, selection discovery.RelaySelect) (discovery.Relayed, error) {
+	var relayed discovery.Relayed
+	call := api.RelaySelect{Since: selection.Since, Document: selection.Document, WaitMs: selection.Wait.Milliseconds()}
+	err := k.Client.Call(ctx, relay, api.MethodFollow, call, &relayed)
+	return relayed, err
+}
+
+// Holders implements discovery.Peers: those of the own failure domain come first, and among
+// them those with the newest document; the rest is left to chance, so that all are asked.
+func (k *Knowledge) Holders(newerThan uint64) []string {
+	var holders []membership.Member
+	for _, m := range k.Live() {
+		if m.Revision > newerThan {
+			holders = append(holders, m)
+		}
+	}
+	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+	slices.SortStableFunc(holders, func(a, b membership.Member) int {
+		if ours := a.FailureDomain == k.Self.FailureDomain; ours != (b.FailureDomain == k.Self.FailureDomain) {
+			if ours {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Revision, a.Revision)
+	})
+	addresses := make([]string, 0, len(holders))
+	for _, m := range holders {
+		addresses = append(addresses, m.PeerAddress)
 	}
-	return relayed.Changes, time.Duration(relayed.AgeMs) * time.Millisecond, err
+	return addresses
 }
+
+// Piece implements discovery.Peers.
+func (k *Knowledge) Piece(ctx context.Context, peer string, selection discovery.PieceSelect) (discovery.Piece, error) {
+	selection.Asker = k.Self.Name
+	var piece discovery.Piece
+	err := k.Client.Call(ctx, peer, api.MethodPiece, selection, &piece)
+	return piece, err
+}
+
+// Announce implements discovery.Peers.
+func (k *Knowledge) Announce() { k.Tell() }
