--- a/pkg/discovery/taking_test.go
+++ b/pkg/discovery/taking_test.go
@@ -195,3 +195,52 @@
 		Expect(f.Piece(discovery.PieceSelect{Asker: "e", NewerThan: 8})).To(HaveField("Size", 0))
 	})
 })
+
+// narrowSource gives documents over a narrow link: an answer with one takes a while, in which
+// bytes come all the time.
+type narrowSource struct {
+	*source
+	takes time.Duration
+}
+
+// narrowPause is the time between two lots of bytes.
+const narrowPause = 50 * time.Millisecond
+
+func (s narrowSource) WatchDocument(ctx context.Context, since uint64, wait time.Duration, progress discovery.Progress) (discovery.Newest, error) {
+	newest, err := s.source.WatchDocument(ctx, since, wait, progress)
+	if err != nil || newest.Document.Revision == 0 {
+		return newest, err
+	}
+	for begin := time.Now(); time.Since(begin) < s.takes; time.Sleep(narrowPause) {
+		if ctx.Err() != nil {
+			return discovery.Newest{}, ctx.Err()
+		}
+		progress(1)
+	}
+	return newest, nil
+}
+
+var _ = Describe("a relay behind a narrow link", func() {
+	// A document of 1 MB is 1.4 MB on the wire, 1.1 s at 10 Mbit/s; this one is larger.
+	const transfer = 2500 * time.Millisecond
+
+	It("gets a large document, and tells of endpoints meanwhile", func() {
+		store := &source{state: state(5, 4, 3, "a")}
+		f := discovery.New(narrowSource{store, transfer}, peersOf{&source{out: true}}, clockwork.NewRealClock(), logging.Discard().For("discovery"))
+		var t tomb.Tomb
+		t.Go(func() error { return f.Run(&t) })
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+		relay := func(since uint64) discovery.Relayed {
+			return f.Relay(discovery.RelaySelect{Since: since, Document: 4, Wait: 10 * time.Millisecond})
+		}
+		document := func() uint64 { return relay(5).Mark.Revision }
+		Eventually(document).Should(Equal(uint64(4)))
+		store.set(func(s *source) { s.state = state(9, 8, 7, "a", "b") })
+		Eventually(func() uint64 { return relay(5).Changes.Revision }).Should(Equal(uint64(9)))
+		Expect(document()).To(Equal(uint64(4)))
+		Eventually(document).Should(Equal(uint64(8)))
+	})
+})
--- a/service/ingress/conns.go
+++ b/service/ingress/conns.go
@@ -77,16 +77,29 @@
 	allowed := f.allowance.take(f.Limits())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	closeOlder(f.idle, f.Clock.Now().Add(-allowed.IdleTimeout))
-	closeOlder(f.reading, f.Clock.Now().Add(-allowed.HeaderTimeout))
+	now := f.Clock.Now()
+	for _, c := range older(f.idle, now.Add(-allowed.IdleTimeout)) {
+		if bytesWait(c) {
+			// A request has begun that its reader has not come to yet: it has the time of a head.
+			f.reading[c] = now
+		} else {
+			_ = c.Close()
+		}
+		delete(f.idle, c)
+	}
+	for _, c := range older(f.reading, now.Add(-allowed.HeaderTimeout)) {
+		_ = c.Close()
+		delete(f.reading, c)
+	}
 }
 
-// closeOlder closes the connections noted before a time.
-func closeOlder(conns map[net.Conn]time.Time, before time.Time) {
+// older returns the connections noted before a time.
+func older(conns map[net.Conn]time.Time, before time.Time) []net.Conn {
+	var list []net.Conn
 	for c, since := range conns {
 		if since.Before(before) {
-			_ = c.Close()
-			delete(conns, c)
+			list = append(list, c)
 		}
 	}
+	return list
 }
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -40,6 +40,9 @@
 	// idleTimeout is how long a connection may rest until a configuration says
 	// otherwise.
 	idleTimeout = 30 * time.Second
+	// restMargin is how much sooner than they are closed clients are told to leave resting
+	// connections: a request takes as long to come on a full link, and the sweep comes each second.
+	restMargin = 5 * time.Second
 	// writeSlack is how long after a request's time its answer may still be written.
 	writeSlack  = time.Second
 	defaultWait = time.Minute
@@ -115,9 +118,7 @@
 func (f *Face) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.tellRest(w.Header())
 	uri := requestURI(r)
 	path, _, _ := strings.Cut(uri, "?")
 	request := &gateway.Request{
@@ -129,14 +130,50 @@
 		Header:  httpconn.EndToEnd(r.Header),
 	}
 	writer := &responder{writer: w, control: http.NewResponseController(w)}
+	f.answer(writer, r, request)
+	if writer.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// tellRest tells a client how long its connection may rest after this answer.
+func (f *Face) tellRest(h http.Header) {
+	if f.leaving.Load() {
+		h.Set("Connection", "close")
+		return
+	}
+	rest := f.allowance.take(f.Limits()).IdleTimeout - restMargin
+	if seconds := int(rest / time.Second); seconds > 0 {
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
+// answer has a request answered. Every request that was read ends here: one that nobody
+// answered, for a fault of ours, gets an answer all the same, or is broken off where that has begun.
+func (f *Face) answer(writer *responder, r *http.Request, request *gateway.Request) {
+	defer func() {
+		fault := recover()
+		clientLeft := r.Context().Err() != nil
+		if fault == nil && (writer.answered || clientLeft) {
+			return
+		}
+		f.Log.WithFields(logrus.Fields{"event": "request_unanswered", "id": request.ID, "begun": writer.answered, "fault": fault}).Error()
+		if writer.answered {
+			writer.Break()
+			return
+		}
+		f.refuse(writer, request, failInternal())
+	}()
 	if refusal := f.read(writer, r, request); refusal != nil {
 		f.refuse(writer, request, refusal)
 		return
 	}
 	f.Run(r.Context(), request, writer)
-	if writer.broken {
-		panic(http.ErrAbortHandler)
-	}
+}
+
+// failInternal promises nothing: the request may have run.
+func failInternal() *gateway.Refusal {
+	return &gateway.Refusal{Status: http.StatusInternalServerError, Reason: "internal", Message: "this instance failed on the request, which may have run; send its id to those who run it"}
 }
 
 // requestURI returns path and query as the client sent them.
--- a/service/ingress/responder.go
+++ b/service/ingress/responder.go
@@ -11,13 +11,16 @@
 type responder struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
-	broken  bool
+	// answered says that an answer was written, or begun; broken that it is to be broken off.
+	answered bool
+	broken   bool
 }
 
 var _ gateway.Responder = (*responder)(nil)
 
 // Whole implements gateway.Responder.
 func (r *responder) Whole(status int, h http.Header, body []byte) {
+	r.answered = true
 	r.head(h)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -29,6 +32,7 @@
 
 // Begin implements gateway.Responder. The head goes out with the first event.
 func (r *responder) Begin(status int, h http.Header) error {
+	r.answered = true
 	r.head(h)
 	r.writer.WriteHeader(status)
 	return nil
@@ -54,4 +58,4 @@
 }
 
 // Break implements gateway.Responder.
-func (r *responder) Break() { r.broken = true }
+func (r *responder) Break() { r.answered, r.broken = true, true }
