--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -17,7 +17,7 @@
 	// sourceAfter is how long an instance that leaves the watching to relays looks among its
 	// peers for a document that it lacks, until it reads the source; longestHesitation is how
 	// much longer some wait, so that not all read it at once.
-	sourceAfter       = 600 * time.Millisecond
+	sourceAfter       = 900 * time.Millisecond
 	longestHesitation = 400 * time.Millisecond
 	// relayDocumentWait is how long a relay's watch of documents waits: with the way to those who
 	// rely on it, their documents are then confirmed within two seconds.
@@ -67,27 +67,45 @@
 // peer gives a newer one meanwhile.
 func (f *Follower) askForDocument(ctx context.Context, anew bool) error {
 	view := f.View()
-	wait, first := f.documentWait(), f.documentWait()+answerSlack
-	if _, lacks := view.Lacking(f.clock.Now()); anew || lacks {
+	_, lacks := view.Lacking(f.clock.Now())
+	ask := f.watchDocument
+	if anew || lacks {
 		// The answer to a watch would hold every version that was missed; this one has the newest alone.
-		wait, first = 0, readTimeout
+		ask = f.readDocument
 	}
-	callCtx, transfer := newTransfer(ctx, f.clock, first)
+	err := ask(ctx, view)
+	if err != nil && f.View().Document.Revision > view.Document.Revision {
+		return nil
+	}
+	return err
+}
+
+// readDocument reads the newest document.
+func (f *Follower) readDocument(ctx context.Context, view *View) error {
+	callCtx, transfer := newTransfer(ctx, f.clock, readTimeout)
 	defer transfer.end()
 	go f.endWhenNewer(callCtx, transfer, view.Document.Revision)
-	newest, err := f.newest(callCtx, transfer, view.DocumentAt, wait)
+	newest, err := f.source.Document(callCtx, transfer.progress)
 	if err != nil {
-		if f.View().Document.Revision > view.Document.Revision {
-			return nil
-		}
 		f.tellFailed("document", transfer, err)
 		return err
 	}
-	at := transfer.begin
-	if wait > 0 {
-		at = transfer.confirmedAt(wait)
+	f.takeIn(ctx, newest, transfer.begin)
+	return nil
+}
+
+// watchDocument waits for a document.
+func (f *Follower) watchDocument(ctx context.Context, view *View) error {
+	wait := f.documentWait()
+	callCtx, transfer := newTransfer(ctx, f.clock, wait+answerSlack)
+	defer transfer.end()
+	go f.endWhenNewer(callCtx, transfer, view.Document.Revision)
+	newest, err := f.source.WatchDocument(callCtx, view.DocumentAt, wait, transfer.progress)
+	if err != nil {
+		f.tellFailed("document", transfer, err)
+		return err
 	}
-	f.takeIn(ctx, newest, at)
+	f.takeIn(ctx, newest, transfer.confirmedAt(wait))
 	return nil
 }
 
@@ -99,13 +117,6 @@
 	return watchWait
 }
 
-func (f *Follower) newest(ctx context.Context, t *transfer, since uint64, wait time.Duration) (Newest, error) {
-	if wait == 0 {
-		return f.source.Document(ctx, t.progress)
-	}
-	return f.source.WatchDocument(ctx, since, wait, t.progress)
-}
-
 // endWhenNewer ends a call when a document is in force that is newer than a revision.
 func (f *Follower) endWhenNewer(ctx context.Context, t *transfer, revision uint64) {
 	for {
--- a/pkg/discovery/taking.go
+++ b/pkg/discovery/taking.go
@@ -16,8 +16,8 @@
 	// takePause and longestTakePause bound the pause until peers are asked anew that all were
 	// busy: each is twice as long as the one before, and spread by takeJitter.
 	takePause        = 20 * time.Millisecond
-	longestTakePause = 160 * time.Millisecond
-	takeJitter       = 60 * time.Millisecond
+	longestTakePause = 60 * time.Millisecond
+	takeJitter       = 40 * time.Millisecond
 	// takePoll is the time between looks while nothing is known to be lacked, or nobody is
 	// trusted with the first document.
 	takePoll = 250 * time.Millisecond
@@ -120,8 +120,8 @@
 	}
 }
 
-// selectPiece says which piece is wanted next: one of any newer document, or of the first document if
-// that was known to be the newest a while ago.
+// selectPiece says which piece is wanted next: one of any newer document, or one of the first
+// document, if that was known to be the newest a while ago.
 func selectPiece(view *View, b *begun) PieceSelect {
 	selection := PieceSelect{NewerThan: view.settled(), Digest: b.parcel.digest, Offset: len(b.parcel.data)}
 	if view.Document.Revision == 0 {
