--- a/pkg/discovery/bounds_test.go
+++ b/pkg/discovery/bounds_test.go
@@ -130,18 +130,21 @@
 		Eventually(lacks).Should(BeFalse())
 	})
 
-	It("does not load a document again that it refused, and goes on confirming the last good one", func() {
+	DescribeTable("does not load a document again that it refused, and goes on confirming the last good one", func(refused held) {
 		store := &counted{source: &source{state: state(5, 4, 3, "a")}}
 		f := follow(store, peersOf{&source{out: true}})
 		run(f)
 		Eventually(inForce(f)).Should(Equal(uint64(4)))
-		store.set(func(s *source) { s.state = state(9, 8, 2, "a") })
+		store.set(func(s *source) { s.state = refused })
 		Eventually(func() uint64 { return f.View().DocumentAt }).Should(Equal(uint64(9)))
 		before := store.documents.Load()
 		Consistently(func() time.Duration { return f.View().Age(time.Now()) }).WithTimeout(3 * time.Second).Should(BeNumerically("<", 2500*time.Millisecond))
 		Expect(store.documents.Load() - before).To(BeNumerically("<=", 4))
 		Expect(f.View().Table.Version).To(Equal(uint64(3)))
-	})
+	},
+		Entry("of an older version", held{Revision: 9, Document: discovery.Document{Revision: 8, Data: []byte(`{"Version":2}`)}}),
+		Entry("that does not parse", held{Revision: 9, Document: discovery.Document{Revision: 8, Data: []byte(`{`)}}),
+	)
 
 	It("waits for the first document, and does not read again and again", func() {
 		store := &counted{source: &source{state: held{Revision: 5}}}
