--- a/pkg/discovery/bounds_test.go
+++ b/pkg/discovery/bounds_test.go
@@ -187,3 +187,50 @@
 		Expect(asked.Load()).To(BeNumerically(">", 0))
 	})
 })
+
+// heldUp forms its answer with a revision in time, and has it come later.
+type heldUp struct {
+	*source
+	revision uint64
+	by       time.Duration
+	formed   atomic.Pointer[time.Time]
+}
+
+func (h *heldUp) Watch(ctx context.Context, since uint64, wait time.Duration, p discovery.Progress) (discovery.Changes, error) {
+	changes, err := h.source.Watch(ctx, since, wait, p)
+	if now := time.Now(); err == nil && changes.Revision == h.revision && h.formed.CompareAndSwap(nil, &now) {
+		time.Sleep(h.by)
+	}
+	return changes, err
+}
+
+var _ = Describe("an answer of the source that is held up on its way", func() {
+	It("confirms the endpoints no later than it was formed", func() {
+		store := &heldUp{source: &source{state: state(5, 4, 3, "a")}, revision: 9, by: time.Second}
+		f := discovery.New(store, peersOf{&source{out: true}}, clockwork.NewRealClock(), logging.Discard().For("discovery"))
+		var t tomb.Tomb
+		t.Go(func() error { return f.Run(&t) })
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+		listed := func() uint64 { return f.View().Fleet.Revision }
+		Eventually(listed).Should(Equal(uint64(5)))
+		By("a watch that waits when the endpoints change")
+		watches := func() int {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			return store.watches
+		}
+		Eventually(watches).Should(BeNumerically(">", 0))
+		store.set(func(s *source) { s.state = state(9, 4, 3, "a", "b") })
+		var first time.Time
+		Eventually(func() uint64 {
+			view := f.View()
+			first = view.Confirmed
+			return view.Fleet.Revision
+		}).WithPolling(100 * time.Microsecond).Should(Equal(uint64(9)))
+		const slack = 20 * time.Millisecond
+		Expect(first).To(BeTemporally("<=", store.formed.Load().Add(slack)))
+	})
+})
