peers: bytes that come are no silence: a large answer does not end the other calls of its connection

Ruled out: longer pings, which would notice a silent owner later. Change: a connection is closed when its ping had no answer and no byte came for as long.

--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -20,7 +20,8 @@
 
 const (
 	// pingPeriod is the time between pings of a connection with calls under way, and
-	// pingTimeout the silence after which it is closed, so that those calls end.
+	// pingTimeout the silence after which it is closed, so that those calls end. An answer to a ping
+	// that waits behind a large one on a narrow link is not silence: bytes come meanwhile.
 	pingPeriod  = 250 * time.Millisecond
 	pingTimeout = 600 * time.Millisecond
 )
@@ -28,6 +29,7 @@
 // link is a connection to a peer.
 type link struct {
 	*jsonrpc2.Conn
+	conn *heardConn
 	// calls counts those under way that may outlast a ping.
 	calls atomic.Int64
 }
@@ -141,7 +143,8 @@
 	if err != nil {
 		return nil, err
 	}
-	rpc := &link{Conn: jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, newCodec(maxMessage)), nothing{})}
+	heard := &heardConn{Conn: conn}
+	rpc := &link{Conn: jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(heard, newCodec(maxMessage)), nothing{}), conn: heard}
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	var reply struct{}
@@ -184,7 +187,7 @@
 			return
 		case <-ticker.C:
 		}
-		if l.calls.Load() > 0 && !l.ping() {
+		if l.calls.Load() > 0 && !l.ping() && l.conn.silence() >= pingTimeout {
 			_ = l.Close()
 			return
 		}
