discovery: tests wait for both halves of a state, the configuration and the endpoints

The first reading may also list nothing as of revision 0, after which all changes are kept and rightly told. Ruled out by tracing each: a fault of the follower. The tests wait for both, an outage is one of both, and the relay's test has the source forget its history before it asks for what is not kept; all assertions stand. "Is behind" no longer counts on the time a busy machine takes.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -263,6 +263,7 @@
 	It("takes no older state from a peer", func() {
 		put(store, state(9, 8, 7, "a"))
 		Eventually(version).Should(Equal(uint64(7)))
+		Eventually(ready).Should(Equal(1))
 		store.set(func(s *source) { s.out = true })
 		peers.set(func(s *source) { s.out, s.state = false, state(5, 4, 3) })
 		Consistently(version).WithTimeout(2500 * time.Millisecond).Should(Equal(uint64(7)))
@@ -304,8 +305,13 @@
 	// outage has the source out for long enough that entries may lapse there.
 	outage := func() {
 		GinkgoHelper()
+		Eventually(version).ShouldNot(BeZero())
 		store.set(func(s *source) { s.out = true })
-		Eventually(func() time.Duration { return f.View().Age(time.Now()) }).Should(BeNumerically(">", 2200*time.Millisecond))
+		unconfirmed := func() time.Duration {
+			now, view := time.Now(), f.View()
+			return min(view.Age(now), view.FleetAge(now))
+		}
+		Eventually(unconfirmed).Should(BeNumerically(">", 2200*time.Millisecond))
 	}
 
 	It("keeps endpoints for a while whose entries lapsed while the source was out", func() {
@@ -380,20 +386,25 @@
 	It("relays what comes, as soon as it comes, or says that it is not kept", func() {
 		put(store, state(5, 4, 3, "a"))
 		Eventually(version).Should(Equal(uint64(3)))
+		Eventually(listed).Should(Equal(uint64(5)))
+		By("reading all anew, after which no changes are kept")
+		store.forget(state(6, 4, 3, "a"))
+		Eventually(listed).Should(Equal(uint64(6)))
 		ask := func(since uint64, wait time.Duration) discovery.Relayed {
 			return f.Relay(discovery.RelaySelect{Since: since, Document: 4, Wait: wait})
 		}
-		nothing := ask(5, 10*time.Millisecond)
-		Expect(nothing.Changes.Revision).To(Equal(uint64(5)))
+		nothing := ask(6, 10*time.Millisecond)
+		Expect(nothing.Changes.Revision).To(Equal(uint64(6)))
 		Expect(nothing.Mark.Revision).To(Equal(uint64(4)))
 		got := make(chan discovery.Relayed, 1)
-		go func() { got <- ask(5, 5*time.Second) }()
+		go func() { got <- ask(6, 5*time.Second) }()
 		put(store, state(9, 4, 3, "a", "b"))
 		Eventually(got).Should(Receive(HaveField("Changes.Revision", uint64(9))))
 		go func() { got <- ask(9, 5*time.Second) }()
 		put(store, state(11, 10, 7, "a", "b"))
 		Eventually(got).Should(Receive(Or(HaveField("Mark.Revision", uint64(10)), HaveField("Changes.Revision", uint64(11)))))
 		Eventually(func() uint64 { return ask(11, 0).Mark.Revision }).Should(Equal(uint64(10)))
+		Eventually(listed).Should(Equal(uint64(11)))
 		By("telling one whose revision lies between two of its own all that it may lack")
 		Expect(ask(7, time.Second)).To(SatisfyAll(HaveField("Gone", false), HaveField("Changes.Revision", uint64(11))))
 		Expect(ask(3, time.Second).Gone).To(BeTrue())
--- a/pkg/discovery/export_test.go
+++ b/pkg/discovery/export_test.go
@@ -8,3 +8,6 @@
 	}
 	return p.digest, p.data
 }
+
+// BehindGrace is how long an instance serves on that lacks a configuration.
+const BehindGrace = behindGrace
--- a/pkg/discovery/taking_test.go
+++ b/pkg/discovery/taking_test.go
@@ -152,7 +152,12 @@
 		begin("first")
 		behind := func() bool { return f.View().Behind(time.Now()) }
 		f.Heard(8)
-		Consistently(behind).WithTimeout(700 * time.Millisecond).Should(BeFalse())
+		tooSoon := func() bool {
+			now, view := time.Now(), f.View()
+			lacking, _ := view.Lacking(now)
+			return view.Behind(now) && lacking < discovery.BehindGrace
+		}
+		Consistently(tooSoon).WithTimeout(1200 * time.Millisecond).Should(BeFalse())
 		Eventually(func() bool { f.Heard(8); return behind() }).Should(BeTrue())
 		By("serving on when nobody tells of the newer one any longer")
 		Eventually(behind).Should(BeFalse())
