batch: the workers of a part are kept while the endpoints stay the same

Cause: each forecast of a stage, each stage taken in and each call that ended cut all endpoints of the service into parts anew, with a hash for each endpoint and part. Ruled out: the rest of a planner's work; a profile of 1,500 plans of 17 pieces has no other single item above 15 in 100 (logging 12, sorting and filling 13). Before and after, one of four parts of 42 endpoints: BenchmarkCapacity 27.9 us and 8.5 KB, now 1.1 us and none; BenchmarkMake 30.8 us and 14.5 KB, now 3.9 us and 6.0 KB.

--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,8 @@
 	at      Queue
 	queue   queue
 	workers map[string]*worker
+	// current are the workers of the part's endpoints.
+	current current
 	// typical is the smoothed number of pieces in a call.
 	typical float64
 	// released says that another instance plans here now: no call begins.
@@ -167,7 +170,7 @@
 	if batching == nil {
 		return
 	}
-	workers := s.update(s.at.endpoints(b.known.Ready(s.at.Service)))
+	workers := s.update(b.known.Ready(s.at.Service))
 	s.queue.sort(now, batching.CallTime(1))
 	passed := map[*worker]bool{}
 	for len(s.queue.items) > 0 {
@@ -179,13 +182,41 @@
 	}
 }
 
-// update returns the workers of the endpoints that may get work, and forgets those of
-// endpoints that are not known any more.
+// current are the workers that may get work, for as long as the service's endpoints stay the same.
+// Every piece asks for them: at the owner of one of four parts of 42 endpoints, cutting them anew
+// made a forecast of a stage take 28 us instead of 1 us, and a stage 31 us instead of
+// 4 us (BenchmarkCapacity, BenchmarkMake).
+type current struct {
+	of      []fleet.Endpoint
+	workers []*worker
+	// stale says that workers are still at work whose endpoints are not known any more.
+	stale bool
+}
+
+// update returns the workers of the part's endpoints that may get work, of all that are ready, and
+// forgets those of endpoints that are not known any more.
 func (s *service) update(ready []fleet.Endpoint) []*worker {
-	workers := make([]*worker, 0, len(ready))
-	current := make(map[string]bool, len(ready))
-	for _, e := range ready {
-		current[e.ID] = true
+	if !s.current.stale && sameSlice(ready, s.current.of) {
+		return s.current.workers
+	}
+	s.current = current{of: ready, workers: s.workersOf(s.at.endpoints(ready))}
+	for id, w := range s.workers {
+		if slices.Contains(s.current.workers, w) {
+			continue
+		}
+		if w.running > 0 {
+			s.current.stale = true
+			continue
+		}
+		delete(s.workers, id)
+	}
+	return s.current.workers
+}
+
+// workersOf returns the workers of endpoints, new ones where there are none.
+func (s *service) workersOf(endpoints []fleet.Endpoint) []*worker {
+	workers := make([]*worker, 0, len(endpoints))
+	for _, e := range endpoints {
 		w := s.workers[e.ID]
 		if w == nil {
 			w = newWorker(e)
@@ -193,11 +224,6 @@
 		}
 		workers = append(workers, w)
 	}
-	for id, w := range s.workers {
-		if !current[id] && w.running == 0 {
-			delete(s.workers, id)
-		}
-	}
 	return workers
 }
 
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -64,7 +64,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(at)
-	workers := s.update(at.endpoints(b.known.Ready(at.Service)))
+	workers := s.update(b.known.Ready(at.Service))
 	now := b.clock.Now()
 	full := batching.CallTime(batching.Size).Seconds()
 	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
--- a/pkg/batch/inspecting.go
+++ b/pkg/batch/inspecting.go
@@ -63,7 +63,7 @@
 	now := b.clock.Now()
 	if s.inspection == nil && now.Sub(s.lookedAt) > inspectAfter && len(s.queue.items) == 0 {
 		s.inspection = make(chan struct{})
-		go b.inspect(s, s.update(at.endpoints(b.known.Ready(at.Service))), batching)
+		go b.inspect(s, s.update(b.known.Ready(at.Service)), batching)
 	}
 	s.lookedAt = now
 	return s.inspection
--- a/pkg/batch/ledger.go
+++ b/pkg/batch/ledger.go
@@ -98,7 +98,7 @@
 		}
 		s := b.service(account.Queue)
 		s.lookedAt = now
-		s.update(s.at.endpoints(b.known.Ready(s.at.Service)))
+		s.update(b.known.Ready(s.at.Service))
 		if w := s.workers[account.Endpoint]; w != nil {
 			w.takeOver(now, account)
 		}
--- a/pkg/batch/part.go
+++ b/pkg/batch/part.go
@@ -10,26 +10,38 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// endpoints returns those of the queue's part: by rendezvous hashing, but at most an equal
-// share for each part, of all endpoints and of each failure domain's, so that results can be
-// read where they were made; and few endpoints change their part when one comes or goes.
+// endpoints returns those of the queue's part.
 func (q Queue) endpoints(ready []fleet.Endpoint) []fleet.Endpoint {
 	if q.Parts <= 1 {
 		return ready
 	}
+	var own []fleet.Endpoint
+	eachPart(ready, q.Parts, func(e fleet.Endpoint, part int) {
+		if part == q.Part {
+			own = append(own, e)
+		}
+	})
+	return own
+}
+
+// eachPart cuts endpoints into parts: by rendezvous hashing, but at most an equal share for each
+// part, of all endpoints and of each failure domain's, so that results can be read where they
+// were made; and few endpoints change their part when one comes or goes.
+func eachPart(ready []fleet.Endpoint, parts int, do func(e fleet.Endpoint, part int)) {
 	domains := map[string]int{}
 	for _, e := range ready {
 		domains[e.FailureDomain]++
 	}
-	cut := &cutting{of: q.Parts, share: share(len(ready), q.Parts), taken: make([]int, q.Parts), domains: map[domainPart]int{}}
-	var own []fleet.Endpoint
+	cut := &cutting{of: parts, share: share(len(ready), parts), taken: make([]int, parts), domains: map[domainPart]int{}}
 	for _, e := range byHash(ready) {
-		part := cut.choose(e, share(domains[e.FailureDomain], q.Parts))
-		if part == q.Part {
-			own = append(own, e)
-		}
+		do(e, cut.choose(e, share(domains[e.FailureDomain], parts)))
 	}
-	return own
+}
+
+// sameSlice tells whether two slices are one. Snapshots of the fleet are immutable, so that the
+// same slice has the same endpoints.
+func sameSlice(a, b []fleet.Endpoint) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
 // share is an equal share of n, rounded up.
