account, cobaltcroft: sum up the logs of gateways

cobaltcroft account FILE... says for any set of logs what became of requests and how long those were held that were not served, how the stages and their calls went, who asked the source for what, and who decided on owners and divisions. Lines that do not parse are counted and passed over.

--- /dev/null
+++ b/pkg/account/report.go
@@ -0,0 +1,114 @@
+package account
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// tail is the quantile that reports give beside the median.
+const tail = 0.99
+
+// Write writes the account as tables. Times are in milliseconds.
+func (a *Account) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	a.writeRequests(t)
+	a.writePlans(t)
+	a.writeCalls(t)
+	a.writeAsked(t)
+	a.writeDecisions(t)
+	row(t, "\nlines that do not parse:", a.unread)
+	return t.Flush()
+}
+
+func (a *Account) writeRequests(w io.Writer) {
+	total := map[string]int{}
+	for key, s := range a.requests {
+		total[key.route] += s.count()
+	}
+	row(w, "ROUTE", "OUTCOME", "REQUESTS", "SHARE", "MEDIAN MS", "P99 MS", "")
+	keys := slices.SortedFunc(maps.Keys(a.requests), func(x, y requestKey) int {
+		return cmp.Or(cmp.Compare(x.route, y.route), cmp.Compare(x.outcome, y.outcome))
+	})
+	for _, key := range keys {
+		s := a.requests[key]
+		note := ""
+		if key.outcome != served {
+			note = "not served"
+		}
+		row(w, key.route, key.outcome, s.count(), share(s.count(), total[key.route]), ms(s.quantile(0.5)), ms(s.quantile(tail)), note)
+	}
+}
+
+func (a *Account) writePlans(w io.Writer) {
+	row(w, "\nSTAGES OF A REQUEST", "REQUESTS", "MEDIAN MS", "P99 MS")
+	for _, reason := range slices.Sorted(maps.Keys(a.plans)) {
+		s := a.plans[reason]
+		row(w, reason, s.count(), ms(s.quantile(0.5)), ms(s.quantile(tail)))
+	}
+}
+
+func (a *Account) writeCalls(w io.Writer) {
+	row(w, "\nCALLS TO", "CALLS", "PIECES A CALL", "MEDIAN MS", "P99 MS", "OVER EXPECTED", "NOT MADE", "WHY NOT")
+	for _, service := range slices.Sorted(maps.Keys(a.calls)) {
+		c := a.calls[service]
+		row(w, service, c.took.count(), fmt.Sprintf("%.1f", float64(c.pieces)/float64(c.took.count())),
+			ms(c.took.quantile(0.5)), ms(c.took.quantile(tail)), share(int(c.overrun), int(c.expected)), c.notMade, counts(c.reasons))
+	}
+}
+
+func (a *Account) writeAsked(w io.Writer) {
+	row(w, "\nSOURCE ASKED FOR", "BY A", "CALLS", "MEDIAN MS", "P99 MS")
+	keys := slices.SortedFunc(maps.Keys(a.asked), func(x, y sourceKey) int {
+		return cmp.Or(cmp.Compare(x.of, y.of), cmp.Compare(x.call, y.call))
+	})
+	for _, key := range keys {
+		s := a.asked[key]
+		row(w, key.of, key.call, s.count(), ms(s.quantile(0.5)), ms(s.quantile(tail)))
+	}
+}
+
+func (a *Account) writeDecisions(w io.Writer) {
+	row(w, "\nCHANGE OF", "CAUSE", "TIMES")
+	keys := slices.SortedFunc(maps.Keys(a.decisions), func(x, y decisionKey) int {
+		return cmp.Or(cmp.Compare(x.event, y.event), cmp.Compare(x.cause, y.cause))
+	})
+	for _, key := range keys {
+		row(w, key.event, key.cause, a.decisions[key].count())
+	}
+}
+
+// row writes one line of a table. What can't be written shows when the table is flushed.
+func row(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
+
+// counts writes how often each reason was given, the most frequent first.
+func counts(reasons map[string]int) string {
+	keys := slices.SortedFunc(maps.Keys(reasons), func(x, y string) int {
+		return cmp.Or(cmp.Compare(reasons[y], reasons[x]), cmp.Compare(x, y))
+	})
+	texts := make([]string, len(keys))
+	for i, key := range keys {
+		texts[i] = fmt.Sprintf("%s %d", key, reasons[key])
+	}
+	return strings.Join(texts, ", ")
+}
+
+func share(n, of int) string {
+	if of == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", float64(n)/float64(of))
+}
+
+func ms(d time.Duration) int64 { return d.Milliseconds() }
