handover, batch, settings, gateway: one division for all, owners and relays by what their machines can do

Change: the owner of the first part decides on the division; plans, ledgers and results go along when it changes. Owners, successors and relays are chosen among able instances; an owner that is not, or owns several parts, hands one over. A relay of another failure domain is asked before the store.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,8 +84,6 @@
 
 	listeners listeners
 	stopping  stopState
-	// least is the number of endpoints by which parts are cut.
-	least atomic.Pointer[heldCount]
 }
 
 // listeners are the sockets of an instance.
@@ -166,11 +163,12 @@
 		Incarnation:   uint64(g.clock.Now().UnixNano()),
 		FailureDomain: s.FailureDomain,
 		PeerAddress:   g.listeners.peers.Addr().String(),
+		Machine:       membership.Machine{Cores: s.Machine.Cores(), LinkMbps: s.Machine.LinkMbps},
 	}
 	g.store = platform.NewStore(s.Store)
 	g.client = peers.NewClient(s.Instance, s.PeerToken)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
-	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Revision: g.documentRevision, HeardRevision: g.hearRevision}, g.gossip, g.clock, g.logs.For("peers"))
+	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision}, g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
 	g.conns = httpconn.NewPool(g.clock, g.metrics)
 	g.balancer = balance.New(g.clock)
@@ -218,6 +216,10 @@
 func (g *Gateway) claims() []ownership.Claim          { return g.router.Claims() }
 func (g *Gateway) hearClaims(heard []ownership.Claim) { g.router.HearClaims(heard) }
 
+// division and hearDivision tell and hear into which parts the endpoints are cut.
+func (g *Gateway) division() ownership.Division          { return g.router.Division() }
+func (g *Gateway) hearDivision(heard ownership.Division) { g.router.HearDivision(heard) }
+
 // documentRevision and hearRevision tell and hear which configuration is in force where.
 func (g *Gateway) documentRevision() uint64 { return g.follower.View().Document.Revision }
 func (g *Gateway) hearRevision(r uint64)    { g.follower.Heard(r) }
@@ -225,28 +227,8 @@
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
-// leastEndpoints is how many endpoints the least service that takes pieces has, or had a
-// while ago: endpoints that fail mostly come back.
+// leastEndpoints is how many endpoints the least service that takes pieces has.
 func (g *Gateway) leastEndpoints() int {
-	now := g.clock.Now()
-	least := g.countLeast()
-	if before := g.least.Load(); before != nil && least < before.endpoints && now.Before(before.until) {
-		return before.endpoints
-	}
-	g.least.Store(&heldCount{endpoints: least, until: now.Add(leastFor)})
-	return least
-}
-
-// heldCount is a number of endpoints that holds for a while.
-type heldCount struct {
-	endpoints int
-	until     time.Time
-}
-
-// leastFor is how long a greater number of endpoints is kept to.
-const leastFor = 30 * time.Second
-
-func (g *Gateway) countLeast() int {
 	view := g.follower.View()
 	if view.Table == nil {
 		return 0
@@ -321,7 +303,8 @@
 	}
 }
 
-// sweep drops connections to endpoints that have gone, and what was seen of them.
+// sweep drops connections to endpoints that have gone, and what was seen of them; and looks who
+// should own which part.
 func (g *Gateway) sweep() {
 	view := g.follower.View()
 	exists := func(id string) bool {
@@ -330,6 +313,7 @@
 	}
 	g.conns.Sweep(exists)
 	g.balancer.Forget(exists)
+	g.router.Look()
 }
 
 // ready answers the balancer's question.
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -41,7 +41,7 @@
 		case err == nil:
 			anew = false
 			retry.Reset()
-			sleep(ctx, f.clock, pauseAfter(first && f.View().Table != nil)-f.clock.Since(begin))
+			sleep(ctx, f.clock, f.documentPause(first)-f.clock.Since(begin))
 			first = first && f.View().Table == nil
 		case errors.Is(err, ErrHistoryGone):
 			f.log.WithFields(logrus.Fields{"event": "history_gone", "of": "document", "revision": f.View().DocumentAt}).Info()
@@ -64,6 +64,16 @@
 	return view.Document.Revision == 0 || relayed == nil || now.Sub(*relayed) > relayedFor || len(f.peers.Relays()) == 0
 }
 
+// documentPause is the least time from the beginning of a call that was answered to the next one. An
+// instance that starts with a document waits until a relay may have told it that there is none newer:
+// of 295 that came back together each watched the source once more before.
+func (f *Follower) documentPause(first bool) time.Duration {
+	if first && f.View().Table != nil {
+		return joining + relayWait + relayTimeout
+	}
+	return watchPause
+}
+
 // askForDocument reads the newest document, or waits for one. The call is given up when a
 // peer gives a newer one meanwhile.
 func (f *Follower) askForDocument(ctx context.Context, anew bool) error {
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -85,6 +85,8 @@
 
 func (m *maker) Resume(int, int) {}
 
+func (m *maker) Split(batch.Ledger, int) map[int]batch.Ledger { return nil }
+
 func (m *maker) Adopt([]batch.Result) {}
 
 func (m *maker) Capacity(batch.Queue) batch.Capacity { return m.capacity }
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -27,6 +27,8 @@
 	Release(part, parts int) batch.Ledger
 	Take(part, parts int, ledger batch.Ledger)
 	Resume(part, parts int)
+	// Split returns what a ledger tells by the parts of another division into so many.
+	Split(ledger batch.Ledger, parts int) map[int]batch.Ledger
 	// Adopt counts results in that another planner had made.
 	Adopt(results []batch.Result)
 	// Capacity returns what the endpoints of a queue can do.
--- a/pkg/pipeline/resuming.go
+++ b/pkg/pipeline/resuming.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// Split returns what a ledger tells by the parts that its endpoints fall to when they are cut into
+// so many.
+func (p *Planner) Split(ledger Ledger, parts int) map[Part]Ledger {
+	split := map[Part]Ledger{}
+	for number, pieces := range p.pieces.Split(ledger.Pieces, parts) {
+		split[Part{Number: number, Of: parts}] = Ledger{Pieces: pieces, LatenessMs: ledger.LatenessMs}
+	}
+	return split
+}
+
 // Resume takes a part over of which nothing is known.
 func (p *Planner) Resume(part Part) { p.pieces.Resume(part.Number, part.Of) }
 
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -58,6 +58,12 @@
 	}
 }
 
+func (c *checker) between(field string, value, low, high float64) {
+	if value < low || value > high {
+		c.add(field, value, fmt.Sprintf("use %g to %g", low, high))
+	}
+}
+
 func (c *checker) token(field, value string) {
 	if len(value) < minTokenLength {
 		c.faults = append(c.faults, fmt.Sprintf("%s has %d characters: use at least %d", field, len(value), minTokenLength))
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -24,6 +24,8 @@
 	PeerToken string `json:"peer_token"`
 	// Store is the IP:port of the metadata store.
 	Store string `json:"store"`
+	// Machine is what the instance has of its machine.
+	Machine GatewayMachine `json:"machine"`
 	// MemoryMB is what the process may use, in units of a million bytes.
 	MemoryMB int `json:"memory_mb"`
 	// StopGraceSeconds bounds a planned stop.
@@ -42,6 +44,20 @@
 	Metrics   string `json:"metrics"`
 }
 
+// GatewayMachine is the share of a machine that an instance has. By it instances choose those
+// that work for others; 0 stands for not known, and is the least where others are known.
+type GatewayMachine struct {
+	// ProcessorShare is the part of one processor, and ProcessorSpeed how many times as fast as
+	// usual that one is.
+	ProcessorShare float64 `json:"processor_share"`
+	ProcessorSpeed float64 `json:"processor_speed"`
+	// LinkMbps is the rate of its link, in millions of bits a second.
+	LinkMbps float64 `json:"link_mbps"`
+}
+
+// Cores is the processor time that it has, in processors of the usual speed.
+func (m GatewayMachine) Cores() float64 { return m.ProcessorShare * m.ProcessorSpeed }
+
 // GatewayRetries bounds repeats over all instances: in each window, a service may
 // receive Ratio times its requests and Slack more.
 type GatewayRetries struct {
@@ -61,6 +77,7 @@
 // GatewayDefaults apply where the file is silent.
 func GatewayDefaults() Gateway {
 	return Gateway{
+		Machine:          GatewayMachine{ProcessorSpeed: 1},
 		MemoryMB:         256,
 		StopGraceSeconds: 8,
 		Retries:          GatewayRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
@@ -98,6 +115,10 @@
 	minMemoryMB = 32
 	maxMemoryMB = 1 << 20
 	maxGrace    = 600
+	// maxProcessors and maxLinkMbps bound what a machine has: far above any, they catch figures
+	// in other units.
+	maxProcessors = 1024
+	maxLinkMbps   = 1e6
 )
 
 // Faults returns every fault, each with field, value and remedy.
@@ -116,6 +137,9 @@
 	}
 	c.address("store", g.Store)
 	c.token("peer_token", g.PeerToken)
+	c.between("machine.processor_share", g.Machine.ProcessorShare, 0, maxProcessors)
+	c.between("machine.processor_speed", g.Machine.ProcessorSpeed, 0, maxProcessors)
+	c.between("machine.link_mbps", g.Machine.LinkMbps, 0, maxLinkMbps)
 	c.count("memory_mb", int64(g.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.duration("stop_grace_seconds", Duration(g.StopGrace()), time.Second, maxGrace*time.Second)
 	c.duration("retries.window_seconds", Duration(g.Retries.Window()), time.Second, maxGrace*time.Second)
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -15,6 +15,7 @@
 	"instance": "sala-a-1", "failure_domain": "sala-a",
 	"listen": {"requests": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": ""},
 	"peers": ["127.0.0.1:4"], "peer_token": "peers-token", "store": "127.0.0.1:5",
+	"machine": {"processor_share": 0.4, "processor_speed": 2, "link_mbps": 1000},
 	"memory_mb": 284, "stop_grace_seconds": 8, "retries": {"ratio": 0.2, "slack": 54, "window_seconds": 10}
 }`
 
@@ -26,6 +27,16 @@
 		Expect(g.Retries.Window().Seconds()).To(Equal(10.0))
 	})
 
+	It("tell what the instance has of its machine, or that it is not known", func() {
+		g, err := settings.ParseGateway([]byte(goodGateway))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.Machine.Cores()).To(Equal(0.8))
+		g, err = settings.ParseGateway([]byte(strings.Replace(goodGateway, `"machine":`, `"later":`, 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.Machine.Cores()).To(BeZero())
+		Expect(g.Machine.LinkMbps).To(BeZero())
+	})
+
 	It("take the defaults where the file is silent", func() {
 		g, err := settings.ParseGateway([]byte(strings.Replace(goodGateway, `"memory_mb": 284, `, "", 1)))
 		Expect(err).NotTo(HaveOccurred())
@@ -44,6 +55,9 @@
 		Entry("peers", `"127.0.0.1:4"`, `"x"`, `peers[0] is "x"`, "use IP:port"),
 		Entry("store", `"127.0.0.1:5"`, `""`, `store is ""`, "use IP:port"),
 		Entry("token", `"peers-token"`, `"short"`, "peer_token has 5 characters", "use at least 8"),
+		Entry("processor", `"processor_share": 0.4`, `"processor_share": -0.4`, `machine.processor_share is "-0.4"`, "use 0 to"),
+		Entry("speed", `"processor_speed": 2`, `"processor_speed": 2e9`, `machine.processor_speed is "2e+09"`, "use 0 to"),
+		Entry("link", `"link_mbps": 1000`, `"link_mbps": 1e9`, `machine.link_mbps is "1e+09"`, "use 0 to"),
 		Entry("memory", `284`, `3`, `memory_mb is "3"`, "use 32 to"),
 		Entry("grace", `"stop_grace_seconds": 8`, `"stop_grace_seconds": 0`, `stop_grace_seconds is "0s"`, "use 1s to"),
 		Entry("retries", `"ratio": 0.2`, `"ratio": -1`, "retries is", "0 or more"),
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -129,6 +129,9 @@
 	// Relayed says that the plan comes from an instance that does not reach the owner, over one
 	// that does.
 	Relayed bool `json:"relayed,omitempty"`
+	// Division is the one that the caller goes by; its term is 0 if none is agreed on. A version
+	// that does not tell it counts the endpoints for itself.
+	Division ownership.Division `json:"division,omitzero"`
 }
 
 // Ran answers MethodRun.
@@ -136,6 +139,8 @@
 	pipeline.Outcome
 	// Owner is who owns the part as far as the one asked knows.
 	Owner ownership.Claim `json:"owner"`
+	// Division is the one that holds against the caller's; the zero one if the caller's holds.
+	Division ownership.Division `json:"division,omitzero"`
 }
 
 // Progress tells of a stage of a plan that is made. It has no answer.
--- a/service/handover/claims.go
+++ b/service/handover/claims.go
@@ -65,6 +65,19 @@
 	return c.table.Own()
 }
 
+// holders returns the names of the instances that own a part of so many.
+func (c *claims) holders(parts int) map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := map[string]bool{}
+	for number := range parts {
+		if claim, known := c.table.Holder(pipeline.Part{Number: number, Of: parts}); known {
+			names[claim.Owner.Name] = true
+		}
+	}
+	return names
+}
+
 // claim makes this instance the owner of a part, and tells whether it was not before. The
 // cause is for the log.
 func (c *claims) claim(part pipeline.Part, cause string) bool {
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -20,7 +20,7 @@
 type Handler struct {
 	router   *Router
 	planner  *pipeline.Planner
-	local    *batch.Batcher
+	makers   makers
 	follower *discovery.Follower
 	clock    clockwork.Clock
 
@@ -32,7 +32,7 @@
 
 // NewHandler returns a handler that has stages made as a router says.
 func NewHandler(router *Router, follower *discovery.Follower) *Handler {
-	return &Handler{router: router, planner: router.planner, local: router.local, follower: follower, clock: router.clock, calls: map[string]context.CancelFunc{}}
+	return &Handler{router: router, planner: router.planner, makers: router.makers, follower: follower, clock: router.clock, calls: map[string]context.CancelFunc{}}
 }
 
 // UnderWay is the number of plans of other instances that are being made.
@@ -79,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h.local.Free(call.Results)
+		h.makers.Free(call.Results)
 		return struct{}{}, nil
 	case api.MethodReaderFailed:
 		call, err := peers.Params[api.ReaderFailed](method, raw)
--- a/service/handover/knowledge.go
+++ b/service/handover/knowledge.go
@@ -52,32 +52,65 @@
 	return known, err
 }
 
-// Relays implements discovery.Peers: in a failure domain with many instances, the first two
-// by rendezvous hashing relay to the others. The first watches the source; the second
-// follows the first, and watches the source when that one does not answer.
+// Relays implements discovery.Peers: in a failure domain with many instances, the first two of
+// those that are able, by rendezvous hashing, relay to the others. The first watches the source; the
+// second follows the first, and watches the source when that one does not answer. Others ask the
+// first of another failure domain before they do, another for each, so that the source is not
+// watched by a whole domain whose relays are slow: 48 instances there, one call each 1.5 s.
 func (k *Knowledge) Relays() []string {
-	domain := []membership.Self{k.Self}
-	for _, m := range k.Live() {
-		if m.FailureDomain == k.Self.FailureDomain {
-			domain = append(domain, m.Self)
-		}
-	}
+	live := k.Live()
+	domain := k.ranked(live, k.Self.FailureDomain)
 	if len(domain) <= fewInDomain {
 		return nil
 	}
-	slices.SortFunc(domain, func(a, b membership.Self) int {
-		return cmp.Compare(xxhash.Sum64String("relay/"+b.Name), xxhash.Sum64String("relay/"+a.Name))
-	})
 	var relays []string
 	for _, member := range domain[:relaysPerDomain] {
 		if member.Name == k.Self.Name {
-			return relays
+			break
 		}
 		relays = append(relays, member.PeerAddress)
 	}
+	if len(relays) == 0 {
+		return nil
+	}
+	if other := k.otherDomain(live); other != "" {
+		relays = append(relays, k.ranked(live, other)[0].PeerAddress)
+	}
 	return relays
 }
 
+// ranked returns the instances of a failure domain in the order in which they relay.
+func (k *Knowledge) ranked(live []membership.Member, domain string) []owner {
+	var list []owner
+	if domain == k.Self.FailureDomain {
+		list = append(list, owner{Self: k.Self, weight: relayWeight(k.Self)})
+	}
+	for _, m := range live {
+		if m.FailureDomain == domain {
+			list = append(list, owner{Self: m.Self, weight: relayWeight(m.Self)})
+		}
+	}
+	rank(list)
+	return list
+}
+
+// otherDomain returns a failure domain of other instances, chosen by this one's name; empty if there
+// is none.
+func (k *Knowledge) otherDomain(live []membership.Member) string {
+	best, most := "", uint64(0)
+	for _, m := range live {
+		if m.FailureDomain == k.Self.FailureDomain || m.FailureDomain == best {
+			continue
+		}
+		if weight := xxhash.Sum64String(k.Self.Name + "/" + m.FailureDomain); best == "" || weight > most {
+			best, most = m.FailureDomain, weight
+		}
+	}
+	return best
+}
+
+func relayWeight(s membership.Self) uint64 { return xxhash.Sum64String("relay/" + s.Name) }
+
 // Relay implements discovery.Peers.
 func (k *Knowledge) Relay(ctx context.Context, relay string, selection discovery.RelaySelect) (discovery.Relayed, error) {
 	var relayed discovery.Relayed
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -20,13 +20,11 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
 
 const (
-	// endpointsPerPart is how many endpoints of each service a part has at least: with
-	// fewer, pieces wait longer for one to be free.
-	endpointsPerPart = 5
 	// firstSuspect and lastSuspect bound how long an owner that did not answer gets no
 	// plans; the time doubles with each time in a row.
 	firstSuspect = 2 * time.Second
@@ -76,32 +74,20 @@
 	return &owners{clock: clock, self: self, live: live, contacts: contacts, joined: clock.Now().Add(joining), suspects: map[string]suspicion{}}
 }
 
-// partOf returns the part that a request falls to, where the least service that takes
-// pieces has so many endpoints.
-//
-// The number of parts is a power of two, so that it seldom changes when endpoints come and
-// go: instances that disagree on it send calls to endpoints that are at work for others.
-func partOf(request string, endpoints int) pipeline.Part {
-	of := 1
-	for 2*of*endpointsPerPart <= endpoints {
-		of *= 2
-	}
-	return pipeline.Part{Number: int(xxhash.Sum64String(request) % uint64(of)), Of: of}
-}
-
 // owner is an instance that may own a part.
 type owner struct {
-	address string
-	domain  string
-	weight  uint64
+	membership.Self
+	weight uint64
+	// able says that its machine is able to work for all others.
+	able bool
 }
 
 // candidates returns the peer addresses that a plan is handed to, in turn, until one
 // answers: the owner, then the one that is first in the own failure domain, which all
 // instances choose that are cut off together. This instance's own stands for the end.
 //
-// Contacts are owners before others, so that instances that start together, and know
-// nobody else yet, choose the same owners at first as later.
+// Contacts that are able are owners before others, so that instances that start together, and
+// know nobody else yet, choose the same owners at first as later.
 func (o *owners) candidates(part pipeline.Part) []string {
 	if later := o.leavingLater(); len(later) > 0 && o.noneStays() {
 		return []string{later[0].PeerAddress, o.self.PeerAddress}
@@ -109,7 +95,7 @@
 	list := o.ranked(part)
 	chosen := o.contactsFor(part, list)
 	if !slices.Contains(chosen, o.self.PeerAddress) {
-		chosen = append(chosen, list[0].address, firstOf(list[1:], o.self.FailureDomain), o.self.PeerAddress)
+		chosen = append(chosen, list[0].PeerAddress, firstOf(list[1:], o.self.FailureDomain), o.self.PeerAddress)
 	}
 	end := slices.Index(chosen, o.self.PeerAddress)
 	chosen = unique(chosen[:end+1])
@@ -118,7 +104,7 @@
 }
 
 // contactsFor returns the contacts that own a part: while this instance joins, all in the
-// part's order; later the one whose part it is, if it ranks.
+// part's order; later the one whose part it is, if it ranks and is able.
 func (o *owners) contactsFor(part pipeline.Part, list []owner) []string {
 	var chosen []string
 	if o.clock.Now().Before(o.joined) && part.Of <= partsPerContact*len(o.contacts) {
@@ -137,14 +123,14 @@
 }
 
 func ranks(list []owner, address string) bool {
-	return slices.ContainsFunc(list, func(candidate owner) bool { return candidate.address == address })
+	return slices.ContainsFunc(list, func(candidate owner) bool { return candidate.PeerAddress == address && candidate.able })
 }
 
 // firstOf returns the address of the first of a failure domain; empty if there is none.
 func firstOf(list []owner, domain string) string {
 	for _, candidate := range list {
-		if candidate.domain == domain {
-			return candidate.address
+		if candidate.FailureDomain == domain {
+			return candidate.PeerAddress
 		}
 	}
 	return ""
@@ -161,22 +147,51 @@
 	return kept
 }
 
-// ranked returns this instance and all members that are not suspected, by their weight
-// for a part.
+// ranked returns this instance and all members that are not suspected: those that are able first,
+// by their weight for a part.
 func (o *owners) ranked(part pipeline.Part) []owner {
 	name := strconv.Itoa(part.Number) + "/"
-	list := []owner{{o.self.PeerAddress, o.self.FailureDomain, xxhash.Sum64String(name + o.self.Name)}}
+	list := []owner{{Self: o.self, weight: xxhash.Sum64String(name + o.self.Name)}}
 	live := o.live()
 	silent := o.silentDomains(live)
 	for _, m := range live {
 		if !o.suspected(m.PeerAddress) && !silent[m.FailureDomain] {
-			list = append(list, owner{m.PeerAddress, m.FailureDomain, xxhash.Sum64String(name + m.Name)})
+			list = append(list, owner{Self: m.Self, weight: xxhash.Sum64String(name + m.Name)})
 		}
 	}
-	slices.SortFunc(list, func(a, b owner) int { return cmp.Compare(b.weight, a.weight) })
+	rank(list)
 	return list
 }
 
+// rank sorts instances: those that are able first, by their weight.
+func rank(list []owner) {
+	machines := make([]membership.Machine, len(list))
+	for i, candidate := range list {
+		machines[i] = candidate.Machine
+	}
+	for i, able := range membership.Able(machines) {
+		list[i].able = able
+	}
+	slices.SortFunc(list, func(a, b owner) int {
+		return cmp.Or(compareBool(b.able, a.able), cmp.Compare(b.weight, a.weight))
+	})
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int { return choose(a, 1, 0) - choose(b, 1, 0) }
+
+// first returns the instance that would own a part.
+func (o *owners) first(part pipeline.Part) ownership.Owner {
+	list := o.ranked(part)
+	address := o.candidates(part)[0]
+	for _, candidate := range list {
+		if candidate.PeerAddress == address {
+			return candidate.Owner()
+		}
+	}
+	return list[0].Owner()
+}
+
 // silentDomains returns the other failure domains of which several are suspected.
 func (o *owners) silentDomains(live []membership.Member) map[string]bool {
 	suspects := map[string]int{}
--- /dev/null
+++ b/service/handover/relief.go
@@ -0,0 +1,60 @@
+package handover
+
+import (
+	"slices"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+)
+
+// Look is called each second. The owner of the first part decides whether the endpoints are to be
+// cut into other parts, and an owner hands a part over that another instance is better able to own.
+func (r *Router) Look() {
+	if r.owners.leftAt.Load() != nil || r.clock.Now().Before(r.owners.joined) {
+		return
+	}
+	if r.claims.owns(pipeline.Part{Of: r.divisions.inForce().Parts}) {
+		r.divisions.look()
+	}
+	r.relieve()
+}
+
+// relieve hands a part over, as a planned stop does, if this instance is not able to own any, or
+// owns several, while another that is able owns none.
+func (r *Router) relieve() {
+	parts := r.divisions.inForce().Parts
+	own := slices.DeleteFunc(r.claims.own(), func(c ownership.Claim) bool { return c.Part.Of != parts })
+	if len(own) == 0 || r.giving.Swap(true) {
+		return
+	}
+	part := own[len(own)-1].Part
+	successors := r.owners.relief(part, len(own), r.claims.holders(parts))
+	if len(successors) == 0 {
+		r.giving.Store(false)
+		return
+	}
+	go func() {
+		defer r.giving.Store(false)
+		r.giveToFirst(part, successors[:1], "abler")
+	}()
+}
+
+// relief returns the members that should own a part rather than this instance, which owns so many:
+// those that are able and own none. There are none if this instance is able itself and owns one.
+func (o *owners) relief(part pipeline.Part, owned int, holders map[string]bool) []ownership.Owner {
+	var free []ownership.Owner
+	able := false
+	for _, candidate := range o.ranked(part) {
+		if candidate.Name == o.self.Name {
+			able = candidate.able
+			continue
+		}
+		if candidate.able && !holders[candidate.Name] {
+			free = append(free, candidate.Owner())
+		}
+	}
+	if able && owned <= 1 {
+		return nil
+	}
+	return free
+}
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +35,8 @@
 	claims    *claims
 	client    *peers.Client
 	planner   *pipeline.Planner
-	local     *batch.Batcher
-	endpoints func() int
+	makers    makers
+	divisions *divisions
 	clock     clockwork.Clock
 	log       *logrus.Entry
 	progress  *progress
@@ -45,6 +46,16 @@
 
 var _ gateway.Stages = (*Router)(nil)
 
+// makers give up results.
+type makers interface {
+	// Free gives results up where they were made.
+	Free(results []batch.Result)
+	// Rehome returns results with the queues of their makers among so many parts.
+	Rehome(results []batch.Result, parts int) []batch.Result
+}
+
+var _ makers = (*batch.Batcher)(nil)
+
 // Options of a router.
 type Options struct {
 	Self membership.Self
@@ -67,33 +78,61 @@
 // NewRouter returns a router.
 func NewRouter(o Options) *Router {
 	r := &Router{
-		owners:    newOwners(o.Clock, o.Self, o.Live, o.Contacts),
-		client:    o.Client,
-		planner:   o.Planner,
-		local:     o.Batcher,
-		endpoints: o.Endpoints,
-		clock:     o.Clock,
-		log:       o.Log,
-		progress:  newProgress(),
+		owners:   newOwners(o.Clock, o.Self, o.Live, o.Contacts),
+		client:   o.Client,
+		planner:  o.Planner,
+		makers:   o.Batcher,
+		clock:    o.Clock,
+		log:      o.Log,
+		progress: newProgress(),
 	}
 	r.owners.leaving = o.Leaving
 	tell := o.Tell
 	if tell == nil {
 		tell = func() {}
 	}
+	r.divisions = &divisions{clock: o.Clock, log: o.Log, endpoints: o.Endpoints, changed: func(d ownership.Division) {
+		tell()
+		go r.divided(d)
+	}}
 	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner(), tell, r.superseded, func(won ownership.Claim) { r.planner.Resume(won.Part) })
 	return r
 }
 
-// Claims returns what the others are told of the owners of parts.
-func (r *Router) Claims() []ownership.Claim { return r.claims.told() }
+// Claims returns what the others are told of the owners of parts: of the division in force.
+func (r *Router) Claims() []ownership.Claim {
+	parts := r.divisions.inForce().Parts
+	return slices.DeleteFunc(r.claims.told(), func(c ownership.Claim) bool { return c.Part.Of != parts })
+}
 
 // HearClaims takes in what another instance tells of the owners of parts.
 func (r *Router) HearClaims(heard []ownership.Claim) { r.claims.hear(heard, "heard") }
 
-// Run implements gateway.Stages.
+// Division returns the division that the others are told of; the zero one if none is agreed on.
+func (r *Router) Division() ownership.Division { return r.divisions.agreed() }
+
+// HearDivision takes in the division that another instance goes by.
+func (r *Router) HearDivision(heard ownership.Division) { r.divisions.hear(heard, "heard") }
+
+// Run implements gateway.Stages. A plan whose division changes goes on in the next one.
 func (r *Router) Run(ctx context.Context, plan pipeline.Plan) pipeline.Outcome {
-	part := partOf(plan.Request, r.endpoints())
+	for range maxTurns {
+		outcome := r.runIn(ctx, r.divisions.partOf(plan.Request), plan)
+		if outcome.Reason != batch.Moved {
+			return outcome
+		}
+		plan.Made = outcome.Made
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	r.freeMade(plan.Made)
+	return pipeline.Outcome{Reason: batch.Late}
+}
+
+// runIn has the stages of a plan made by the owner of a part. The plan has moved if it falls to
+// another part meanwhile.
+func (r *Router) runIn(ctx context.Context, part pipeline.Part, plan pipeline.Plan) pipeline.Outcome {
 	turned := map[string]bool{}
 	silent := 0
 	for range maxTurns {
@@ -108,7 +147,7 @@
 			plan.Made = outcome.Made
 			continue
 		}
-		if outcome.Reason != batch.Moved {
+		if outcome.Reason != batch.Moved || r.outdated(part, &plan) {
 			return outcome
 		}
 		plan.Made = outcome.Made
@@ -160,7 +199,7 @@
 			r.planner.Resume(part)
 		}
 		outcome := r.planner.Run(ctx, part, plan)
-		if outcome.Reason != batch.Moved || ctx.Err() != nil {
+		if outcome.Reason != batch.Moved || ctx.Err() != nil || r.outdated(part, &plan) {
 			return outcome
 		}
 		plan.Made = outcome.Made
@@ -175,9 +214,14 @@
 }
 
 // serve has the stages of another instance's plan made: here if this instance owns the part, or
-// is to own it since the owner is not reached. Where another owns it, the answer says so.
+// is to own it since the owner is not reached. Where another owns it, or the caller goes by an
+// older division, the answer says so.
 func (r *Router) serve(ctx context.Context, call api.Run) (api.Ran, error) {
 	part, plan := call.Part, call.Plan
+	r.divisions.hear(call.Division, "told_with_plan")
+	if division := r.divisions.agreed(); call.Division.Parts > 0 && part.Of != division.Parts && division.Beats(call.Division) {
+		return api.Ran{Outcome: pipeline.Outcome{Reason: batch.Moved, Made: plan.Made}, Division: division}, nil
+	}
 	r.claims.hear([]ownership.Claim{call.Known}, "told_with_plan")
 	holder, known := r.claims.holder(part)
 	if known && !r.claims.owns(part) && r.owners.reaches(holder.Owner) && !call.Relayed {
@@ -186,7 +230,7 @@
 		}
 		outcome, err := r.handOver(ctx, holder.Owner.PeerAddress, part, plan, true)
 		if err == nil {
-			return r.answer(part, outcome), nil
+			return r.answer(call, outcome), nil
 		}
 		plan.Made = outcome.Made
 	}
@@ -197,14 +241,19 @@
 		r.claims.claim(part, "asked_by_peer")
 		r.planner.Resume(part)
 	}
-	return r.answer(part, r.planner.Run(ctx, part, plan)), nil
+	return r.answer(call, r.planner.Run(ctx, part, plan)), nil
 }
 
-// answer is an outcome with who owns the part now.
-func (r *Router) answer(part pipeline.Part, outcome pipeline.Outcome) api.Ran {
-	holder, _ := r.claims.holder(part)
+// answer is an outcome with who owns the part now, and the division that holds if the caller does
+// not go by it.
+func (r *Router) answer(call api.Run, outcome pipeline.Outcome) api.Ran {
+	holder, _ := r.claims.holder(call.Part)
 	outcome.Made = withTimesLeft(outcome.Made, r.clock.Now())
-	return api.Ran{Outcome: outcome, Owner: holder}
+	ran := api.Ran{Outcome: outcome, Owner: holder}
+	if division := r.divisions.agreed(); division.Beats(call.Division) {
+		ran.Division = division
+	}
+	return ran
 }
 
 // handOver has the stages made by the instance at an address, or tells why it did not answer; the
@@ -215,6 +264,7 @@
 	call.Plan.Made = withTimesLeft(plan.Made, now)
 	call.Known, _ = r.claims.holder(part)
 	call.From = r.owners.self.PeerAddress
+	call.Division = r.divisions.inForce()
 	r.progress.begin(call.Call, &plan)
 	var ran api.Ran
 	err := r.client.Call(ctx, address, api.MethodRun, call, &ran)
@@ -231,6 +281,7 @@
 		return pipeline.Outcome{Made: made}, err
 	}
 	r.owners.trust(address)
+	r.divisions.hear(ran.Division, "told_with_answer")
 	r.claims.hear([]ownership.Claim{ran.Owner}, "told_with_answer")
 	ran.Planner = address
 	ran.Made = withTimes(ran.Made, r.clock.Now())
@@ -249,20 +300,30 @@
 // results up.
 func (r *Router) Free(results []batch.Result) {
 	byPart := map[pipeline.Part][]batch.Result{}
-	for _, result := range results {
+	for _, result := range r.rehomed(results) {
 		part := pipeline.Part{Number: result.Queue.Part, Of: result.Queue.Parts}
 		byPart[part] = append(byPart[part], result)
 	}
 	for part, own := range byPart {
 		holder, known := r.claims.holder(part)
 		if !known || r.claims.owns(part) || !r.owners.reaches(holder.Owner) {
-			r.local.Free(own)
+			r.makers.Free(own)
 			continue
 		}
 		go r.freeAt(holder.Owner.PeerAddress, own)
 	}
 }
 
+// rehomed returns results with the queues of the division in force.
+func (r *Router) rehomed(results []batch.Result) []batch.Result {
+	parts := r.divisions.inForce().Parts
+	made := func(result batch.Result) bool { return result.Handle != "" && result.Queue.Parts != parts }
+	if !slices.ContainsFunc(results, made) {
+		return results
+	}
+	return r.makers.Rehome(results, parts)
+}
+
 func (r *Router) freeMade(stages [][]batch.Result) {
 	for _, results := range stages {
 		r.Free(results)
@@ -289,6 +350,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
 	if err := r.client.Notify(ctx, address, api.MethodFree, api.Free{Results: results}); err != nil {
-		r.local.Free(results)
+		r.makers.Free(results)
 	}
 }
--- a/service/handover/succession.go
+++ b/service/handover/succession.go
@@ -13,6 +13,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
 const (
@@ -37,16 +38,17 @@
 	go func() {
 		defer r.giving.Store(false)
 		for _, claim := range own {
-			r.giveToSuccessor(claim.Part)
+			r.giveToFirst(claim.Part, r.owners.successors(claim.Part), "leaving")
 		}
 	}()
 }
 
-// giveToSuccessor hands a part over to the first of its successors that takes it.
-func (r *Router) giveToSuccessor(part pipeline.Part) {
-	for _, successor := range r.owners.successors(part) {
+// giveToFirst hands a part over to the first of some instances that takes it. The cause is for the
+// log.
+func (r *Router) giveToFirst(part pipeline.Part, successors []ownership.Owner, cause string) {
+	for _, successor := range successors {
 		// First the claim: who asks for a plan while the part is given up is sent on.
-		claim := r.claims.assign(part, successor, "leaving")
+		claim := r.claims.assign(part, successor, cause)
 		ledger := r.planner.Release(part)
 		if r.give(claim, ledger) {
 			return
@@ -81,6 +83,9 @@
 	err := r.client.Call(ctx, claim.Owner.PeerAddress, api.MethodTake, api.Take{Claim: claim, Ledger: ledger}, &struct{}{})
 	fields := logrus.Fields{"event": "part_given", "part": claim.Part.Number, "term": claim.Term, "to": claim.Owner.Name, "endpoints": len(ledger.Pieces.Endpoints)}
 	if err != nil {
+		if !peers.Answered(err) {
+			r.owners.suspect(claim.Owner.PeerAddress)
+		}
 		r.log.WithFields(fields).Warn(err)
 		return false
 	}
@@ -110,33 +115,23 @@
 	return problem.New(problem.Unavailable, remedy, "this instance is leaving")
 }
 
-// successors returns the members that may own a part after this instance, which leaves: those
-// that were restarted lately first, since in a rolling restart they stay; else as others would
-// choose the next owner.
+// successors returns the members that may own a part after this instance, which leaves: of those
+// that are able, the ones that were restarted lately first, since in a rolling restart they stay;
+// else as others would choose the next owner.
 func (o *owners) successors(part pipeline.Part) []ownership.Owner {
-	live := map[string]membership.Member{}
-	for _, m := range o.live() {
-		live[m.PeerAddress] = m
-	}
-	var list []membership.Member
-	for _, candidate := range o.ranked(part) {
-		if m, ok := live[candidate.address]; ok {
-			list = append(list, m)
-		}
-	}
-	restarted := func(m membership.Member) int {
-		if m.Incarnation > o.self.Incarnation+uint64(restartedAfter) {
-			return 0
-		}
-		return 1
+	list := slices.DeleteFunc(o.ranked(part), func(candidate owner) bool { return candidate.Name == o.self.Name })
+	restarted := func(candidate owner) bool { return candidate.Incarnation > o.self.Incarnation+uint64(restartedAfter) }
+	slices.SortStableFunc(list, func(a, b owner) int {
+		return cmp.Or(compareBool(b.able, a.able), compareBool(restarted(b), restarted(a)))
+	})
+	var successors []ownership.Owner
+	for _, candidate := range list {
+		successors = append(successors, candidate.Owner())
 	}
-	slices.SortStableFunc(list, func(a, b membership.Member) int { return cmp.Compare(restarted(a), restarted(b)) })
 	if len(list) == 0 {
-		list = o.leavingLater()
-	}
-	successors := make([]ownership.Owner, len(list))
-	for i, m := range list {
-		successors[i] = m.Owner()
+		for _, m := range o.leavingLater() {
+			successors = append(successors, m.Owner())
+		}
 	}
 	return successors
 }
@@ -154,7 +149,7 @@
 	if leftAt == nil {
 		return nil
 	}
-	list := slices.DeleteFunc(o.others(), func(m membership.Member) bool {
+	list := slices.DeleteFunc(slices.Clone(o.others()), func(m membership.Member) bool {
 		return o.suspected(m.PeerAddress) || m.Since.Sub(*leftAt) < laterBy
 	})
 	slices.SortFunc(list, func(a, b membership.Member) int { return b.Since.Compare(a.Since) })
