--- a/pkg/ownership/table.go
+++ b/pkg/ownership/table.go
@@ -10,6 +10,9 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Part is one of the equal parts into which the stage endpoints are cut.
@@ -33,15 +36,23 @@
 }
 
 // Beats tells whether a claim holds against another of the same part. Claims of one term were
-// made by instances that did not reach each other; all choose the same of them.
+// made by instances that did not reach each other; all choose the same of them, and another for
+// each part: by name alone one of three contacts owned three of four parts after all had started
+// anew.
 func (c Claim) Beats(other Claim) bool {
 	return cmp.Or(
 		cmp.Compare(c.Term, other.Term),
+		cmp.Compare(c.weight(), other.weight()),
 		cmp.Compare(c.Owner.Name, other.Owner.Name),
 		cmp.Compare(c.Owner.Incarnation, other.Owner.Incarnation),
 	) > 0
 }
 
+// weight orders claims of one part and term.
+func (c Claim) weight() uint64 {
+	return xxhash.Sum64String(strconv.Itoa(c.Part.Number) + "/" + c.Owner.Name)
+}
+
 // maxTermStep bounds by how much one heard claim may raise a term, so that a damaged one does
 // not use the terms up.
 const maxTermStep = 1 << 32
--- a/pkg/ownership/table_test.go
+++ b/pkg/ownership/table_test.go
@@ -45,6 +45,26 @@
 		Expect(t.Claim(part).Term).To(Equal(uint64(6)))
 	})
 
+	It("chooses among claims of one term, another for each part", func() {
+		const parts = 16
+		owns := map[string]int{}
+		for number := range parts {
+			forth, back := ownership.NewTable(owner(9, 1)), ownership.NewTable(owner(9, 1))
+			var claims []ownership.Claim
+			for n := range 3 {
+				claims = append(claims, ownership.Claim{Part: ownership.Part{Number: number, Of: parts}, Term: 1, Owner: owner(n, 1)})
+			}
+			forth.Hear(claims)
+			slices.Reverse(claims)
+			back.Hear(claims)
+			holder, _ := forth.Holder(claims[0].Part)
+			same, _ := back.Holder(claims[0].Part)
+			Expect(same).To(Equal(holder))
+			owns[holder.Owner.Name]++
+		}
+		Expect(owns).To(HaveLen(3))
+	})
+
 	DescribeTable("ignores claims that say nothing, or would use the terms up",
 		func(claim ownership.Claim) {
 			t := ownership.NewTable(owner(1, 1))
