--- /dev/null
+++ b/service/peers/silence_test.go
@@ -0,0 +1,116 @@
+package peers_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
+)
+
+// holding answers calls when the test ends.
+type holding struct{ end chan struct{} }
+
+func (h holding) Answer(ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+	select {
+	case <-h.end:
+	case <-ctx.Done():
+	}
+	return struct{}{}, nil
+}
+
+// cutProxy passes bytes on in both directions until it is cut; then it takes none, and closes
+// nothing.
+type cutProxy struct {
+	listener net.Listener
+	target   string
+	cut      atomic.Bool
+}
+
+func (p *cutProxy) serve() {
+	for {
+		from, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		go p.pass(from, to)
+		go p.pass(to, from)
+	}
+}
+
+func (p *cutProxy) pass(from, to net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		for p.cut.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		for p.cut.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		if _, err := io.Copy(to, strings.NewReader(string(buffer[:n]))); err != nil {
+			return
+		}
+	}
+}
+
+var _ = Describe("a connection to a peer that is cut off", func() {
+	It("ends its calls though so much was under way that nothing more can be written", func() {
+		handler := holding{make(chan struct{})}
+		backend, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		front, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		const token = "peers-token"
+		server := peers.NewServer(handler, token, logging.Discard().For("peers"))
+		go server.Serve(backend)
+		proxy := &cutProxy{listener: front, target: backend.Addr().String()}
+		go proxy.serve()
+		client := peers.NewClient("i1", token)
+		DeferCleanup(func() {
+			proxy.cut.Store(false)
+			close(handler.end)
+			client.Close()
+			server.Close()
+			_ = front.Close()
+			_ = backend.Close()
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		DeferCleanup(cancel)
+		const calls = 40
+		ended := make(chan error, calls+1)
+		call := func(size int) {
+			go func() {
+				ended <- client.Call(ctx, front.Addr().String(), "pipeline.run", strings.Repeat("x", size), &struct{}{})
+			}()
+		}
+		call(1)
+		Consistently(ended).WithTimeout(200 * time.Millisecond).ShouldNot(Receive())
+		proxy.cut.Store(true)
+		for range calls {
+			call(1 << 20)
+		}
+		for range calls + 1 {
+			var err error
+			Eventually(ended).WithTimeout(5 * time.Second).Should(Receive(&err))
+			Expect(err).To(HaveOccurred())
+		}
+	})
+})
