--- a/service/handover/instance_test.go
+++ b/service/handover/instance_test.go
@@ -287,6 +287,21 @@
 	return nil
 }
 
+// enlarge has all know that one of them runs on a large machine.
+func (g group) enlarge(one *instance) {
+	machine := membership.Machine{Cores: 0.8, LinkMbps: 200}
+	one.router.owners.self.Machine = machine
+	for _, i := range g.others(one) {
+		i.mu.Lock()
+		for m := range i.members {
+			if i.members[m].Name == one.self.Name {
+				i.members[m].Machine = machine
+			}
+		}
+		i.mu.Unlock()
+	}
+}
+
 // waiting is how many pieces wait.
 func (g group) waiting() int {
 	n := 0
--- a/service/handover/relief.go
+++ b/service/handover/relief.go
@@ -1,10 +1,12 @@
 package handover
 
 import (
+	"context"
 	"slices"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
 
 // Look is called each second. The owner of the first part decides whether the endpoints are to be
@@ -35,10 +37,25 @@
 	}
 	go func() {
 		defer r.giving.Store(false)
-		r.giveToFirst(part, successors[:1], "abler")
+		if r.answers(successors[0]) {
+			r.giveToFirst(part, successors[:1], "abler")
+		}
 	}()
 }
 
+// answers tells whether an instance is reached. Members of other failure domains are not heard
+// often enough to tell that they are cut off; a part that is offered to such a one is planned by
+// nobody until that is known, which an owner inside a cut did each second.
+func (r *Router) answers(owner ownership.Owner) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+	defer cancel()
+	err := r.client.Call(ctx, owner.PeerAddress, api.MethodPing, struct{}{}, &struct{}{})
+	if err != nil {
+		r.owners.suspect(owner.PeerAddress)
+	}
+	return err == nil
+}
+
 // relief returns the members that should own a part rather than this instance, which owns so many:
 // those that are able and own none. There are none if this instance is able itself and owns one.
 func (o *owners) relief(part pipeline.Part, owned int, holders map[string]bool) []ownership.Owner {
--- a/service/handover/succession_test.go
+++ b/service/handover/succession_test.go
@@ -242,6 +242,30 @@
 		Expect(lone.router.claims.owns(whole)).To(BeFalse())
 	})
 
+	It("hands its part to one that is able, but not to one that is not reached", func() {
+		first := all.ownerOf(all[0], "r1")
+		claim, _ := first.router.claims.holder(whole)
+		gone, able := all.others(first)[0], all.others(first)[1]
+		all.enlarge(gone)
+		gone.kill()
+		first.router.Look()
+		Eventually(func() bool { return first.router.owners.suspected(gone.self.PeerAddress) }).Should(BeTrue())
+		still, _ := first.router.claims.holder(whole)
+		Expect(still).To(Equal(claim))
+		all.enlarge(able)
+		waiting := all.run(first, "r2")
+		Eventually(first.pieces.Waiting).Should(Equal(2))
+		Eventually(func() bool {
+			first.router.Look()
+			return able.router.claims.owns(whole)
+		}).Should(BeTrue())
+		Eventually(able.pieces.Waiting).Should(Equal(1), "it goes on with what was made")
+		able.pieces.finish()
+		Expect(outcomeOf(waiting).Results).To(HaveLen(2))
+		able.router.Look()
+		Expect(able.router.claims.owns(whole)).To(BeTrue())
+	})
+
 	It("makes plans of instances of the version before, which tell of no owner", func() {
 		owner := all[0]
 		old := json.RawMessage(`{"call":"c","part":{"number":0,"of":1},"plan":{"request":"r","stages":[{"service":"s","bytes":1,"pieces":1}],"priority":0},"due_ms":60000,"deadline_ms":60000}`)
