--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -61,8 +61,8 @@
 	// all are.
 	news     chan struct{}
 	decision chan struct{}
-	leaving atomic.Bool
-	members atomic.Pointer[lists]
+	leaving  atomic.Bool
+	members  atomic.Pointer[lists]
 }
 
 // lists are the other members by their state, at one time. They are immutable.
