--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -184,8 +184,8 @@
 
 // current are the workers that may get work, for as long as the service's endpoints stay the same.
 // Every piece asks for them: at the owner of one of four parts of 42 endpoints, cutting them anew
-// made a forecast of a stage take 28 us instead of 1 us, and a stage 31 us instead of
-// 4 us (BenchmarkCapacity, BenchmarkMake).
+// would make a forecast of a stage take 28 us and not 1 us, and a stage 31 us and not 4 us
+// (BenchmarkCapacity, BenchmarkMake).
 type current struct {
 	of      []fleet.Endpoint
 	workers []*worker
--- a/pkg/batch/choice.go
+++ b/pkg/batch/choice.go
@@ -95,8 +95,8 @@
 }
 
 // fasterThan counts the workers that would end a call before w, though they may be busy. One that
-// the pieces are not for does not count: pieces that waited for it were never made, though the
-// endpoint that they were for was idle (2,200 ms and more on a deployment without other work).
+// the pieces are not for does not count: pieces would wait for it, and not be made, while the
+// endpoint that they are for is idle (2,200 ms and more on a deployment without other work).
 func fasterThan(now time.Time, w *worker, workers []*worker, passed map[*worker]passing, call time.Duration) int {
 	own := w.finish(now, call)
 	n := 0
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -66,7 +66,7 @@
 
 // documentPause is the least time from the beginning of a call that was answered to the next one. An
 // instance that starts with a document waits until a relay may have told it that there is none newer:
-// of 295 that came back together each watched the source once more before.
+// else of 295 that come back together each watches the source once more.
 func (f *Follower) documentPause(first bool) time.Duration {
 	if first && f.View().Table != nil {
 		return joining + relayWait + relayTimeout
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -32,8 +32,8 @@
 	peerPoll    = 300 * time.Millisecond
 	peerTimeout = 3 * time.Second
 	// joining is how long an instance that starts waits, with what it has read, until it follows:
-	// by then it has heard of the others, and of relays among them. Of 295 that started together
-	// each watched the source twice before, which was 600 calls in the first two seconds.
+	// by then it has heard of the others, and of relays among them. Without it, of 295 that start
+	// together each watches the source twice: 600 calls in the first two seconds.
 	joining = time.Second
 	// relayingFor is how long an instance takes itself to be a relay after it was asked.
 	relayingFor = 5 * time.Second
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -99,8 +99,9 @@
 func (g *Group) Tell() { wake(g.news) }
 
 // TellAll has a heartbeat sent at once to all members, of other failure domains too: 54 KB at 295
-// instances. It is for what is decided seldom and counts everywhere, such as who owns a part: before,
-// 803 plans of 295 instances found out one by one that an owner had been cut off, 0.6 s each.
+// instances. It is for what is decided seldom and counts everywhere, such as who owns a part: where
+// only some are told, each of the others finds out by a plan of its own that an owner is cut off, which
+// takes 0.6 s (803 plans of 295 instances in one cut of a failure domain).
 func (g *Group) TellAll() { wake(g.decision) }
 
 func wake(sleeper chan struct{}) {
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -369,8 +369,8 @@
 }
 
 // Changed tells whether the list has changed since this was last asked, but for when its members
-// were heard. At 295 instances a list was made anew for each of the 52 heartbeats a second, which
-// cost each instance 5 ms of each second (BenchmarkObserve).
+// were heard. At 295 instances a list made anew for each of 52 heartbeats a second would cost each
+// instance 5 ms of each second (BenchmarkObserve).
 func (m *Members) Changed() bool {
 	changed := m.changed
 	m.changed = false
--- a/service/handover/relief.go
+++ b/service/handover/relief.go
@@ -44,8 +44,8 @@
 }
 
 // answers tells whether an instance is reached. Members of other failure domains are not heard
-// often enough to tell that they are cut off; a part that is offered to such a one is planned by
-// nobody until that is known, which an owner inside a cut did each second.
+// often enough to tell that they are cut off; a part that is given to such a one is planned by nobody
+// for takeTimeout, and an owner inside a cut would give it again each second.
 func (r *Router) answers(owner ownership.Owner) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
 	defer cancel()
