--- a/service/peers/server.go
+++ b/service/peers/server.go
@@ -81,7 +81,7 @@
 func (s *Server) open(conn net.Conn) {
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	session := &session{server: s, conn: conn, codec: newCodec(maxStrange)}
-	stream := jsonrpc2.NewBufferedStream(&heardConn{Conn: conn}, session.codec)
+	stream := jsonrpc2.NewBufferedStream(conn, session.codec)
 	ctx, cancel := context.WithCancel(context.Background())
 	rpc := jsonrpc2.NewConn(ctx, stream, session)
 	s.mu.Lock()
