fleet, discovery, httpconn, gateway: evacuated failure domains get nothing more

Ruled out: a watch of their own (2.5 calls a second more for each domain), the watch of the endpoints (its prefix would have to hold large configurations).

Change: the orders are one record with a revision, read and watched with the configuration, told with what is said of configurations, whole, the greater revision holding.

Who knows a configuration and no orders does not serve.

--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/evacuation_test.go
@@ -0,0 +1,181 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+const (
+	// home and away are the failure domains of a deployment's engines; home is the instance's.
+	home = "zone-a"
+	away = "zone-b"
+	// evacuateBound is how long after an order its failure domain may still get work.
+	evacuateBound = 5 * time.Second
+)
+
+var _ = Describe("an evacuation of a failure domain", func() {
+	var d *platformtest.Deployment
+
+	BeforeEach(func() {
+		d = deploy(2)
+		for _, s := range platformtest.Kinds() {
+			s.Zone = away
+			for range 2 {
+				_, err := d.Add(s)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+	})
+
+	evacuate := func(zone string) { d.Store.Put("op/evacuate/"+zone, struct{}{}) }
+	restore := func(zone string) { d.Store.Remove("op/evacuate/" + zone) }
+
+	// arrived is how many requests and calls came to the engines of a failure domain.
+	arrived := func(zone string) int {
+		n := 0
+		for _, e := range d.Engines {
+			if e.Settings().Zone == zone {
+				n += e.Arrived()
+			}
+		}
+		return n
+	}
+
+	// traffic sends requests of all kinds at once, and returns the statuses.
+	traffic := func(i *instance) []int {
+		var statuses []int
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for _, route := range []string{"once", "repeat", "stream", "fixed", "staged", "staged"} {
+			group.Go(func() {
+				defer GinkgoRecover()
+				id := newID()
+				r := i.request(http.MethodPost, route, id, "")
+				if route == "staged" {
+					r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+					r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
+				}
+				got := send(r)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses = append(statuses, got.Status)
+			})
+		}
+		group.Wait()
+		return statuses
+	}
+
+	// quiet returns how many requests reach a failure domain while traffic comes.
+	quiet := func(i *instance, zone string) func() int {
+		return func() int {
+			before := arrived(zone)
+			traffic(i)
+			return arrived(zone) - before
+		}
+	}
+
+	It("sends nothing more there within its bound, of any kind, and serves all elsewhere until it is taken back", func() {
+		i := start(d.Address())
+		Eventually(quiet(i, home)).ShouldNot(BeZero())
+		evacuate(home)
+		Eventually(quiet(i, home)).WithTimeout(evacuateBound).Should(BeZero())
+		before := arrived(home)
+		for range 10 {
+			Expect(traffic(i)).To(HaveEach(http.StatusOK))
+		}
+		Expect(arrived(home)).To(Equal(before))
+		Expect(i.ready()).To(BeTrue())
+		restore(home)
+		Eventually(quiet(i, home)).ShouldNot(BeZero())
+	})
+
+	It("lets what runs there end in peace", func() {
+		for _, e := range d.Of("model") {
+			e.SetTimes(time.Millisecond, 300*time.Millisecond)
+		}
+		i := start(d.Address())
+		id := newID()
+		done := make(chan answer, 1)
+		go func() { done <- send(i.request(http.MethodPost, "stream", id, "")) }()
+		working := func() int {
+			n := 0
+			for _, e := range d.Of("model") {
+				n += e.Working()
+			}
+			return n
+		}
+		Eventually(working).Should(Equal(1))
+		evacuate(home)
+		evacuate(away)
+		Expect(<-done).To(SatisfyAll(HaveField("Body", events(id, 8)), HaveField("Whole", true)))
+		Expect(d.Runs("model", id)).To(HaveLen(1))
+	})
+
+	It("of all failure domains refuses all at once, as not run, and stays ready", func() {
+		i := start(d.Address())
+		evacuate(home)
+		evacuate(away)
+		for _, route := range []string{"once", "repeat", "stream"} {
+			Eventually(func() answer { _, got := i.ask(route); return got }).Should(SatisfyAll(
+				HaveField("Status", http.StatusServiceUnavailable),
+				HaveField("Body", ContainSubstring("no_endpoint")),
+			))
+		}
+		begin := time.Now()
+		Expect(traffic(i)).To(HaveEach(http.StatusServiceUnavailable))
+		Expect(time.Since(begin)).To(BeNumerically("<", time.Second), "the deadline is 5 s")
+		Expect(i.ready()).To(BeTrue())
+		restore(away)
+		Eventually(func() []int { return traffic(i) }).Should(HaveEach(http.StatusOK))
+	})
+
+	It("of all engines has no stage made for them, though the stages' own endpoints are not evacuated", func() {
+		for _, s := range platformtest.Kinds() {
+			if s.Kind == platformtest.Stage {
+				s.Zone = "zone-c"
+				_, err := d.Add(s)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		i := start(d.Address())
+		evacuate(home)
+		evacuate(away)
+		Eventually(func() int { _, got := i.ask("stream"); return got.Status }).Should(Equal(http.StatusServiceUnavailable))
+		before := arrived("zone-c")
+		Expect(traffic(i)).To(HaveEach(http.StatusServiceUnavailable))
+		Expect(arrived("zone-c")).To(Equal(before))
+	})
+
+	It("is known to an instance that starts while it is in force, from the store or from a peer", func() {
+		evacuate(home)
+		a := start(d.Address())
+		b := launch(unheard(), a.Peers)
+		Eventually(b.ready).Should(BeTrue())
+		for _, i := range []*instance{a, b} {
+			Eventually(func() []int { return traffic(i) }).Should(HaveEach(http.StatusOK))
+		}
+		Expect(arrived(home)).To(BeZero())
+	})
+
+	It("holds through an outage of the store, its lost history, and orders that come together", func() {
+		i := start(d.Address())
+		evacuate(home)
+		Eventually(quiet(i, home)).WithTimeout(evacuateBound).Should(BeZero())
+		d.Store.SetFault(platformtest.StoreSilent)
+		Consistently(quiet(i, home)).WithTimeout(2500 * time.Millisecond).Should(BeZero())
+		restore(home)
+		evacuate(away)
+		evacuate(home)
+		restore(away)
+		d.Store.Forget()
+		d.Store.SetFault(platformtest.StoreWell)
+		Consistently(quiet(i, home)).WithTimeout(2500 * time.Millisecond).Should(BeZero())
+		Expect(quiet(i, away)()).NotTo(BeZero())
+	})
+})
--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
@@ -170,7 +171,7 @@
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
 	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision}, g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
-	g.conns = httpconn.NewPool(g.clock, g.metrics)
+	g.conns = httpconn.NewPool(g.clock, g.metrics, g.mayCall)
 	g.balancer = balance.New(g.clock)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -202,6 +203,7 @@
 		Domain:    s.FailureDomain,
 		Instances: g.instances,
 	})
+	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, g.follower)
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.logs.For("peers"))
@@ -227,6 +229,14 @@
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
+// mayCall is the gate of all calls to endpoints: one in an evacuated failure domain gets none.
+func (g *Gateway) mayCall(target httpconn.Target) error {
+	if !g.follower.View().Evacuations().Has(target.FailureDomain) {
+		return nil
+	}
+	return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
+}
+
 // leastEndpoints is how many endpoints the least service that takes pieces has.
 func (g *Gateway) leastEndpoints() int {
 	view := g.follower.View()
@@ -322,7 +332,7 @@
 	switch {
 	case r.URL.Path != platform.ReadyPath:
 		http.NotFound(w, r)
-	case g.stopping.begun() || view.Table == nil || len(view.Fleet.All()) == 0 || view.Behind(g.clock.Now()):
+	case g.stopping.begun() || !view.Complete() || len(view.Fleet.All()) == 0 || view.Behind(g.clock.Now()):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -32,6 +32,8 @@
 	Revision  uint64
 	Document  discovery.Document
 	Endpoints []fleet.Endpoint
+	// Evacuated are sorted.
+	Evacuated []string
 }
 
 // source is a source, or the peers, whose state the test sets.
@@ -48,6 +50,12 @@
 	watches int
 	relayed int
 	age     time.Duration
+	// told has which failure domains were evacuated as of each revision that was told; orders, if
+	// they are set, are what a watch is told instead.
+	told   map[uint64][]string
+	orders []fleet.Evacuation
+	// silentOnOrders has peers tell of no evacuations, as an older version of the program does.
+	silentOnOrders bool
 }
 
 func (s *source) set(change func(*source)) {
@@ -80,7 +88,18 @@
 	if out {
 		return discovery.Newest{}, errOut
 	}
-	return discovery.Newest{At: state.Revision, Document: state.Document}, nil
+	s.tell(state)
+	return discovery.Newest{At: state.Revision, Document: state.Document, Evacuations: commonTo(nil, state.Evacuated)}, nil
+}
+
+// tell notes what was told as of a revision.
+func (s *source) tell(state held) {
+	s.set(func(s *source) {
+		if s.told == nil {
+			s.told = map[uint64][]string{}
+		}
+		s.told[state.Revision] = state.Evacuated
+	})
 }
 
 func (s *source) Watch(ctx context.Context, since uint64, wait time.Duration, _ discovery.Progress) (discovery.Changes, error) {
@@ -99,6 +118,8 @@
 	if state.Document.Revision > since {
 		newest.Document = state.Document
 	}
+	newest.Evacuations = s.given(since, state)
+	s.tell(state)
 	return newest, err
 }
 
@@ -156,7 +177,12 @@
 }
 
 func (p peersOf) mark(state held) discovery.Mark {
-	return discovery.Mark{Revision: state.Document.Revision, At: state.Revision, Age: p.oldness(), Newest: state.Document.Revision}
+	mark := discovery.Mark{Revision: state.Document.Revision, At: state.Revision, Age: p.oldness(), Newest: state.Document.Revision}
+	if p.mu.Lock(); !p.silentOnOrders {
+		mark.Evacuations = fleet.Evacuations{Revision: state.Revision, Domains: state.Evacuated}
+	}
+	p.mu.Unlock()
+	return mark
 }
 
 func (p peersOf) State(_ context.Context, newerThan uint64) (discovery.Known, error) {
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -60,6 +60,10 @@
 	if lacking, lacks := view.Lacking(now); lacks && lacking > sourceAfter+f.hesitation {
 		return true
 	}
+	if view.Evacuations().Revision < view.DocumentAt {
+		// Those who told of the document did not tell of evacuations.
+		return true
+	}
 	relayed := f.relayed.Load()
 	return view.Document.Revision == 0 || relayed == nil || now.Sub(*relayed) > relayedFor || len(f.peers.Relays()) == 0
 }
@@ -80,7 +84,7 @@
 	view := f.View()
 	_, lacks := view.Lacking(f.clock.Now())
 	ask := f.watchDocument
-	if anew || lacks {
+	if anew || lacks || !view.Evacuations().Known() {
 		// The answer to a watch would hold every version that was missed; this one has the newest alone.
 		ask = f.readDocument
 	}
@@ -102,7 +106,7 @@
 		return err
 	}
 	f.tellCalled("document", "read", transfer)
-	f.takeIn(ctx, newest, transfer.begin)
+	f.takeIn(ctx, newest, 0, transfer.begin)
 	return nil
 }
 
@@ -112,13 +116,14 @@
 	callCtx, transfer := newTransfer(ctx, f.clock, wait+answerSlack)
 	defer transfer.end()
 	go f.endWhenNewer(callCtx, transfer, view.Document.Revision)
-	newest, err := f.source.WatchDocument(callCtx, view.DocumentAt, wait, transfer.progress)
+	since := view.ordersAt()
+	newest, err := f.source.WatchDocument(callCtx, since, wait, transfer.progress)
 	if err != nil {
 		f.tellFailed("document", "watch", transfer, err)
 		return err
 	}
 	f.tellCalled("document", "watch", transfer)
-	f.takeIn(ctx, newest, transfer.confirmedAt(wait))
+	f.takeIn(ctx, newest, since, transfer.confirmedAt(wait))
 	return nil
 }
 
@@ -146,10 +151,12 @@
 	}
 }
 
-// takeIn delivers what the source told: a document, or that there is no newer one.
-func (f *Follower) takeIn(ctx context.Context, newest Newest, at time.Time) {
+// takeIn delivers what the source told: a document, or that there is no newer one; and all
+// evacuations that were ordered since a revision, or if that is 0 all that are in force.
+func (f *Follower) takeIn(ctx context.Context, newest Newest, since uint64, at time.Time) {
+	f.refuseMalformed(newest.Evacuations, newest.At)
 	view := f.View()
-	n := documentNews{document: newest.Document, at: at, from: "source"}
+	n := documentNews{document: newest.Document, at: at, from: "source", orders: orders{since: since, at: newest.At, given: newest.Evacuations}}
 	n.mark = Mark{Revision: max(newest.Document.Revision, view.Document.Revision), At: newest.At}
 	if newest.Document.Revision > max(view.Document.Revision, view.refused) {
 		n.table = f.compile(newest.Document, n.from)
--- /dev/null
+++ b/pkg/discovery/evacuating_test.go
@@ -0,0 +1,183 @@
+package discovery_test
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+)
+
+// inDomains returns a state with an endpoint in each of the failure domains a and b, named so, while
+// some are evacuated.
+func inDomains(revision uint64, evacuated ...string) held {
+	s := state(revision, 1, 1)
+	for _, domain := range []string{"a", "b"} {
+		s.Endpoints = append(s.Endpoints, fleet.Endpoint{ID: domain, Service: "s", FailureDomain: domain})
+	}
+	s.Evacuated = evacuated
+	return s
+}
+
+var _ = Describe("an evacuation", func() {
+	var store, peers *source
+
+	// follow starts a follower of the store and the peers.
+	follow := func(source discovery.Source) *discovery.Follower {
+		f := discovery.New(source, peersOf{peers}, clockwork.NewRealClock(), logging.Discard().For("discovery"))
+		var t tomb.Tomb
+		t.Go(func() error { return f.Run(&t) })
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+		return f
+	}
+	ready := func(f *discovery.Follower) func() []string {
+		return func() []string {
+			var ids []string
+			for _, e := range f.View().Fleet.Ready("s") {
+				ids = append(ids, e.ID)
+			}
+			return ids
+		}
+	}
+	put := func(s *source, next held) { s.set(func(s *source) { s.state = next }) }
+
+	BeforeEach(func() {
+		store, peers = &source{}, &source{out: true}
+	})
+
+	It("is in force as soon as it is given, and taken back as soon as it is taken back", func() {
+		put(store, inDomains(5))
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("a", "b"))
+		put(store, inDomains(6, "a"))
+		Eventually(ready(f)).WithTimeout(3*time.Second).Should(HaveExactElements("b"), "one that has just started waits for relays first")
+		put(store, inDomains(7, "a", "b"))
+		Eventually(ready(f)).WithTimeout(time.Second).Should(BeEmpty())
+		put(store, inDomains(8, "b"))
+		Eventually(ready(f)).WithTimeout(time.Second).Should(HaveExactElements("a"))
+		Expect(f.View().Complete()).To(BeTrue())
+	})
+
+	It("given and taken back between two answers is taken back", func() {
+		put(store, inDomains(5))
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("a", "b"))
+		store.set(func(s *source) {
+			s.state = inDomains(8)
+			s.orders = []fleet.Evacuation{{Domain: "a"}, {Domain: "b"}, {Domain: "a", Ended: true}, {Domain: "b", Ended: true}}
+		})
+		Eventually(func() uint64 { return f.View().Evacuations().Revision }).Should(Equal(uint64(8)))
+		Expect(ready(f)()).To(HaveExactElements("a", "b"))
+	})
+
+	It("is known to one that starts while it is in force, and when the history is gone", func() {
+		put(store, inDomains(5, "b"))
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("a"))
+		store.forget(inDomains(9, "a"))
+		Eventually(ready(f)).Should(HaveExactElements("b"))
+		store.forget(inDomains(12))
+		Eventually(ready(f)).Should(HaveExactElements("a", "b"))
+	})
+
+	It("stays in force while the source is out, and no older word of a peer takes it back", func() {
+		put(store, inDomains(7, "a"))
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("b"))
+		store.set(func(s *source) { s.out = true })
+		peers.set(func(s *source) { s.out, s.state = false, inDomains(6) })
+		Consistently(ready(f)).WithTimeout(2500 * time.Millisecond).Should(HaveExactElements("b"))
+		By("taking newer word of a peer")
+		put(peers, inDomains(9))
+		Eventually(ready(f)).Should(HaveExactElements("a", "b"))
+	})
+
+	It("is known to one that starts and reaches peers alone", func() {
+		store.out = true
+		peers.set(func(s *source) { s.out, s.state = false, inDomains(6, "a") })
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("b"))
+		Eventually(func() bool { return f.View().Complete() }).Should(BeTrue())
+	})
+
+	It("comes over relays at once, and so does its end", func() {
+		put(store, inDomains(5))
+		relay := follow(store)
+		Eventually(ready(relay)).Should(HaveExactElements("a", "b"))
+		Eventually(func() bool { return relay.View().Complete() }).Should(BeTrue())
+		ask := func(knows fleet.Evacuations) <-chan discovery.Relayed {
+			got := make(chan discovery.Relayed, 1)
+			go func() {
+				got <- relay.Relay(discovery.RelaySelect{Since: 100, Document: 100, Evacuations: knows, Wait: 10 * time.Second})
+			}()
+			return got
+		}
+		none := relay.View().Evacuations()
+		got := ask(none)
+		Consistently(got).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		put(store, inDomains(6, "b"))
+		var told discovery.Relayed
+		Eventually(got).WithTimeout(3 * time.Second).Should(Receive(&told))
+		Expect(told.Mark.Evacuations.Domains).To(HaveExactElements("b"))
+		Eventually(ask(none)).Should(Receive(), "one that asks later and does not know yet")
+		got = ask(told.Mark.Evacuations)
+		Consistently(got).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		put(store, inDomains(7))
+		Eventually(got).WithTimeout(time.Second).Should(Receive(&told))
+		Expect(told.Mark.Evacuations.Domains).To(BeEmpty())
+	})
+
+	It("is asked of the source when those who tell of the configuration do not tell of it", func() {
+		put(store, inDomains(5))
+		peers.set(func(s *source) {
+			s.out, s.state, s.relays, s.silentOnOrders = false, inDomains(5), []string{"relay"}, true
+		})
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("a", "b"))
+		put(peers, inDomains(6))
+		put(store, inDomains(6, "a"))
+		Eventually(ready(f)).WithTimeout(3 * time.Second).Should(HaveExactElements("b"))
+	})
+
+	It("of no failure domain changes nothing, and others that come with it do", func() {
+		put(store, inDomains(5))
+		f := follow(store)
+		Eventually(ready(f)).Should(HaveExactElements("a", "b"))
+		store.set(func(s *source) {
+			s.state = inDomains(6, "a")
+			s.orders = []fleet.Evacuation{{Domain: ""}, {Domain: "", Ended: true}, {Domain: "unknown"}, {Domain: "a"}}
+		})
+		Eventually(ready(f)).Should(HaveExactElements("b"))
+	})
+})
+
+// commonTo returns the orders that lead from some evacuated failure domains to others.
+func commonTo(before, after []string) []fleet.Evacuation {
+	var orders []fleet.Evacuation
+	evacuated, returned := fleet.Evacuations{Domains: after}.Changed(fleet.Evacuations{Domains: before})
+	for _, domain := range evacuated {
+		orders = append(orders, fleet.Evacuation{Domain: domain})
+	}
+	for _, domain := range returned {
+		orders = append(orders, fleet.Evacuation{Domain: domain, Ended: true})
+	}
+	return orders
+}
+
+// given returns the orders after a revision, as the source tells them.
+func (s *source) given(since uint64, state held) []fleet.Evacuation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.orders != nil && since < state.Revision {
+		return s.orders
+	}
+	return commonTo(s.told[since], state.Evacuated)
+}
--- a/pkg/discovery/history.go
+++ b/pkg/discovery/history.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
 // historyLength bounds the changes that are kept for those who are relayed to.
@@ -89,7 +91,7 @@
 	for {
 		changed := f.history.changed()
 		view := f.View()
-		if view.listed.Revision > selection.Since || view.Newest() > selection.Document {
+		if view.listed.Revision > selection.Since || view.Newest() > selection.Document || evacuatesOthers(view.Evacuations(), selection.Evacuations) {
 			return f.relay(view, selection.Since)
 		}
 		select {
@@ -100,6 +102,12 @@
 	}
 }
 
+// evacuatesOthers tells whether an instance knows of evacuations that an asker does not know, or of
+// their end. One that told none is not woken: it asks the source.
+func evacuatesOthers(known, asker fleet.Evacuations) bool {
+	return asker.Known() && known.Revision > asker.Revision && !known.Same(asker)
+}
+
 // relay returns what a view has beyond a revision of the endpoints.
 func (f *Follower) relay(view *View, since uint64) Relayed {
 	now := f.clock.Now()
--- a/pkg/discovery/lapse.go
+++ b/pkg/discovery/lapse.go
@@ -44,5 +44,5 @@
 	if len(kept) == len(listed.All()) {
 		return listed
 	}
-	return fleet.New(listed.Revision, kept)
+	return listed.Replace(listed.Revision, kept)
 }
--- a/pkg/discovery/model_test.go
+++ b/pkg/discovery/model_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	"pgregory.net/rapid"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
@@ -29,7 +30,10 @@
 	revision  uint64
 	documents []uint64
 	// invalid documents compile nowhere.
-	invalid   map[uint64]bool
+	invalid map[uint64]bool
+	// orders are those to evacuate failure domains, each with the revision of its index in ordered.
+	orders    []fleet.Evacuation
+	ordered   []uint64
 	followers []*Follower
 	// sent are the news under way.
 	sent []delivery
@@ -73,6 +77,32 @@
 	return revision
 }
 
+// evacuated are the evacuations as of a revision of the source.
+func (m *model) evacuated(at uint64) fleet.Evacuations {
+	return fleet.Evacuations{}.With(at, m.ordersAfter(0, at))
+}
+
+// ordersAfter are the orders after a revision up to another.
+func (m *model) ordersAfter(since, at uint64) []fleet.Evacuation {
+	var orders []fleet.Evacuation
+	for i, revision := range m.ordered {
+		if revision > since && revision <= at {
+			orders = append(orders, m.orders[i])
+		}
+	}
+	return orders
+}
+
+// order has the operator evacuate a failure domain, or take it back.
+func (m *model) order(t *rapid.T) {
+	m.revision++
+	m.ordered = append(m.ordered, m.revision)
+	m.orders = append(m.orders, fleet.Evacuation{
+		Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
+		Ended:  rapid.Bool().Draw(t, "taken back"),
+	})
+}
+
 func (m *model) table(revision uint64) *route.Table {
 	if m.invalid[revision] {
 		return nil
@@ -94,8 +124,9 @@
 	}
 }
 
-// ask has a follower's call answered by the source; the answer comes later.
-func (m *model) ask(to int) {
+// ask has a follower's call answered by the source, by a watch or by a reading of all; the answer
+// comes later.
+func (m *model) ask(t *rapid.T, to int) {
 	view := m.followers[to].View()
 	n := documentNews{at: m.clock.Now(), from: "source"}
 	if newest := m.newest(m.revision); newest > view.Document.Revision {
@@ -103,6 +134,11 @@
 		n.table = m.table(newest)
 	}
 	n.mark = Mark{Revision: max(n.document.Revision, view.Document.Revision), At: m.revision}
+	n.orders = orders{at: m.revision}
+	if view.Evacuations().Known() && !rapid.Bool().Draw(t, "all") {
+		n.orders.since = view.ordersAt()
+	}
+	n.orders.given = m.ordersAfter(n.orders.since, m.revision)
 	m.sent = append(m.sent, delivery{to: to, news: n})
 }
 
@@ -160,6 +196,9 @@
 }
 
 func (m *model) checkForward(t *rapid.T, i int, before, after *View) {
+	if after.Evacuations().Revision < before.Evacuations().Revision {
+		t.Fatalf("follower %d went back from %+v to %+v", i, before.Evacuations(), after.Evacuations())
+	}
 	if after.Document.Revision < before.Document.Revision || after.DocumentAt < before.DocumentAt {
 		t.Fatalf("follower %d went back from %+v to %+v", i, before.mark(m.clock.Now()), after.mark(m.clock.Now()))
 	}
@@ -182,6 +221,12 @@
 				t.Fatalf("%s: it claims to know all documents, and lacks %d", name, d)
 			}
 		}
+		if e := view.Evacuations(); e.Known() && !e.Same(m.evacuated(e.Revision)) {
+			t.Fatalf("%s: it takes %v to be evacuated as of %d, which are %v", name, e.Domains, e.Revision, m.evacuated(e.Revision).Domains)
+		}
+		if view.Document.Revision > 0 && view.Evacuations().Revision < view.DocumentAt {
+			t.Fatalf("%s: it knows the evacuations as of %d alone", name, view.Evacuations().Revision)
+		}
 		w := m.told[i]
 		if w.revision > view.settled() && now.Sub(w.at) < toldFor {
 			lacking, lacks := view.Lacking(now)
@@ -209,7 +254,8 @@
 	one := func(what string) int { return rapid.IntRange(0, len(m.followers)-1).Draw(t, what) }
 	t.Repeat(map[string]func(*rapid.T){
 		"write":   m.write,
-		"ask":     func(*rapid.T) { m.ask(one("who asks")) },
+		"order":   m.order,
+		"ask":     func(t *rapid.T) { m.ask(t, one("who asks")) },
 		"tell":    func(t *rapid.T) { m.tell(t, one("who tells"), one("whom")) },
 		"deliver": m.deliver,
 		"wait":    func(t *rapid.T) { m.clock.Advance(rapid.SampledFrom(waits).Draw(t, "wait")) },
@@ -218,7 +264,7 @@
 	})
 }
 
-var _ = Describe("followers that tell each other of documents", func() {
+var _ = Describe("followers that tell each other of documents and evacuations", func() {
 	It("claim what is so, never go back, and refuse when they lack what others have", func() {
 		for range plays {
 			rapid.Check(GinkgoT(), playFollowers)
--- a/pkg/discovery/news.go
+++ b/pkg/discovery/news.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -28,7 +27,7 @@
 		return nil
 	}
 	before := view.listed.Revision
-	view.listed = fleet.New(n.state.Revision, n.state.Endpoints)
+	view.listed = view.listed.Replace(n.state.Revision, n.state.Endpoints)
 	f.confirmEndpoints(view, n.at, n.heard)
 	if n.state.Revision == before {
 		return nil
@@ -68,9 +67,21 @@
 	mark  Mark
 	at    time.Time
 	from  string
+	// orders are those that the source told; a peer tells what holds in its mark.
+	orders orders
 }
 
 func (n documentNews) apply(f *Follower, view *View) func() {
+	if !n.orders.follow(view.Evacuations()) {
+		return nil
+	}
+	changed := f.evacuate(view, n.orders.after(view.Evacuations()))
+	changed = f.evacuate(view, n.mark.Evacuations) || changed
+	return f.wakeIf(changed, n.takeDocument(f, view))
+}
+
+// takeDocument takes the document in, or that there is no newer one.
+func (n documentNews) takeDocument(f *Follower, view *View) func() {
 	if n.document.Revision > view.Document.Revision {
 		return n.putInForce(f, view)
 	}
@@ -109,11 +120,12 @@
 }
 
 func (n markNews) apply(f *Follower, view *View) func() {
+	evacuated := f.evacuate(view, n.mark.Evacuations)
 	view.confirmDocument(n.mark, n.at)
 	now := f.clock.Now()
 	had := view.hear(n.mark.Revision, true, now)
 	heard := view.hear(n.mark.Newest, false, now)
-	return f.spread(had || heard)
+	return f.wakeIf(evacuated, f.spread(had || heard))
 }
 
 // rumourNews is the revision of a document that a peer has in force.
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -42,6 +42,9 @@
 	At uint64
 	// Document has revision 0 if there is none that the asker does not have.
 	Document Document
+	// Evacuations are the orders to evacuate failure domains, in the order in which they were
+	// given: of a reading all that are in force, of a watch those after its revision.
+	Evacuations []fleet.Evacuation
 }
 
 // Progress is told each time that bytes of an answer have come.
@@ -55,10 +58,11 @@
 	// Watch returns the changes of endpoints after a revision as soon as there is one, or
 	// none after the time to wait. It fails with ErrHistoryGone if they are not kept.
 	Watch(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Changes, error)
-	// Document reads the newest document.
+	// Document reads the newest document, and which failure domains are evacuated.
 	Document(ctx context.Context, progress Progress) (Newest, error)
 	// WatchDocument returns the newest document as soon as one was written after a revision
-	// of the source, or none after the time to wait. It fails as Watch does.
+	// of the source, or a failure domain evacuated or taken back, or neither after the time to wait.
+	// It fails as Watch does.
 	WatchDocument(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Newest, error)
 	// Decode reads a document.
 	Decode(d Document) (route.Config, error)
@@ -75,6 +79,9 @@
 	Age time.Duration `json:"age_ns"`
 	// Newest is the revision of the newest document that the instance has heard of.
 	Newest uint64 `json:"newest"`
+	// Evacuations are the failure domains that it knows to be evacuated. A version that does not
+	// tell them knows none; who hears it asks the source.
+	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
 }
 
 // Known is what a peer knows.
@@ -103,6 +110,8 @@
 	// has heard of, all documents.
 	Since    uint64
 	Document uint64
+	// Evacuations are those that the asker knows of.
+	Evacuations fleet.Evacuations
 	// Wait is how long to wait for something newer.
 	Wait time.Duration
 }
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -59,6 +59,18 @@
 	told  time.Time
 }
 
+// Evacuations are the failure domains whose endpoints get no new work. They are at least as new as
+// what is known of documents.
+func (v *View) Evacuations() fleet.Evacuations { return v.listed.Evacuations() }
+
+// Complete tells whether requests can be served: by a configuration, and knowing which failure
+// domains are evacuated.
+func (v *View) Complete() bool { return v.Table != nil && v.Evacuations().Known() }
+
+// ordersAt is the revision of the source up to which this instance knows all documents and all
+// evacuations.
+func (v *View) ordersAt() uint64 { return min(v.DocumentAt, v.Evacuations().Revision) }
+
 // Age is how long ago the source confirmed that the configuration is the newest.
 func (v *View) Age(now time.Time) time.Duration { return since(v.DocumentConfirmed, now) }
 
@@ -101,7 +113,7 @@
 // mark is what others are told of the document. Who refused a newer one does not vouch for
 // its own beyond that: others may take it.
 func (v *View) mark(now time.Time) Mark {
-	m := Mark{Revision: v.Document.Revision, At: v.DocumentAt, Age: v.Age(now), Newest: v.Newest()}
+	m := Mark{Revision: v.Document.Revision, At: v.DocumentAt, Age: v.Age(now), Newest: v.Newest(), Evacuations: v.Evacuations()}
 	if v.refused > v.Document.Revision {
 		m.At = v.Document.Revision
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -1,8 +1,12 @@
 // Package fleet holds what is known of the endpoints: an immutable snapshot, with the
-// revision of the source that it stands for.
+// revision of the source that it stands for, and the failure domains that are evacuated.
 package fleet
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
 
 // Endpoint is one process that does a service's work.
 type Endpoint struct {
@@ -16,6 +20,15 @@
 	Slots         int    `json:"slots"`
 	// Leaving endpoints get no new work.
 	Leaving bool `json:"leaving"`
+	// ColdMs is how much longer it bears little work, in milliseconds, as of when its entry was
+	// written; 0: it is warm.
+	ColdMs int64 `json:"cold_ms,omitempty"`
+	// ColdRevision is that of the entry which says so, 0 while it is warm: it may say the same once
+	// more when the endpoint has turned cold again.
+	ColdRevision uint64 `json:"cold_revision,omitempty"`
+	// Returned is the revision as of which its failure domain was last known to be no longer
+	// evacuated; 0 if it was not evacuated in this process's life. It is set in Ready alone.
+	Returned uint64 `json:"-"`
 }
 
 // Snapshot is the set of endpoints as of a revision. It is immutable.
@@ -23,6 +36,10 @@
 	Revision  uint64
 	endpoints map[string]Endpoint
 	ready     map[string][]Endpoint
+	// evacuations are the failure domains whose endpoints get no new work, and returned has, by
+	// failure domain, when others were known to have returned.
+	evacuations Evacuations
+	returned    map[string]uint64
 }
 
 // Change is one endpoint's entry as it is now, or its end.
@@ -32,51 +49,59 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
-// New returns the snapshot with the endpoints given.
+// New returns the snapshot with the endpoints given, and no evacuations.
 func New(revision uint64, endpoints []Endpoint) *Snapshot {
+	return (&Snapshot{}).Replace(revision, endpoints)
+}
+
+// Replace returns the snapshot with other endpoints, as of a revision, and the same evacuations.
+func (s *Snapshot) Replace(revision uint64, endpoints []Endpoint) *Snapshot {
 	all := make(map[string]Endpoint, len(endpoints))
 	for _, e := range endpoints {
 		all[e.ID] = e
 	}
-	return build(revision, all)
+	replaced := *s
+	replaced.Revision, replaced.endpoints = revision, all
+	return replaced.build()
 }
 
-func build(revision uint64, all map[string]Endpoint) *Snapshot {
-	s := &Snapshot{Revision: revision, endpoints: all, ready: map[string][]Endpoint{}}
-	for _, e := range all {
-		if !e.Leaving {
+// build sorts the endpoints that may get new work by service.
+func (s *Snapshot) build() *Snapshot {
+	s.ready = map[string][]Endpoint{}
+	for _, e := range s.endpoints {
+		if s.mayGetWork(e) {
+			e.Returned = s.returned[e.FailureDomain]
 			s.ready[e.Service] = append(s.ready[e.Service], e)
 		}
 	}
 	for _, list := range s.ready {
-		slices.SortFunc(list, func(a, b Endpoint) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return s
 }
 
+func (s *Snapshot) mayGetWork(e Endpoint) bool {
+	return !e.Leaving && !s.evacuations.Has(e.FailureDomain)
+}
+
 // With returns the snapshot after changes, as of a revision; the same endpoints if
 // none of the changes matters.
 func (s *Snapshot) With(revision uint64, changes []Change) *Snapshot {
+	after := *s
+	after.Revision = revision
 	if !s.differs(changes) {
-		return &Snapshot{Revision: revision, endpoints: s.endpoints, ready: s.ready}
-	}
-	all := make(map[string]Endpoint, len(s.endpoints)+1)
-	for id, e := range s.endpoints {
-		all[id] = e
+		return &after
 	}
+	after.endpoints = make(map[string]Endpoint, len(s.endpoints)+1)
+	maps.Copy(after.endpoints, s.endpoints)
 	for _, c := range changes {
 		if c.Gone {
-			delete(all, c.Endpoint.ID)
+			delete(after.endpoints, c.Endpoint.ID)
 			continue
 		}
-		all[c.Endpoint.ID] = c.Endpoint
+		after.endpoints[c.Endpoint.ID] = c.Endpoint
 	}
-	return build(revision, all)
+	return after.build()
 }
 
 func (s *Snapshot) differs(changes []Change) bool {
@@ -89,6 +114,29 @@
 	return false
 }
 
+// Evacuate returns the snapshot with the failure domains of the evacuations left out; itself if
+// it knows newer ones.
+func (s *Snapshot) Evacuate(e Evacuations) *Snapshot {
+	if e.Revision <= s.evacuations.Revision {
+		return s
+	}
+	after := *s
+	after.evacuations = e
+	if e.Same(s.evacuations) {
+		return &after
+	}
+	_, returned := e.Changed(s.evacuations)
+	after.returned = make(map[string]uint64, len(s.returned)+len(returned))
+	maps.Copy(after.returned, s.returned)
+	for _, domain := range returned {
+		after.returned[domain] = e.Revision
+	}
+	return after.build()
+}
+
+// Evacuations are the failure domains that are left out, as of a revision.
+func (s *Snapshot) Evacuations() Evacuations { return s.evacuations }
+
 // Ready returns the endpoints of a service that may get new work, sorted by ID. The
 // slice must not be changed.
 func (s *Snapshot) Ready(service string) []Endpoint { return s.ready[service] }
@@ -99,10 +147,11 @@
 	return e, ok
 }
 
-// MayGetWork tells whether an endpoint is known and not leaving.
+// MayGetWork tells whether an endpoint is known, not leaving, and not in an evacuated failure
+// domain.
 func (s *Snapshot) MayGetWork(id string) bool {
 	e, ok := s.endpoints[id]
-	return ok && !e.Leaving
+	return ok && s.mayGetWork(e)
 }
 
 // All returns all endpoints, in no order.
@@ -113,3 +162,14 @@
 	}
 	return list
 }
+
+// In returns how many endpoints stand in a failure domain.
+func (s *Snapshot) In(domain string) int {
+	n := 0
+	for _, e := range s.endpoints {
+		if e.FailureDomain == domain {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,103 @@
+package fleet_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+func evacuate(domain string) fleet.Evacuation { return fleet.Evacuation{Domain: domain} }
+
+func restore(domain string) fleet.Evacuation { return fleet.Evacuation{Domain: domain, Ended: true} }
+
+var _ = Describe("evacuations", func() {
+	DescribeTable("are what is left after orders",
+		func(orders []fleet.Evacuation, domains ...string) {
+			e := fleet.Evacuations{}.With(7, orders)
+			Expect(e.Known()).To(BeTrue())
+			Expect(e.Revision).To(Equal(uint64(7)))
+			Expect(e.Domains).To(HaveExactElements(domains))
+		},
+		Entry("none", nil),
+		Entry("one", []fleet.Evacuation{evacuate("a")}, "a"),
+		Entry("several, in any order", []fleet.Evacuation{evacuate("c"), evacuate("a"), evacuate("b")}, "a", "b", "c"),
+		Entry("the same twice", []fleet.Evacuation{evacuate("a"), evacuate("a")}, "a"),
+		Entry("given and taken back", []fleet.Evacuation{evacuate("a"), evacuate("b"), restore("a")}, "b"),
+		Entry("taken back and given again", []fleet.Evacuation{evacuate("a"), restore("a"), evacuate("a")}, "a"),
+		Entry("taken back that was not given", []fleet.Evacuation{restore("a")}),
+		Entry("one that names nothing", []fleet.Evacuation{evacuate(""), restore("")}),
+	)
+
+	It("do not change a record from which others are made", func() {
+		before := fleet.Evacuations{}.With(1, []fleet.Evacuation{evacuate("a"), evacuate("b")})
+		before.With(2, []fleet.Evacuation{restore("a"), evacuate("c")})
+		Expect(before.Domains).To(HaveExactElements("a", "b"))
+	})
+})
+
+var _ = Describe("a snapshot", func() {
+	endpoints := []fleet.Endpoint{
+		{ID: "a1", Service: "s", FailureDomain: "a"},
+		{ID: "a2", Service: "s", FailureDomain: "a", Leaving: true},
+		{ID: "b1", Service: "s", FailureDomain: "b"},
+	}
+	ids := func(s *fleet.Snapshot) []string {
+		var ids []string
+		for _, e := range s.Ready("s") {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+	orders := func(revision uint64, domains ...string) fleet.Evacuations {
+		return fleet.Evacuations{Revision: revision, Domains: domains}
+	}
+
+	It("leaves the endpoints of evacuated failure domains out, until they return", func() {
+		s := fleet.New(3, endpoints)
+		Expect(ids(s)).To(HaveExactElements("a1", "b1"))
+		s = s.Evacuate(orders(4, "a"))
+		Expect(ids(s)).To(HaveExactElements("b1"))
+		Expect(s.MayGetWork("a1")).To(BeFalse())
+		_, known := s.Endpoint("a1")
+		Expect(known).To(BeTrue(), "what runs there goes on")
+		s = s.Evacuate(orders(5))
+		Expect(ids(s)).To(HaveExactElements("a1", "b1"))
+		Expect(s.Ready("s")[0].Returned).To(Equal(uint64(5)))
+		Expect(s.Ready("s")[1].Returned).To(BeZero())
+	})
+
+	It("keeps evacuations through changes of endpoints, and through readings of all", func() {
+		s := fleet.New(3, endpoints).Evacuate(orders(4, "a"))
+		s = s.With(6, []fleet.Change{{Endpoint: fleet.Endpoint{ID: "a3", Service: "s", FailureDomain: "a"}}})
+		Expect(ids(s)).To(HaveExactElements("b1"))
+		s = s.Replace(7, endpoints)
+		Expect(ids(s)).To(HaveExactElements("b1"))
+		Expect(s.Evacuations().Domains).To(HaveExactElements("a"))
+	})
+
+	It("takes no older evacuations in", func() {
+		s := fleet.New(3, endpoints).Evacuate(orders(6, "a"))
+		Expect(ids(s.Evacuate(orders(5)))).To(HaveExactElements("b1"))
+		Expect(ids(s.Evacuate(orders(6)))).To(HaveExactElements("b1"))
+		Expect(ids(s.Evacuate(orders(7)))).To(HaveExactElements("a1", "b1"))
+	})
+
+	It("has no endpoint left when all failure domains are evacuated, and one of an unknown name changes nothing", func() {
+		s := fleet.New(3, endpoints)
+		Expect(ids(s.Evacuate(orders(4, "a", "b")))).To(BeEmpty())
+		Expect(ids(s.Evacuate(orders(4, "z")))).To(HaveExactElements("a1", "b1"))
+	})
+
+	It("has the same endpoints after news that change none", func() {
+		s := fleet.New(3, endpoints).Evacuate(orders(4, "a"))
+		Expect(&s.Evacuate(orders(5, "a")).Ready("s")[0]).To(BeIdenticalTo(&s.Ready("s")[0]))
+	})
+})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -186,7 +186,7 @@
 	}
 	begin := u.Clock.Now()
 	answer, err := u.Conns.Do(ctx, httpconn.Call{
-		Target:   httpconn.Target{ID: call.Endpoint.ID, Address: call.Endpoint.Address, MaxConnections: u.connections()},
+		Target:   httpconn.Target{ID: call.Endpoint.ID, Address: call.Endpoint.Address, FailureDomain: call.Endpoint.FailureDomain, MaxConnections: u.connections()},
 		Method:   u.request.Method,
 		URI:      u.request.URI,
 		Host:     u.request.Host,
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -148,6 +148,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, u.deadline)
 	defer cancel()
+	if refusal := u.servable(); refusal != nil {
+		u.refuse(refusal)
+		return
+	}
 	u.Budget.Count(u.service.Name, 1)
 	if refusal := u.makeStages(ctx); refusal != nil {
 		u.refuse(u.ended(ctx, refusal))
@@ -162,7 +166,7 @@
 // admit finds route, service and organisation.
 func (u *run) admit() *Refusal {
 	table := u.view.Table
-	if table == nil {
+	if !u.view.Complete() {
 		return refuseUnready()
 	}
 	if u.view.Behind(u.Clock.Now()) {
@@ -184,6 +188,20 @@
 	return nil
 }
 
+// servable refuses a request at once for which no endpoint is left, or none of a stage, such as
+// when all failure domains are evacuated: it would wait for its deadline.
+func (u *run) servable() *Refusal {
+	if len(u.view.Fleet.Ready(u.service.Name)) == 0 {
+		return refuseNoEndpoint(u.comeBack())
+	}
+	for i, stage := range u.route.Stages {
+		if i < len(u.request.Pieces) && u.request.Pieces[i] > 0 && len(u.view.Fleet.Ready(stage.Service)) == 0 {
+			return refuseNoEndpoint(u.comeBack())
+		}
+	}
+	return nil
+}
+
 func choose[T any](condition bool, yes, no T) T {
 	if condition {
 		return yes
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -86,7 +87,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		pool = httpconn.NewPool(clock, metrics.NewSet())
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Open)
 		DeferCleanup(pool.Close)
 	})
 
@@ -112,6 +113,35 @@
 		return plain(r.Header.Get("X-Id"), "for "+r.Header.Get("X-Id")), true
 	}
 
+	It("sends nothing that the gate does not let pass, and says that nothing was sent", func() {
+		s := serve(echo)
+		errBarred := errors.New("barred")
+		barred := true
+		pool = httpconn.NewPool(clock, metrics.NewSet(), func(target httpconn.Target) error {
+			if barred && target.FailureDomain == "a" {
+				return errBarred
+			}
+			return nil
+		})
+		DeferCleanup(pool.Close)
+		c := call(s, "1")
+		c.Target.FailureDomain = "a"
+		_, err := do(c)
+		Expect(err).To(MatchError(errBarred))
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+		Expect(httpconn.NotSent(pool.Reach(context.Background(), c.Target))).To(BeTrue())
+		Expect(s.conns.Load()).To(BeZero())
+		By("not over a kept connection either")
+		barred = false
+		Expect(do(c)).To(Equal("for 1"))
+		barred = true
+		_, err = do(c)
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+		other := call(s, "2")
+		other.Target.FailureDomain = "b"
+		Expect(do(other)).To(Equal("for 2"))
+	})
+
 	It("keeps connections, for as long as is allowed", func() {
 		s := serve(echo)
 		for n := range 3 {
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -32,16 +32,27 @@
 	// ID is the endpoint's incarnation: connections are never shared between two.
 	ID      string
 	Address string
+	// FailureDomain that the endpoint stands in.
+	FailureDomain string
 	// MaxConnections bounds this pool's connections to the endpoint; 0: no bound.
 	MaxConnections int
 }
 
+// Gate says whether anything may be sent to an endpoint now: the error tells why not. Every call
+// passes it last, so that one that was planned, queued or chosen before an order came is not made.
+type Gate func(Target) error
+
+// Open is the gate that lets all calls pass.
+func Open(Target) error { return nil }
+
 // Pool keeps connections to endpoints. Safe for concurrent use.
 type Pool struct {
 	clock       clockwork.Clock
 	dialTimeout time.Duration
+	gate        Gate
 	dialed      *metrics.Counter
 	reused      *metrics.Counter
+	barred      *metrics.Counter
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointConns
@@ -64,16 +75,27 @@
 }
 
 // NewPool returns a pool without connections. Counters are made in set.
-func NewPool(clock clockwork.Clock, set *metrics.Set) *Pool {
+func NewPool(clock clockwork.Clock, set *metrics.Set, gate Gate) *Pool {
 	return &Pool{
 		clock:       clock,
 		dialTimeout: DefaultDialTimeout,
+		gate:        gate,
 		dialed:      set.NewCounter("cobaltcroft_endpoint_connections_opened_total"),
 		reused:      set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
+		barred:      set.NewCounter("cobaltcroft_endpoint_calls_barred_total"),
 		endpoints:   map[string]*endpointConns{},
 	}
 }
 
+// pass tells whether the gate lets a call pass.
+func (p *Pool) pass(target Target) error {
+	if err := p.gate(target); err != nil {
+		p.barred.Inc()
+		return notSent(err)
+	}
+	return nil
+}
+
 // take returns a kept connection that rested for at most maxRest, or a new one.
 func (p *Pool) take(ctx context.Context, target Target, maxRest time.Duration) (*conn, error) {
 	kept, err := p.reserve(target, maxRest)
@@ -133,6 +155,9 @@
 
 // Reach tells whether an endpoint takes connections: one is made, and closed again.
 func (p *Pool) Reach(ctx context.Context, target Target) error {
+	if err := p.pass(target); err != nil {
+		return err
+	}
 	c, err := p.dial(ctx, target)
 	if err != nil {
 		return err
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
@@ -108,6 +109,9 @@
 	// Since is the revision of the endpoints, Document that of the newest document heard of.
 	Since    uint64 `json:"since"`
 	Document uint64 `json:"document"`
+	// Evacuations are those that the asker knows of; a version that does not tell them is not woken
+	// for them.
+	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
 	// WaitMs is how long to wait, in milliseconds.
 	WaitMs int64 `json:"wait_ms"`
 }
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -94,7 +94,7 @@
 			return nil, err
 		}
 		wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
-		return h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Wait: wait}), nil
+		return h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Evacuations: call.Evacuations, Wait: wait}), nil
 	case api.MethodPiece:
 		call, err := peers.Params[discovery.PieceSelect](method, raw)
 		if err != nil {
--- a/service/handover/knowledge.go
+++ b/service/handover/knowledge.go
@@ -114,7 +114,7 @@
 // Relay implements discovery.Peers.
 func (k *Knowledge) Relay(ctx context.Context, relay string, selection discovery.RelaySelect) (discovery.Relayed, error) {
 	var relayed discovery.Relayed
-	call := api.RelaySelect{Since: selection.Since, Document: selection.Document, WaitMs: selection.Wait.Milliseconds()}
+	call := api.RelaySelect{Since: selection.Since, Document: selection.Document, Evacuations: selection.Evacuations, WaitMs: selection.Wait.Milliseconds()}
 	err := k.Client.Call(ctx, relay, api.MethodFollow, call, &relayed)
 	return relayed, err
 }
