balance, gateway, route: cold endpoints get none while others are warm, else from one sponsor each

Cause: nothing knew of cold endpoints; the bound on what one may get in a second from all instances together was kept by luck alone.

A share for each instance was ruled out: 20 requests over 59 instances.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -60,6 +60,7 @@
 	path     string
 	settings settings.Gateway
 	clock    clockwork.Clock
+	started  time.Time
 	logs     *logging.Logs
 	output   *logging.Async
 	log      *logrus.Entry
@@ -107,6 +108,7 @@
 		path:     path,
 		settings: s,
 		clock:    clockwork.NewRealClock(),
+		started:  time.Now(),
 		logs:     logs,
 		output:   output,
 		log:      logs.For("gateway"),
@@ -202,6 +204,7 @@
 		Metrics:   g.metrics,
 		Domain:    s.FailureDomain,
 		Instances: g.instances,
+		Sponsors:  g.sponsors,
 	})
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
@@ -237,6 +240,19 @@
 	return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
 }
 
+// sponsors tells whether this instance alone sends to an endpoint that is cold. One that has just
+// started may not know of the others.
+func (g *Gateway) sponsors(endpoint string) bool {
+	if g.clock.Since(g.started) < suspectAfter {
+		return false
+	}
+	var others []string
+	for _, member := range g.group.Live() {
+		others = append(others, member.Name)
+	}
+	return balance.Sponsors(g.settings.Instance, others, endpoint)
+}
+
 // leastEndpoints is how many endpoints the least service that takes pieces has.
 func (g *Gateway) leastEndpoints() int {
 	view := g.follower.View()
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -59,6 +59,8 @@
 	Parts  []Part
 	// Slots is how many calls an endpoint works on at once.
 	Slots int
+	// Cold is what the endpoints bear that are cold.
+	Cold Cold
 	// Prefer is the ID of the endpoint that is taken unless something speaks against it;
 	// empty: none.
 	Prefer string
@@ -106,6 +108,7 @@
 	kept    *keptParts
 	load    Load
 	loadAt  time.Time
+	cold    coldness
 }
 
 // Load is what an endpoint tells of itself in an answer.
@@ -138,6 +141,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	candidates = b.usable(now, candidates, need)
 	if call := b.preferred(now, candidates, need); call != nil {
 		return call
 	}
@@ -216,6 +220,9 @@
 		s.reading += c.unread
 	}
 	s.calls[c] = struct{}{}
+	if s.cold.cold(now) {
+		s.cold.sentAt = now
+	}
 	return c
 }
 
@@ -322,7 +329,8 @@
 func (b *Balancer) Expect(candidates []fleet.Endpoint, need Need) (time.Duration, string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, _ := b.best(b.clock.Now(), candidates, need)
+	now := b.clock.Now()
+	best, _ := b.best(now, b.usable(now, candidates, need), need)
 	if best == nil {
 		return 0, need.Domain
 	}
--- a/pkg/balance/options.go
+++ b/pkg/balance/options.go
@@ -24,6 +24,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	candidates = b.usable(now, candidates, need)
 	home := b.homeOf(now, candidates, need)
 	usual := b.usual(candidates)
 	options := make([]Option, 0, len(candidates))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -139,6 +139,7 @@
 		Exclude: u.tried,
 		Engine:  u.service.Engine != nil,
 		Parts:   u.request.Parts,
+		Cold:    balance.Cold{PerSecond: u.service.ColdPerSecond, Sponsors: u.Sponsors},
 	}
 }
 
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -50,6 +50,9 @@
 	Domain string
 	// Instances returns how many instances there are, this one included.
 	Instances func() int
+	// Sponsors tells whether this instance alone sends to an endpoint while all of its service are
+	// cold; nil: none.
+	Sponsors func(endpoint string) bool
 }
 
 // Executor runs requests. Safe for concurrent use.
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -104,6 +104,9 @@
 	HealthPath string
 	// MaxConnections bounds the connections to one endpoint from all callers.
 	MaxConnections int
+	// ColdPerSecond is how many requests a second a cold endpoint bears, from all callers; 0: as many
+	// as a warm one.
+	ColdPerSecond float64
 	// Batching is set for services that take pieces, Engine for model engines.
 	Batching *Batching
 	Engine   *Engine
