--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 
 soak-seeds: build
 	bin/cobaltcroft-soak --seed 1 --length 10s
+	bin/cobaltcroft-soak --seed 7100 --length 10s
 	bin/cobaltcroft-soak --seed 309 --length 12s --instances 6 --clients 16
 
 soak-short: build
-	bin/cobaltcroft-soak --seed 7 --length 6s --instances 3 --clients 8
+	bin/cobaltcroft-soak --seed 7 --length 9s --instances 3 --clients 8
