config, control, cobaltcroft: operators evacuate failure domains on the product's own interface

Cause: the product's own interface could take endpoints out one by one only.

Ways: a record of its own in the key-value service, with a watch, a history and proofs of its own; an object of the configuration. Kept: the object, so that accepting, spreading and taking back is what holds for every change.

--- a/cmd/cobaltcroft/cmds/cmds.go
+++ b/cmd/cobaltcroft/cmds/cmds.go
@@ -56,6 +56,7 @@
 	Delete   deleteCommand   `cmd:"" help:"Submit a change that deletes one object."`
 	Get      getCommand      `cmd:"" help:"Show the configuration."`
 	Diff     diffCommand     `cmd:"" help:"Show what applying a file would change."`
+	Domain   domainCommand   `cmd:"" help:"Evacuate failure domains, and take that back."`
 	History  historyCommand  `cmd:"" help:"Show the accepted changes."`
 	Status   statusCommand   `cmd:"" help:"Show instances and endpoints."`
 	Timeline timelineCommand `cmd:"" help:"Show events of all instances in causal order."`
--- a/cmd/cobaltcroft/cmds/configuration.go
+++ b/cmd/cobaltcroft/cmds/configuration.go
@@ -66,7 +66,7 @@
 }
 
 type deleteCommand struct {
-	Kind     string `arg:"" help:"pipeline, service, organisation, priority or placement."`
+	Kind     string `arg:"" help:"pipeline, service, organisation, priority, placement or evacuation."`
 	Name     string `arg:""`
 	ChangeID string `help:"Identifies the change; made if absent."`
 	Author   string `help:"Who makes the change." env:"USER" default:"unknown"`
@@ -147,7 +147,7 @@
 }
 
 type getCommand struct {
-	Kind string `arg:"" optional:"" help:"pipeline, service, organisation, priority or placement; all if absent."`
+	Kind string `arg:"" optional:"" help:"pipeline, service, organisation, priority, placement or evacuation; all if absent."`
 	Name string `arg:"" optional:""`
 }
 
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -13,6 +13,7 @@
 	maxStages      = 16
 	maxConcurrency = 4096
 	maxWeight      = 1_000_000
+	maxReason      = 256
 )
 
 var (
@@ -68,6 +69,14 @@
 		k.organisation(o.Organisation)
 	case o.Placement != nil:
 		k.placement(o.Placement)
+	case o.Evacuation != nil:
+		k.evacuation(o.Evacuation)
+	}
+}
+
+func (k *checker) evacuation(e *Evacuation) {
+	if len(e.Reason) > maxReason {
+		k.add("reason of %d bytes: use %d at most", len(e.Reason), maxReason)
 	}
 }
 
--- a/pkg/config/check_test.go
+++ b/pkg/config/check_test.go
@@ -1,6 +1,8 @@
 package config_test
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -24,6 +26,23 @@
 		Expect(check(engine, pipeline(good))).To(Succeed())
 	})
 
+	It("accepts the evacuation of a failure domain, whether it is known or not, and its end", func() {
+		order := config.Operation{Put: &config.Object{Evacuation: &config.Evacuation{Name: "sala-a", Reason: "power"}}}
+		first, err := config.Empty().Check(config.Change{ID: "c", Revision: 1, Operations: []config.Operation{order, order}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Evacuated()).To(HaveExactElements("sala-a"))
+		end := config.Operation{Delete: &config.Key{Kind: config.KindEvacuation, Name: "sala-a"}}
+		second, err := first.Check(config.Change{ID: "d", Revision: 2, Operations: []config.Operation{end}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Evacuated()).To(BeEmpty())
+		Expect(first.Evacuated()).To(HaveLen(1))
+	})
+
+	It("refuses the evacuation of nothing, and a reason that is too long", func() {
+		Expect(check(config.Operation{Put: &config.Object{Evacuation: &config.Evacuation{}}})).NotTo(Succeed())
+		Expect(check(config.Operation{Put: &config.Object{Evacuation: &config.Evacuation{Name: "a", Reason: strings.Repeat("x", 300)}}})).NotTo(Succeed())
+	})
+
 	It("lists every fault at once", func() {
 		bad := good
 		bad.DeadlineMs = 0
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -155,6 +155,11 @@
 	return placements
 }
 
+// Evacuated returns the failure domains whose endpoints get no new work, sorted.
+func (c *Configuration) Evacuated() []string {
+	return slices.Sorted(maps.Keys(c.objects[KindEvacuation]))
+}
+
 // Accepted returns the remembered changes, oldest first. Not to be changed.
 func (c *Configuration) Accepted() []Accepted { return c.accepted }
 
--- a/pkg/config/object.go
+++ b/pkg/config/object.go
@@ -17,6 +17,7 @@
 	KindOrganisation Kind = "organisation"
 	KindPriority     Kind = "priority"
 	KindPlacement    Kind = "placement"
+	KindEvacuation   Kind = "evacuation"
 )
 
 // Key names one object.
@@ -141,6 +142,15 @@
 	Replicas uint32 `json:"replicas"`
 }
 
+// Evacuation is the order that the endpoints of a failure domain get no new work, until it is deleted.
+// It is an object, so that it is accepted, spread, kept and taken back as reliably as any change.
+type Evacuation struct {
+	// Name is the failure domain's.
+	Name string `json:"name"`
+	// Reason is for those who read the order; may be empty.
+	Reason string `json:"reason,omitempty"`
+}
+
 // Object is one named part of the configuration; exactly one field is set.
 type Object struct {
 	Pipeline     *Pipeline     `json:"pipeline,omitempty"`
@@ -148,6 +158,7 @@
 	Organisation *Organisation `json:"organisation,omitempty"`
 	Priority     *Priority     `json:"priority,omitempty"`
 	Placement    *Placement    `json:"placement,omitempty"`
+	Evacuation   *Evacuation   `json:"evacuation,omitempty"`
 }
 
 // Key returns the object's key; the zero Key if no field is set.
@@ -163,6 +174,8 @@
 		return Key{KindPriority, o.Priority.Name}
 	case o.Placement != nil:
 		return Key{KindPlacement, o.Placement.Name}
+	case o.Evacuation != nil:
+		return Key{KindEvacuation, o.Evacuation.Name}
 	}
 	return Key{}
 }
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -187,13 +187,40 @@
 	if e.next.Revision() <= c.configuration.Revision() {
 		return
 	}
+	before := c.configuration.Evacuated()
 	c.configuration = e.next
 	c.rebuild()
+	c.logEvacuations(before, e.next.Evacuated())
 	c.publish()
 	c.ring.Add(timeline.Event{Kind: timeline.ChangeInForce, Change: lastChange(e.next), Detail: revisionText(e.next.Revision())})
 	c.log.WithFields(logrus.Fields{"event": "configuration_in_force", "revision": e.next.Revision()}).Info()
 }
 
+// logEvacuations logs which failure domains get no new work from now on, and which do again.
+func (c *Control) logEvacuations(before, after []string) {
+	for _, domain := range after {
+		if !slices.Contains(before, domain) {
+			c.log.WithFields(logrus.Fields{"event": "domain_evacuated", "domain": domain, "endpoints": c.endpointsIn(domain)}).Info()
+		}
+	}
+	for _, domain := range before {
+		if !slices.Contains(after, domain) {
+			c.log.WithFields(logrus.Fields{"event": "domain_returned", "domain": domain, "endpoints": c.endpointsIn(domain)}).Info()
+		}
+	}
+}
+
+// endpointsIn counts the listed endpoints of a failure domain.
+func (c *Control) endpointsIn(domain string) int {
+	n := 0
+	for _, l := range c.listed {
+		if l.FailureDomain == domain {
+			n++
+		}
+	}
+	return n
+}
+
 type confirmed struct{}
 
 func (confirmed) apply(c *Control) {
@@ -320,9 +347,10 @@
 
 // updatePools gives each pool its endpoints.
 func (c *Control) updatePools() {
+	evacuated := c.configuration.Evacuated()
 	byService := map[string][]decision.Endpoint{}
 	for _, l := range c.listed {
-		byService[l.Service] = append(byService[l.Service], c.convert(l))
+		byService[l.Service] = append(byService[l.Service], c.convert(l, evacuated))
 	}
 	now := c.clock.Now()
 	for name, pool := range c.pools {
@@ -333,14 +361,16 @@
 	}
 }
 
-func (c *Control) convert(l *listedEndpoint) decision.Endpoint {
+// convert returns an endpoint as the pools see it. One in an evacuated failure domain gets no new work,
+// as one that leaves, but comes back when its domain does.
+func (c *Control) convert(l *listedEndpoint, evacuated []string) decision.Endpoint {
 	leaving, told := c.leaving[l.Name]
 	return decision.Endpoint{
 		Name:          l.Name,
 		Address:       l.Address,
 		FailureDomain: l.FailureDomain,
 		Incarnation:   l.Incarnation,
-		Leaving:       told && leaving.incarnation >= l.Incarnation,
+		Leaving:       told && leaving.incarnation >= l.Incarnation || slices.Contains(evacuated, l.FailureDomain),
 		ChecksTokens:  l.ChecksTokens,
 	}
 }
--- a/service/convert/objects.go
+++ b/service/convert/objects.go
@@ -62,6 +62,8 @@
 	case *pb.Object_Placement:
 		p := v.Placement
 		return config.Object{Placement: &config.Placement{Name: p.Name, Service: p.Service, Model: p.Model, Adapter: p.Adapter, Version: p.Version, Replicas: p.Replicas}}
+	case *pb.Object_Evacuation:
+		return config.Object{Evacuation: &config.Evacuation{Name: v.Evacuation.Name, Reason: v.Evacuation.Reason}}
 	}
 	return config.Object{}
 }
@@ -89,6 +91,8 @@
 	case o.Placement != nil:
 		p := o.Placement
 		wire.Value = &pb.Object_Placement{Placement: &pb.Placement{Name: p.Name, Service: p.Service, Model: p.Model, Adapter: p.Adapter, Version: p.Version, Replicas: p.Replicas}}
+	case o.Evacuation != nil:
+		wire.Value = &pb.Object_Evacuation{Evacuation: &pb.Evacuation{Name: o.Evacuation.Name, Reason: o.Evacuation.Reason}}
 	}
 	return wire
 }
--- a/test/faces_test.go
+++ b/test/faces_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"time"
@@ -133,13 +132,7 @@
 		Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
 	})
 
-	tool := func(args ...string) *gexec.Session {
-		command := exec.Command(toolPath, args...)
-		command.Env = append(os.Environ(), "COBALTCROFT_OPERATORS="+a1.faces["operators"], "COBALTCROFT_CALLERS="+a1.faces["callers"], "COBALTCROFT_TOKEN="+operatorsToken)
-		session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
-		Expect(err).NotTo(HaveOccurred())
-		return session.Wait(2 * soon)
-	}
+	tool := func(args ...string) *gexec.Session { return a1.tool(args...) }
 
 	It("drives the system, with the documented exit codes", func() {
 		Expect(tool("diff", "-f", file)).To(gexec.Exit(4))
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -245,6 +245,16 @@
 	return result
 }
 
+// tool runs the operators' tool against the instance until it ends.
+func (i *instance) tool(args ...string) *gexec.Session {
+	GinkgoHelper()
+	command := exec.Command(toolPath, args...)
+	command.Env = append(os.Environ(), "COBALTCROFT_OPERATORS="+i.faces["operators"], "COBALTCROFT_CALLERS="+i.faces["callers"], "COBALTCROFT_TOKEN="+operatorsToken)
+	session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	return session.Wait(2 * soon)
+}
+
 // once is a call that must run at most once.
 func onceCall(id string) api.Call {
 	repeatable := false
