traffic: the test of half the endpoints' death counts all events of its run

Cause: the bench's time line kept the last 1,000 events, and the run of 200 requests adds about 1,700. Traced with a ring that holds all: the three ejections are events 28, 471 and 1,354, so that only the last one stood in what was counted. Its time comes by the doubling pause of an ejected endpoint (the third 3 s after the first); a machine that plays the 200 requests sooner ends before it, and counted none. Ruled out: the ejection itself, which comes within the first 15 requests, and the retry budget. Change: the ring holds all events of the longest run. The assertions are the same.

--- a/pkg/traffic/suite_test.go
+++ b/pkg/traffic/suite_test.go
@@ -53,6 +53,10 @@
 	{Name: "alert", Kind: config.Plain, Concurrency: 4},
 }
 
+// ringEvents holds all events of the longest run, 200 requests of at most 16 events each, so that
+// what a test counts is all that happened and not the last part of it.
+const ringEvents = 4000
+
 // heldCancels is a caller whose cancellations are not answered while they are held.
 type heldCancels struct {
 	endpoint.Caller
@@ -93,7 +97,7 @@
 	b.site, err = standin.StartSite(settings)
 	must(err)
 	clock := clockwork.NewRealClock()
-	b.ring = timeline.NewRing("test", timeline.NewClock(clock), 1000)
+	b.ring = timeline.NewRing("test", timeline.NewClock(clock), ringEvents)
 	client := openinference.New(1 << 20)
 	b.cancels.Caller = client
 	view := b.view()
