--- a/cmd/cobaltcroftd/daemon/daemon.go
+++ b/cmd/cobaltcroftd/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
 // The names of the services, by which they find each other.
@@ -44,6 +45,7 @@
 	clock       clockwork.Clock
 	logs        *logging.Logs
 	metrics     *metrics.Set
+	usage       *peers.Usage
 	ring        *timeline.Ring
 	shares      *limits.Shares
 	incarnation uint64
@@ -57,11 +59,13 @@
 		return nil, err
 	}
 	clock := clockwork.NewRealClock()
+	set := metrics.NewSet()
 	b := &base{
 		settings:    s,
 		clock:       clock,
 		logs:        logs,
-		metrics:     metrics.NewSet(),
+		metrics:     set,
+		usage:       peers.NewUsage(set),
 		ring:        timeline.NewRing(s.Instance, timeline.NewClock(clock), timeline.DefaultCapacity),
 		shares:      limits.NewShares(clock),
 		incarnation: uint64(clock.Now().UnixNano()),
--- a/cmd/cobaltcroftd/daemon/faces.go
+++ b/cmd/cobaltcroftd/daemon/faces.go
@@ -103,7 +103,7 @@
 	s.client = openinference.New(s.base.settings.Limits.AnswerBytes)
 	s.executor = traffic.New(s.options())
 	s.gate = s.newGate(platformService, peersService)
-	s.server = peers.NewServer(peers.InstanceHandler{Backend: s}, s.base.settings.Tokens.Peers, s.base.logs.For("peers"))
+	s.server = peers.NewServer(peers.InstanceHandler{Backend: s}, s.base.settings.Tokens.Peers, s.base.usage, s.base.logs.For("peers"))
 	s.listener = peersService.listener
 	t.Go(func() error {
 		s.server.Serve(s.listener)
--- a/cmd/cobaltcroftd/daemon/services.go
+++ b/cmd/cobaltcroftd/daemon/services.go
@@ -95,7 +95,7 @@
 	if advertised := b.settings.Advertise.Peers; advertised != "" {
 		s.self.PeerAddress = advertised
 	}
-	s.client = peers.NewClient(b.settings.Instance, b.settings.Tokens.Peers)
+	s.client = peers.NewClient(b.settings.Instance, b.settings.Tokens.Peers, b.usage)
 	s.gossip = peers.NewGossip(s.udp, b.settings.Tokens.Peers, b.ring.Clock(), b.shares, b.metrics, log, func(peer membership.Self, _ uint64) {
 		if behind := s.behind.Load(); behind != nil {
 			(*behind)(peer)
--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -69,6 +69,7 @@
 
 	store    *platform.Store
 	client   *peers.Client
+	usage    *peers.Usage
 	group    *group.Group
 	gossip   *peers.Gossip
 	follower *discovery.Follower
@@ -85,6 +86,7 @@
 	server   *peers.Server
 
 	listeners listeners
+	told      toldUsage
 	stopping  stopState
 }
 
@@ -169,7 +171,8 @@
 		Machine:       membership.Machine{Cores: s.Machine.Cores(), LinkMbps: s.Machine.LinkMbps},
 	}
 	g.store = platform.NewStore(s.Store)
-	g.client = peers.NewClient(s.Instance, s.PeerToken)
+	g.usage = peers.NewUsage(g.metrics)
+	g.client = peers.NewClient(s.Instance, s.PeerToken, g.usage)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
 	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision}, g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
@@ -209,7 +212,7 @@
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, g.follower)
-	g.server = peers.NewServer(g.handler, s.PeerToken, g.logs.For("peers"))
+	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
 func budgetBounds(s settings.Gateway) retry.Bounds {
@@ -340,6 +343,7 @@
 	g.conns.Sweep(exists)
 	g.balancer.Forget(exists)
 	g.router.Look()
+	g.tellUsage(g.clock.Now())
 }
 
 // ready answers the balancer's question.
--- a/service/handover/instance_test.go
+++ b/service/handover/instance_test.go
@@ -383,7 +383,7 @@
 	i := &instance{pieces: &heldPieces{}, listener: listener}
 	i.self = membership.Self{Name: fmt.Sprint("i", n), Incarnation: uint64(n), PeerAddress: listener.Addr().String(), FailureDomain: fmt.Sprint("zone-", n%2)}
 	i.endpoints.Store(1)
-	i.client = peers.NewClient(i.self.Name, testToken)
+	i.client = peers.NewClient(i.self.Name, testToken, nil)
 	i.router = NewRouter(Options{
 		Self:      i.self,
 		Live:      func() []membership.Member { return i.with(membership.Live) },
@@ -394,7 +394,7 @@
 		Clock:     clock,
 		Log:       logging.Discard().For("handover"),
 	})
-	i.server = peers.NewServer(answerer{NewHandler(i.router, nil)}, testToken, logging.Discard().For("peers"))
+	i.server = peers.NewServer(answerer{NewHandler(i.router, nil)}, testToken, nil, logging.Discard().For("peers"))
 	go i.server.Serve(listener)
 	return i
 }
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,7 @@
 // Client calls peers, over one connection for each. Safe for concurrent use.
 type Client struct {
 	hello api.Hello
+	usage *Usage
 
 	// dials makes one connection to a peer for all calls that wait for it.
 	dials singleflight.Group
@@ -50,9 +52,10 @@
 	_ config.Puller  = (*Client)(nil)
 )
 
-// NewClient returns a client that presents the token for an instance.
-func NewClient(instance, token string) *Client {
-	return &Client{hello: api.Hello{Token: token, Instance: instance}, conns: map[string]*link{}}
+// NewClient returns a client that presents the token for an instance, and counts the bytes of answers
+// in usage; nil: not at all.
+func NewClient(instance, token string, usage *Usage) *Client {
+	return &Client{hello: api.Hello{Token: token, Instance: instance}, usage: usage, conns: map[string]*link{}}
 }
 
 // Pull implements config.Puller.
@@ -105,9 +108,14 @@
 		rpc.calls.Add(1)
 		defer rpc.calls.Add(-1)
 	}
-	if err := rpc.Call(ctx, method, params, result); err != nil {
+	var answer json.RawMessage
+	if err := rpc.Call(ctx, method, params, &answer); err != nil {
 		return problem.Wrap(err, problem.Unknown, "ask again", "peer %s did not answer %s", address, method)
 	}
+	c.usage.add(method, Answers, len(answer))
+	if err := json.Unmarshal(answer, result); err != nil {
+		return problem.Wrap(err, problem.Unknown, "run one version of the program", "the answer of peer %s to %s does not parse", address, method)
+	}
 	return nil
 }
 
--- a/service/peers/frames_test.go
+++ b/service/peers/frames_test.go
@@ -81,12 +81,12 @@
 	It("does not end the other calls of its connection", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		s := peers.NewServer(unequal{}, "token", logging.Discard().For("peers"))
+		s := peers.NewServer(unequal{}, "token", nil, logging.Discard().For("peers"))
 		go s.Serve(l)
 		DeferCleanup(s.Close)
 		DeferCleanup(l.Close)
 		address := throttle(l.Addr().String())
-		c := peers.NewClient("a", "token")
+		c := peers.NewClient("a", "token", nil)
 		DeferCleanup(c.Close)
 		call := func(method string) error {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/service/peers/gossip.go
+++ b/service/peers/gossip.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// Bytes returns how many bytes of heartbeats were sent and received.
+func (g *Gossip) Bytes() (sent, received uint64) { return g.sent.Get(), g.received.Get() }
+
 // Broadcast implements control.Peers.
 func (g *Gossip) Broadcast(h membership.Heartbeat, leaving []control.LeavingEndpoint, to []string) {
 	data, err := encode(beat{heartbeat: h, leaving: leaving, demands: g.shares.Named(), stamp: g.clock.Now()}, g.secret)
--- a/service/peers/server.go
+++ b/service/peers/server.go
@@ -49,6 +49,7 @@
 type Server struct {
 	handler Handler
 	token   string
+	usage   *Usage
 	log     *logrus.Entry
 	slots   chan struct{}
 
@@ -57,9 +58,10 @@
 	closed bool
 }
 
-// NewServer returns a server of the handler's methods.
-func NewServer(handler Handler, token string, log *logrus.Entry) *Server {
-	return &Server{handler: handler, token: token, log: log, slots: make(chan struct{}, maxConnections), conns: map[*jsonrpc2.Conn]struct{}{}}
+// NewServer returns a server of the handler's methods, which counts the bytes of questions in usage; nil:
+// not at all.
+func NewServer(handler Handler, token string, usage *Usage, log *logrus.Entry) *Server {
+	return &Server{handler: handler, token: token, usage: usage, log: log, slots: make(chan struct{}, maxConnections), conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -170,6 +172,7 @@
 	if req.Params != nil {
 		raw = *req.Params
 	}
+	s.server.usage.add(req.Method, Questions, len(raw))
 	result, err := s.server.handler.Answer(ctx, req.Method, raw)
 	if req.Notif {
 		return
--- a/service/peers/silence_test.go
+++ b/service/peers/silence_test.go
@@ -79,11 +79,11 @@
 		front, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		const token = "peers-token"
-		server := peers.NewServer(handler, token, logging.Discard().For("peers"))
+		server := peers.NewServer(handler, token, nil, logging.Discard().For("peers"))
 		go server.Serve(backend)
 		proxy := &cutProxy{listener: front, target: backend.Addr().String()}
 		go proxy.serve()
-		client := peers.NewClient("i1", token)
+		client := peers.NewClient("i1", token, nil)
 		DeferCleanup(func() {
 			proxy.cut.Store(false)
 			close(handler.end)
