membership: many members are named only to who is new, and contacts are not tried with each heartbeat

Cause: a heartbeat that went to one member heard for the first time named 16 members to all of its 55 to 150 receivers (750 bytes for 200), and each address that someone had named got every heartbeat until one came from there; who is known there already gets none before his turn comes, up to two minutes later. Change: two messages, the greeting with 16 names for who is new, the usual one for the others; named contacts are tried after 1, 2 and then each 4 s. In the model of 295 that start together 2,884,523 names in 403,754 heartbeats -> 1,659,213 in 371,409; all still know all after seven. The group's test counts times at which an instance sent, since it may send two messages at one time.

--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -51,10 +51,12 @@
 	now := c.clock.Now()
 	c.shareLeaving()
 	changes := c.members.Tick(now)
-	h, to := c.members.Next(now, c.random.IntN)
-	h.Leaving = c.stopping
-	h.Revision = c.configuration.Revision()
-	c.peers.Broadcast(h, c.LeavingEndpoints(), to)
+	for _, message := range c.members.Next(now, c.random.IntN) {
+		h := message.Heartbeat
+		h.Leaving = c.stopping
+		h.Revision = c.configuration.Revision()
+		c.peers.Broadcast(h, c.LeavingEndpoints(), message.To)
+	}
 	c.noteMembers(changes)
 	c.shareMembers()
 }
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -179,10 +179,13 @@
 }
 
 func (g *Group) beat(members *membership.Members) {
-	g.send(members.Next(g.clock.Now(), rand.IntN))
+	for _, message := range members.Next(g.clock.Now(), rand.IntN) {
+		g.send(message)
+	}
 }
 
-func (g *Group) send(h membership.Heartbeat, to []string) {
+func (g *Group) send(message membership.Message) {
+	h := message.Heartbeat
 	h.Leaving = g.leaving.Load()
 	if g.settings.Claims != nil {
 		h.Claims = g.settings.Claims()
@@ -193,7 +196,7 @@
 	if g.settings.Revision != nil {
 		h.Revision = g.settings.Revision()
 	}
-	g.transport.Broadcast(h, nil, to)
+	g.transport.Broadcast(h, nil, message.To)
 }
 
 func (g *Group) tell(changes []membership.Change) {
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -24,9 +24,11 @@
 
 // network carries heartbeats between groups by their peer addresses.
 type network struct {
+	clock  *clockwork.FakeClock
 	mu     sync.Mutex
 	groups map[string]*group.Group
-	sent   map[string]int
+	// sent are the times at which an instance has sent, by its name.
+	sent map[string]map[time.Time]bool
 	// heard are the addresses that one heartbeat was sent to, by sender: the longest such list.
 	heard map[string][]string
 }
@@ -49,7 +51,10 @@
 func (n *network) Broadcast(h membership.Heartbeat, _ []control.LeavingEndpoint, to []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.sent[h.From.Name]++
+	if n.sent[h.From.Name] == nil {
+		n.sent[h.From.Name] = map[time.Time]bool{}
+	}
+	n.sent[h.From.Name][n.clock.Now()] = true
 	if len(to) > len(n.heard[h.From.Name]) {
 		n.heard[h.From.Name] = to
 	}
@@ -60,10 +65,12 @@
 	}
 }
 
+// beats returns at how many times an instance has sent: each time it may send one heartbeat to those it
+// knows and another to those it has just heard of.
 func (n *network) beats(name string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.sent[name]
+	return len(n.sent[name])
 }
 
 var _ = Describe("a group", func() {
@@ -75,8 +82,8 @@
 
 	// start has so many instances start together, instead of those before.
 	start := func(instances int) {
-		n = &network{groups: map[string]*group.Group{}, sent: map[string]int{}, heard: map[string][]string{}}
 		clock = clockwork.NewFakeClock()
+		n = &network{clock: clock, groups: map[string]*group.Group{}, sent: map[string]map[time.Time]bool{}, heard: map[string][]string{}}
 		all = nil
 		var t tomb.Tomb
 		DeferCleanup(func() {
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -35,8 +35,13 @@
 	fewOthers = 16
 	// contactLife is how long an address that someone named is tried.
 	contactLife = time.Minute
-	// maxKnown bounds the members named in one heartbeat, and maxKnownToNew those in one that
-	// goes to a member heard for the first time, which may know nobody else. At 45 bytes each the
+	// contactPause is the time between the first two heartbeats to an address that someone named, which
+	// doubles up to longestContactPause: an answer comes with the next heartbeat from there, unless this
+	// instance is known there already; then it comes in its turn, up to two minutes later of 295.
+	contactPause        = time.Second
+	longestContactPause = 4 * time.Second
+	// maxKnown bounds the members named in one heartbeat, and maxKnownToNew those in one to members
+	// heard for the first time, which may know nobody else. At 45 bytes each the
 	// datagram stays under 900 bytes. With one alone, 155 of 295 instances that started together
 	// knew fewer than 45 of the 49 of their failure domain after 14 heartbeats; with 16, all know
 	// all after 7.
@@ -98,6 +103,17 @@
 	New bool
 }
 
+// contact is an address that is tried until a heartbeat comes from there.
+type contact struct {
+	// until is when it is given up; the zero time: never, since the settings name it.
+	until time.Time
+	// next is when it gets the next heartbeat, pause the time until the one after that.
+	next  time.Time
+	pause time.Duration
+}
+
+func (c *contact) forever() bool { return c.until.IsZero() }
+
 // Members is what one instance knows. Not safe for concurrent use: it belongs to
 // one goroutine.
 type Members struct {
@@ -107,9 +123,8 @@
 	// greet are the addresses of members heard for the first time, which may not know
 	// this instance yet; each gets the next heartbeat.
 	greet []string
-	// contacts are peer addresses of which no heartbeat has come yet, and until
-	// when they are tried; the zero time is for ever.
-	contacts map[string]time.Time
+	// contacts are peer addresses of which no heartbeat has come yet.
+	contacts map[string]*contact
 	sequence uint64
 	// changed says that the list has changed since Changed was asked.
 	changed bool
@@ -117,20 +132,25 @@
 
 // New returns the members known at the start: none, but the addresses of contacts.
 func New(self Self, suspectAfter time.Duration, contacts []string) *Members {
-	m := &Members{self: self, suspectAfter: suspectAfter, members: map[string]*Member{}, contacts: map[string]time.Time{}}
+	m := &Members{self: self, suspectAfter: suspectAfter, members: map[string]*Member{}, contacts: map[string]*contact{}}
 	for _, address := range contacts {
-		m.contacts[address] = time.Time{}
+		m.contacts[address] = &contact{}
 	}
 	delete(m.contacts, self.PeerAddress)
 	return m
 }
 
 func (m *Members) addContact(address string, now time.Time) {
-	until, known := m.contacts[address]
-	if address == m.self.PeerAddress || known && until.IsZero() {
+	if address == m.self.PeerAddress {
 		return
 	}
-	m.contacts[address] = now.Add(contactLife)
+	c := m.contacts[address]
+	switch {
+	case c == nil:
+		m.contacts[address] = &contact{until: now.Add(contactLife)}
+	case !c.forever():
+		c.until = now.Add(contactLife)
+	}
 }
 
 // Observe takes in a heartbeat. It is ignored if it is of an older incarnation, or
@@ -294,11 +314,29 @@
 	return n
 }
 
-// Next returns the heartbeat to send, without Leaving and Revision, which the caller
-// sets; and the addresses to send it to: all of the own failure domain, a few of the
-// others, and the contacts not heard yet. The random function returns a number in
-// [0, n).
-func (m *Members) Next(now time.Time, random func(n int) int) (Heartbeat, []string) {
+// Message is a heartbeat, without Leaving and Revision, which the caller sets, and the addresses that it
+// is sent to.
+type Message struct {
+	Heartbeat
+	To []string
+}
+
+// Next returns what to send: a heartbeat to all of the own failure domain, a few of the others, and
+// the contacts not heard yet; and one that names more members to those heard for the first time, if
+// there are any. The random function returns a number in [0, n).
+func (m *Members) Next(now time.Time, random func(n int) int) []Message {
+	greeted := m.greet
+	m.greet = nil
+	messages := []Message{m.usual(now, greeted, random)}
+	if len(greeted) > 0 {
+		messages = append(messages, m.greeting(greeted, random))
+	}
+	return messages
+}
+
+// usual returns the heartbeat to those that know this instance, and to contacts, but for those that are
+// greeted.
+func (m *Members) usual(now time.Time, greeted []string, random func(n int) int) Message {
 	m.sequence++
 	h := Heartbeat{From: m.self, Sequence: m.sequence}
 	var to []string
@@ -317,33 +355,53 @@
 	for _, member := range pick(others, bridges(len(others)), random) {
 		to = append(to, member.PeerAddress)
 	}
-	known := maxKnown
-	if len(m.greet) > 0 {
-		known = maxKnownToNew
-	}
-	to = append(to, m.greet...)
-	m.greet = nil
-	for _, member := range pick(m.live(), known, random) {
-		h.Known = append(h.Known, member.Self)
+	to = append(to, m.dueContacts(now)...)
+	to = slices.DeleteFunc(to, func(address string) bool { return slices.Contains(greeted, address) })
+	h.Known = m.some(maxKnown, random)
+	return Message{h, to}
+}
+
+// greeting returns the heartbeat to those heard for the first time, which may know nobody else. Sent to
+// all, and to contacts with each heartbeat, it made 297 MB of the first 14 s of 295 instances that start
+// together; so it is 126 MB.
+func (m *Members) greeting(to []string, random func(n int) int) Message {
+	m.sequence++
+	return Message{Heartbeat{From: m.self, Sequence: m.sequence, Known: m.some(maxKnownToNew, random)}, to}
+}
+
+// some returns up to n live members.
+func (m *Members) some(n int, random func(n int) int) []Self {
+	var some []Self
+	for _, member := range pick(m.live(), n, random) {
+		some = append(some, member.Self)
 	}
-	for address, until := range m.contacts {
-		if !until.IsZero() && now.After(until) {
+	return some
+}
+
+// dueContacts returns the contacts that are to be tried now.
+func (m *Members) dueContacts(now time.Time) []string {
+	var due []string
+	for address, c := range m.contacts {
+		switch {
+		case !c.forever() && now.After(c.until):
 			delete(m.contacts, address)
-			continue
+		case c.forever() || !now.Before(c.next):
+			c.pause = min(longestContactPause, max(contactPause, 2*c.pause))
+			c.next = now.Add(c.pause)
+			due = append(due, address)
 		}
-		to = append(to, address)
 	}
-	return h, to
+	return due
 }
 
 // NextToAll returns a heartbeat as Next does, which names nobody, for all members that are known.
-func (m *Members) NextToAll() (Heartbeat, []string) {
+func (m *Members) NextToAll() Message {
 	m.sequence++
 	var to []string
 	for _, member := range m.sorted() {
 		to = append(to, member.PeerAddress)
 	}
-	return Heartbeat{From: m.self, Sequence: m.sequence}, to
+	return Message{Heartbeat{From: m.self, Sequence: m.sequence}, to}
 }
 
 // pick returns up to n of the members, in random order.
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -58,10 +58,11 @@
 
 func (c *cluster) beat(name string) {
 	c.nodes[name].Tick(c.now)
-	h, to := c.nodes[name].Next(c.now, c.random.IntN)
-	for _, address := range to {
-		if c.nodes[address] != nil && !c.down[address] && !c.cut(name, address) {
-			c.nodes[address].Observe(c.now, h)
+	for _, message := range c.nodes[name].Next(c.now, c.random.IntN) {
+		for _, address := range message.To {
+			if c.nodes[address] != nil && !c.down[address] && !c.cut(name, address) {
+				c.nodes[address].Observe(c.now, message.Heartbeat)
+			}
 		}
 	}
 }
--- a/pkg/membership/start_test.go
+++ b/pkg/membership/start_test.go
@@ -17,6 +17,8 @@
 	members map[string]*membership.Members
 	random  *rand.Rand
 	now     time.Time
+	// sent counts the heartbeats that came, and named the members that they named.
+	sent, named int
 }
 
 func newCrowd(instances, domains int) *crowd {
@@ -31,18 +33,15 @@
 
 // beat has all send a heartbeat at once, and all hear those that were sent to them.
 func (c *crowd) beat() {
-	type sent struct {
-		heartbeat membership.Heartbeat
-		to        []string
-	}
-	var all []sent
+	var all []membership.Message
 	for n := range len(c.members) {
-		h, to := c.members[fmt.Sprint("i", n)].Next(c.now, c.random.IntN)
-		all = append(all, sent{h, to})
+		all = append(all, c.members[fmt.Sprint("i", n)].Next(c.now, c.random.IntN)...)
 	}
-	for _, s := range all {
-		for _, address := range s.to {
-			c.members[address].Observe(c.now, s.heartbeat)
+	for _, m := range all {
+		for _, address := range m.To {
+			c.members[address].Observe(c.now, m.Heartbeat)
+			c.sent++
+			c.named += len(m.Known)
 		}
 	}
 	c.now = c.now.Add(200 * time.Millisecond)
@@ -67,6 +66,17 @@
 		Expect(c.least()).To(Equal(294))
 	})
 
+	// Before, all that a heartbeat was sent to were named as many: 2,884,523 names in 403,754 heartbeats,
+	// now 1,659,213 in 371,409.
+	It("name many members only to those that they hear for the first time", func() {
+		c := newCrowd(295, 6)
+		for range 20 {
+			c.beat()
+		}
+		pairs := 295 * 294
+		Expect(c.named).To(BeNumerically("<=", 16*pairs+c.sent))
+	})
+
 	It("all know each other after eight heartbeats where there are 400", func() {
 		c := newCrowd(400, 8)
 		for range 8 {
