handover, discovery: many endpoints go packed between instances, and no peer is asked while the source tells

Cause: at 3,000 endpoints one relay tells 75 instances 32 MB when all change, on a link of 1.3 to 2.5 MB a second; it falls behind, and they turn to others and to the source, which tell the same again. Who starts asked a peer each 0.3 s for all endpoints (0.4 MB) while the source's answer was coming. Change: answers with 16 endpoints or more are gzipped JSON, packed once for all who ask the same, and only for askers that say that they read them; peers are not asked while bytes of the source come, for 2 s. Figures: 141 -> 30 bytes an endpoint on the wire (BenchmarkPacking).

--- a/pkg/discovery/bounds_test.go
+++ b/pkg/discovery/bounds_test.go
@@ -37,8 +37,8 @@
 	calls    atomic.Int64
 }
 
-func (n *neighbour) State(context.Context, uint64) (discovery.Known, error) {
-	return n.follower.Load().Known(), nil
+func (n *neighbour) State(_ context.Context, newerThan uint64) (discovery.Known, error) {
+	return n.follower.Load().Known(newerThan), nil
 }
 
 func (n *neighbour) Relay(_ context.Context, _ string, s discovery.RelaySelect) (discovery.Relayed, error) {
@@ -82,6 +82,33 @@
 	return c.peersOf.Piece(ctx, peer, s)
 }
 
+// trickling tells all endpoints slowly, a byte after the other.
+type trickling struct {
+	*source
+	takes time.Duration
+}
+
+func (t *trickling) State(ctx context.Context, progress discovery.Progress) (discovery.State, error) {
+	for until := time.Now().Add(t.takes); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if ctx.Err() != nil {
+			return discovery.State{}, ctx.Err()
+		}
+		progress(1)
+	}
+	return t.source.State(ctx, progress)
+}
+
+// countedStates counts questions for all endpoints.
+type countedStates struct {
+	peersOf
+	asked *atomic.Int64
+}
+
+func (c countedStates) State(ctx context.Context, newerThan uint64) (discovery.Known, error) {
+	c.asked.Add(1)
+	return c.peersOf.State(ctx, newerThan)
+}
+
 var _ = Describe("the bounds of a follower's calls", func() {
 	follow := func(s discovery.Source, p discovery.Peers) *discovery.Follower {
 		return discovery.New(s, p, clockwork.NewRealClock(), logging.Discard().For("discovery"))
@@ -179,6 +206,22 @@
 		Eventually(func() int { return len(f.View().Fleet.All()) }).WithTimeout(8 * time.Second).Should(Equal(2))
 	})
 
+	It("asks no peer for endpoints while the source tells them", func() {
+		store := &trickling{source: &source{state: state(5, 4, 3, "a")}, takes: 1300 * time.Millisecond}
+		var asked atomic.Int64
+		f := follow(store, countedStates{peersOf{&source{state: state(5, 4, 3, "a")}}, &asked})
+		run(f)
+		Eventually(func() int { return len(f.View().Fleet.All()) }).WithTimeout(8 * time.Second).Should(Equal(1))
+		Expect(asked.Load()).To(BeZero())
+	})
+
+	It("asks peers for endpoints while the source takes long to tell them", func() {
+		store := &trickling{source: &source{state: state(5, 4, 3, "a")}, takes: time.Minute}
+		f := follow(store, peersOf{&source{state: state(5, 4, 3, "a")}})
+		run(f)
+		Eventually(func() int { return len(f.View().Fleet.All()) }).WithTimeout(8 * time.Second).Should(Equal(1))
+	})
+
 	It("asks now and then only for a first document that nobody is trusted with", func() {
 		store, peers := &source{out: true}, &source{state: state(5, 4, 3, "a"), age: time.Minute}
 		var asked atomic.Int64
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -377,7 +377,7 @@
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(f.View().Fleet.All()).To(HaveLen(1))
 		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
-		Expect(f.Known().State.Endpoints).To(BeEmpty())
+		Expect(f.Known(0).State.Endpoints).To(BeEmpty())
 	})
 
 	It("takes an endpoint as gone at once whose entry goes while the source answers", func() {
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -31,6 +31,9 @@
 	// that is silent ends its connection sooner.
 	peerPoll    = 300 * time.Millisecond
 	peerTimeout = 3 * time.Second
+	// readingFor is how long an answer of the source may take to come until peers are asked as well:
+	// 0.8 MB of 3,000 endpoints take 0.7 s on an idle link of 10 Mbit/s.
+	readingFor = 2 * time.Second
 	// joining is how long an instance that starts waits, with what it has read, until it follows:
 	// by then it has heard of the others, and of relays among them. Without it, of 295 that start
 	// together each watches the source twice: 600 calls in the first two seconds.
@@ -106,6 +109,7 @@
 	wait := f.watchWait()
 	callCtx, transfer := newTransfer(ctx, f.clock, wait+answerSlack)
 	defer transfer.end()
+	f.reading.Store(transfer)
 	since := f.View().listed.Revision
 	changes, err := f.source.Watch(callCtx, since, wait, transfer.progress)
 	if err != nil {
@@ -126,6 +130,7 @@
 func (f *Follower) readState(ctx context.Context) error {
 	callCtx, transfer := newTransfer(ctx, f.clock, readTimeout)
 	defer transfer.end()
+	f.reading.Store(transfer)
 	state, err := f.source.State(callCtx, transfer.progress)
 	if err != nil {
 		f.tellFailed("endpoints", "read", transfer, err)
@@ -201,12 +206,20 @@
 	for ctx.Err() == nil {
 		sleep(ctx, f.clock, peerPoll)
 		view := f.View()
-		if since(view.heard, f.clock.Now()) >= confirmedFor {
+		if since(view.heard, f.clock.Now()) >= confirmedFor && !f.sourceTells() {
 			f.askPeer(ctx, view)
 		}
 	}
 }
 
+// sourceTells tells whether the source is answering a call that was begun not long ago. Peers would
+// send the same over the same link: 0.6 MB of 3,000 endpoints.
+func (f *Follower) sourceTells() bool {
+	now := f.clock.Now()
+	t := f.reading.Load()
+	return t != nil && now.Sub(t.begin) < readingFor && t.coming(now, peerPoll)
+}
+
 // askPeer takes what a peer knows. One that knows more is listened to however old its
 // knowledge is; who knows nothing yet begins with what is fresh.
 func (f *Follower) askPeer(ctx context.Context, view *View) {
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -45,6 +45,8 @@
 	// told of its document, by the steady clock.
 	relaying atomic.Pointer[time.Time]
 	relayed  atomic.Pointer[time.Time]
+	// reading is the call to the source that was begun last and brings endpoints.
+	reading atomic.Pointer[transfer]
 	// wanted wakes the goroutine that takes documents from peers.
 	wanted chan struct{}
 	// shelf has the packed document that peers take.
@@ -86,11 +88,16 @@
 // View returns what is known now.
 func (f *Follower) View() *View { return f.view.Load() }
 
-// Known returns what is known, to be told to a peer.
-func (f *Follower) Known() Known {
+// Known returns what is known, to be told to a peer that has the endpoints of a revision. They are
+// left out if it has as much.
+func (f *Follower) Known(newerThan uint64) Known {
 	view, now := f.View(), f.clock.Now()
-	state := State{Revision: view.listed.Revision, Endpoints: view.listed.All()}
-	return Known{State: state, Age: view.FleetAge(now), Mark: view.mark(now)}
+	known := Known{State: State{Revision: view.listed.Revision}, Age: view.FleetAge(now), Mark: view.mark(now)}
+	if known.State.Revision > newerThan {
+		known.State.Endpoints = view.listed.All()
+	}
+	known.Same = known.State.Revision == newerThan
+	return known
 }
 
 // Heard takes in the revision of the document that a peer has in force. It does not block:
--- a/pkg/discovery/transfer.go
+++ b/pkg/discovery/transfer.go
@@ -27,8 +27,9 @@
 	whole   clockwork.Timer
 	cancel  context.CancelFunc
 	bytes   atomic.Int64
-	// firstAt is when the first bytes came.
+	// firstAt is when the first bytes came, lastAt when the last ones did.
 	firstAt atomic.Pointer[time.Time]
+	lastAt  atomic.Pointer[time.Time]
 }
 
 // newTransfer returns the context of a call whose answer must begin within a time. End has
@@ -43,8 +44,9 @@
 
 // progress is told of bytes that have come.
 func (t *transfer) progress(bytes int) {
+	now := t.clock.Now()
+	t.lastAt.Store(&now)
 	if t.bytes.Add(int64(bytes)) == int64(bytes) {
-		now := t.clock.Now()
 		t.firstAt.Store(&now)
 	}
 	t.silence.Reset(stallTimeout)
@@ -64,6 +66,12 @@
 	return latest
 }
 
+// coming tells whether bytes came within the last time to look back.
+func (t *transfer) coming(now time.Time, lookBack time.Duration) bool {
+	last := t.lastAt.Load()
+	return last != nil && now.Sub(*last) < lookBack
+}
+
 func (t *transfer) end() {
 	t.silence.Stop()
 	t.whole.Stop()
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
@@ -98,13 +99,23 @@
 }
 
 // StateSelect asks for what an instance knows of the endpoints, if it knows
-// more than a revision; the answer is a discovery.Known.
+// more than a revision; the answer is a Known.
 type StateSelect struct {
 	NewerThan uint64 `json:"newer_than"`
+	// Packs says that the asker reads packed endpoints.
+	Packs bool `json:"packs,omitempty"`
+}
+
+// Known answers StateSelect.
+type Known struct {
+	discovery.Known
+	// PackedEndpoints are the endpoints of the state as JSON, compressed with gzip, if they are not told
+	// there.
+	PackedEndpoints []byte `json:"packed_endpoints,omitempty"`
 }
 
 // RelaySelect asks for what a relay knows beyond what the asker has, and waits for it; the
-// answer is a discovery.Relayed.
+// answer is a Relayed.
 type RelaySelect struct {
 	// Since is the revision of the endpoints, Document that of the newest document heard of.
 	Since    uint64 `json:"since"`
@@ -114,6 +125,16 @@
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
 	// WaitMs is how long to wait, in milliseconds.
 	WaitMs int64 `json:"wait_ms"`
+	// Packs says that the asker reads packed changes.
+	Packs bool `json:"packs,omitempty"`
+}
+
+// Relayed answers RelaySelect.
+type Relayed struct {
+	discovery.Relayed
+	// PackedChanges are the changes of endpoints as JSON, compressed with gzip, if they are not told
+	// there.
+	PackedChanges []byte `json:"packed_changes,omitempty"`
 }
 
 // Run has the stages of a plan made; the answer is Ran.
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -23,6 +23,7 @@
 	makers   makers
 	follower *discovery.Follower
 	clock    clockwork.Clock
+	packing  packing
 
 	mu    sync.Mutex
 	calls map[string]context.CancelFunc
@@ -94,7 +95,8 @@
 			return nil, err
 		}
 		wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
-		return h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Evacuations: call.Evacuations, Wait: wait}), nil
+		told := h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Evacuations: call.Evacuations, Wait: wait})
+		return h.packing.changes(call.Since, told, call.Packs), nil
 	case api.MethodPiece:
 		call, err := peers.Params[discovery.PieceSelect](method, raw)
 		if err != nil {
@@ -106,7 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return h.state(call), nil
+		return h.packing.state(h.follower.Known(call.NewerThan), call.Packs), nil
 	}
 	return nil, peers.UnknownMethod(method)
 }
@@ -140,15 +142,5 @@
 	}
 }
 
-// state returns what is known here; the endpoints are left out if the asker knows as much.
-func (h *Handler) state(call api.StateSelect) discovery.Known {
-	known := h.follower.Known()
-	if known.State.Revision <= call.NewerThan {
-		known.Same = known.State.Revision == call.NewerThan
-		known.State.Endpoints = nil
-	}
-	return known
-}
-
 // maxRelayWait bounds how long a call for changes waits.
 const maxRelayWait = 2 * time.Second
--- a/service/handover/knowledge.go
+++ b/service/handover/knowledge.go
@@ -47,9 +47,12 @@
 	if len(addresses) == 0 {
 		return discovery.Known{}, problem.New(problem.Unavailable, "name some peers in the settings", "no peer is known")
 	}
-	var known discovery.Known
-	err := k.Client.Call(ctx, addresses[rand.IntN(len(addresses))], api.MethodState, api.StateSelect{NewerThan: newerThan}, &known)
-	return known, err
+	var known api.Known
+	err := k.Client.Call(ctx, addresses[rand.IntN(len(addresses))], api.MethodState, api.StateSelect{NewerThan: newerThan, Packs: true}, &known)
+	if err == nil {
+		err = unpack(known.PackedEndpoints, &known.State.Endpoints)
+	}
+	return known.Known, err
 }
 
 // Relays implements discovery.Peers: in a failure domain with many instances, the first two of
@@ -113,10 +116,13 @@
 
 // Relay implements discovery.Peers.
 func (k *Knowledge) Relay(ctx context.Context, relay string, selection discovery.RelaySelect) (discovery.Relayed, error) {
-	var relayed discovery.Relayed
-	call := api.RelaySelect{Since: selection.Since, Document: selection.Document, Evacuations: selection.Evacuations, WaitMs: selection.Wait.Milliseconds()}
+	var relayed api.Relayed
+	call := api.RelaySelect{Since: selection.Since, Document: selection.Document, Evacuations: selection.Evacuations, WaitMs: selection.Wait.Milliseconds(), Packs: true}
 	err := k.Client.Call(ctx, relay, api.MethodFollow, call, &relayed)
-	return relayed, err
+	if err == nil {
+		err = unpack(relayed.PackedChanges, &relayed.Changes.Endpoints)
+	}
+	return relayed.Relayed, err
 }
 
 // Holders implements discovery.Peers: those of the own failure domain come first, and among
--- /dev/null
+++ b/service/handover/packing_test.go
@@ -0,0 +1,128 @@
+package handover
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+)
+
+// manyEndpoints returns endpoints whose names and addresses say no more than those of a deployment.
+func manyEndpoints(n int) []fleet.Endpoint {
+	random := rand.New(rand.NewPCG(1, 2))
+	var list []fleet.Endpoint
+	for range n {
+		list = append(list, fleet.Endpoint{
+			ID:            fmt.Sprintf("i-%010x", random.Uint64N(1<<40)),
+			Service:       fmt.Sprintf("service-%d", random.IntN(5)),
+			Address:       fmt.Sprintf("10.1.%d.%d:%d", random.IntN(256), random.IntN(256), 8000+random.IntN(1000)),
+			FailureDomain: fmt.Sprintf("domain-%d", random.IntN(4)),
+			Slots:         64,
+		})
+	}
+	return list
+}
+
+func changesOf(endpoints []fleet.Endpoint) []fleet.Change {
+	var changes []fleet.Change
+	for _, e := range endpoints {
+		changes = append(changes, fleet.Change{Endpoint: e})
+	}
+	return changes
+}
+
+// overWire returns what the other side reads of an answer.
+func overWire[T any](answer T) T {
+	GinkgoHelper()
+	data, err := json.Marshal(answer)
+	Expect(err).NotTo(HaveOccurred())
+	var read T
+	Expect(json.Unmarshal(data, &read)).To(Succeed())
+	return read
+}
+
+var _ = Describe("packed endpoints", func() {
+	var p *packing
+
+	BeforeEach(func() { p = &packing{} })
+
+	many := manyEndpoints(200)
+	known := discovery.Known{State: discovery.State{Revision: 9, Endpoints: many}, Mark: discovery.Mark{Revision: 4}}
+	relayed := discovery.Relayed{Changes: discovery.Changes{Revision: 9, Endpoints: changesOf(many)}, Mark: discovery.Mark{Revision: 4}}
+
+	It("are all endpoints that a peer knows", func() {
+		read := overWire(p.state(known, true))
+		Expect(read.State.Endpoints).To(BeEmpty())
+		Expect(unpack(read.PackedEndpoints, &read.State.Endpoints)).To(Succeed())
+		Expect(read.Known).To(Equal(known))
+	})
+
+	It("are the changes that a relay tells", func() {
+		read := overWire(p.changes(5, relayed, true))
+		Expect(read.Changes.Endpoints).To(BeEmpty())
+		Expect(unpack(read.PackedChanges, &read.Changes.Endpoints)).To(Succeed())
+		Expect(read.Relayed).To(Equal(relayed))
+	})
+
+	It("are packed once for all who ask the same, and anew for what differs", func() {
+		first := p.changes(5, relayed, true).PackedChanges
+		Expect(&p.changes(5, relayed, true).PackedChanges[0]).To(BeIdenticalTo(&first[0]))
+		Expect(&p.changes(4, relayed, true).PackedChanges[0]).NotTo(BeIdenticalTo(&first[0]))
+		later := relayed
+		later.Changes.Revision = 10
+		Expect(&p.changes(5, later, true).PackedChanges[0]).NotTo(BeIdenticalTo(&first[0]))
+	})
+
+	It("are bounded in number", func() {
+		for since := range uint64(3 * packsKept) {
+			p.changes(since, relayed, true)
+		}
+		Expect(p.kept).To(HaveLen(packsKept))
+	})
+
+	It("are told plainly to a version that does not read them, and where there are few", func() {
+		Expect(p.state(known, false)).To(Equal(api.Known{Known: known}))
+		Expect(p.changes(5, relayed, false)).To(Equal(api.Relayed{Relayed: relayed}))
+		few := discovery.Relayed{Changes: discovery.Changes{Revision: 9, Endpoints: changesOf(many[:packedFrom-1])}}
+		Expect(p.changes(5, few, true)).To(Equal(api.Relayed{Relayed: few}))
+	})
+
+	It("that are damaged are a problem, and nothing that a peer is believed", func() {
+		packed := p.state(known, true).PackedEndpoints
+		var read []fleet.Endpoint
+		Expect(problem.KindOf(unpack(packed[:len(packed)/2], &read))).To(Equal(problem.Invalid))
+		Expect(problem.KindOf(unpack([]byte("plain"), &read))).To(Equal(problem.Invalid))
+	})
+})
+
+// BenchmarkPacking gives the bytes of an endpoint in a relay's answer, and the time that packing 3,000 takes.
+// Before, an answer was not packed: 141 bytes an endpoint, now 30.
+func BenchmarkPacking(b *testing.B) {
+	const endpoints = 3000
+	changes := changesOf(manyEndpoints(endpoints))
+	plain, err := json.Marshal(changes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var packed []byte
+	for b.Loop() {
+		p := &packing{}
+		if packed, err = p.pack(packKey{revision: 1}, changes); err != nil {
+			b.Fatal(err)
+		}
+	}
+	wire, err := json.Marshal(packed)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(plain))/endpoints, "plain-B/endpoint")
+	b.ReportMetric(float64(len(wire))/endpoints, "packed-B/endpoint")
+}
