ownership, handover: after a cut the owner that most reach goes on

Ruled out: relief alone (each claim of the cut side raises the term), terms that count who was reached (no order lets the cut side follow its own claim and the others not). Change: who claims a part that another owns claims it provisionally, until it has shown that it reaches most failure domains; only who is near to it, or does not reach the owner, follows; it hands the part back when it reaches most again and the owner answers. Of endpoints at which an owner's own calls ended lately, it takes over work and results alone, not that the other could not reach them.

--- a/pkg/batch/ledger.go
+++ b/pkg/batch/ledger.go
@@ -86,8 +86,10 @@
 }
 
 // Take begins the work of a part, with what another planner knew of its endpoints. Where this
-// one knows something itself, the worse of the two counts.
-func (b *Batcher) Take(part, parts int, ledger Ledger) {
+// one knows something itself, the worse of the two counts. Of an endpoint at which a call of this planner
+// has ended lately, only what is at work and held there is taken over: the other may have been cut off
+// from it, and it would rest though this one reaches it. Take tells whether there is such an endpoint.
+func (b *Batcher) Take(part, parts int, ledger Ledger) (planned bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -99,10 +101,18 @@
 		s := b.service(account.Queue)
 		s.lookedAt = now
 		s.update(b.known.Ready(s.at.Service))
-		if w := s.workers[account.Endpoint]; w != nil {
-			w.takeOver(now, account)
+		w := s.workers[account.Endpoint]
+		if w == nil {
+			continue
+		}
+		w.takeWork(now, account)
+		if w.endedLately(now) {
+			planned = true
+			continue
 		}
+		w.takeOver(now, account)
 	}
+	return planned
 }
 
 // Resume begins the work of a part of which nothing is known: its endpoints are asked before
@@ -122,14 +132,23 @@
 	}
 }
 
-// takeOver takes in what another planner knew of an endpoint.
-func (w *worker) takeOver(now time.Time, account EndpointLedger) {
+// takeWork takes in which calls of another planner an endpoint works on, and what it holds of them.
+func (w *worker) takeWork(now time.Time, account EndpointLedger) {
 	if account.Calls > 0 {
 		w.others = othersWork{calls: account.Calls, until: now.Add(time.Duration(account.BusyMs) * time.Millisecond), bytes: account.ReservedBytes}
 	}
 	for _, r := range account.Held {
 		w.held[r.Handle] = heldResult{bytes: r.Bytes, until: now.Add(time.Duration(r.LeftMs) * time.Millisecond)}
 	}
+}
+
+// endedLately tells whether a call of this planner has ended at the endpoint as it should, not long ago.
+func (w *worker) endedLately(now time.Time) bool {
+	return !w.endedAt.IsZero() && now.Sub(w.endedAt) <= inspectAfter
+}
+
+// takeOver takes in what another planner saw of an endpoint.
+func (w *worker) takeOver(now time.Time, account EndpointLedger) {
 	if account.OthersBytes > 0 {
 		w.unaccounted, w.unaccountedAt = account.OthersBytes, now
 	}
--- a/pkg/batch/ledger_test.go
+++ b/pkg/batch/ledger_test.go
@@ -107,6 +107,28 @@
 		Expect(after.Capacity(whole).Others).To(BeZero())
 	})
 
+	It("that this one planned all the while goes on at endpoints that another was cut off from", func() {
+		before := newBatcher()
+		have(before, "r1", 1)
+		next().answer <- reply{nil, batch.Lost}
+		Eventually(func() float64 { return before.Capacity(whole).PerSecond }).Should(BeZero())
+		ledger := before.Release(0, 1)
+		Expect(ledger.Endpoints[0].Unreached).To(BeTrue())
+		By("one that knows nothing of them")
+		fresh := newBatcher()
+		Expect(fresh.Take(0, 1, ledger)).To(BeFalse())
+		have(fresh, "r2", 1)
+		none()
+		By("one whose calls have ended there")
+		after := newBatcher()
+		done := have(after, "r3", 1)
+		next().made()
+		Eventually(done).Should(Receive())
+		Expect(after.Take(0, 1, ledger)).To(BeTrue())
+		have(after, "r4", 1)
+		next()
+	})
+
 	It("of which nothing is known begins with what its endpoints report", func() {
 		e.reports["a"] = batch.Report{Waiting: 1, Busy: true, FreeBytes: 100}
 		b := newBatcher()
--- a/pkg/batch/worker.go
+++ b/pkg/batch/worker.go
@@ -42,6 +42,8 @@
 	// learntAt. One that is avoided since it was slow is called again when that is forgotten.
 	slowness float64
 	learntAt time.Time
+	// endedAt is when a call of this planner last ended there as it should.
+	endedAt time.Time
 	// restUntil is until when it gets no calls; rest is how long the last rest was.
 	restUntil time.Time
 	rest      time.Duration
@@ -183,7 +185,7 @@
 		return
 	}
 	ratio := float64(took) / float64(configured)
-	w.slowness, w.learntAt = w.slow(now), now
+	w.slowness, w.learntAt, w.endedAt = w.slow(now), now, now
 	w.shared = ratio > sharedFactor*w.slowness
 	w.margin *= marginKept
 	w.slowness += speedWeight * (ratio - w.slowness)
--- a/pkg/pipeline/load_test.go
+++ b/pkg/pipeline/load_test.go
@@ -99,7 +99,7 @@
 func (*line) Free([]batch.Result)                          {}
 func (*line) Inspect(context.Context, []batch.Queue)       {}
 func (*line) Release(int, int) batch.Ledger                { return batch.Ledger{} }
-func (*line) Take(int, int, batch.Ledger)                  {}
+func (*line) Take(int, int, batch.Ledger) bool             { return false }
 func (*line) Resume(int, int)                              {}
 func (*line) Split(batch.Ledger, int) map[int]batch.Ledger { return nil }
 func (*line) Adopt([]batch.Result)                         {}
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -81,7 +81,7 @@
 
 func (m *maker) Release(int, int) batch.Ledger { return batch.Ledger{} }
 
-func (m *maker) Take(int, int, batch.Ledger) {}
+func (m *maker) Take(int, int, batch.Ledger) bool { return false }
 
 func (m *maker) Resume(int, int) {}
 
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -23,9 +23,10 @@
 	// Inspect asks the endpoints of queues what they do, where that is not known.
 	Inspect(ctx context.Context, queues []batch.Queue)
 	// Release stops the work of a part of so many, and returns what is known of its endpoints;
-	// Take begins it with what another knew, Resume with nothing.
+	// Take begins it with what another knew, and tells whether it had gone on all the while; Resume
+	// begins it with nothing.
 	Release(part, parts int) batch.Ledger
-	Take(part, parts int, ledger batch.Ledger)
+	Take(part, parts int, ledger batch.Ledger) (planned bool)
 	Resume(part, parts int)
 	// Split returns what a ledger tells by the parts of another division into so many.
 	Split(ledger batch.Ledger, parts int) map[int]batch.Ledger
--- a/pkg/pipeline/resuming.go
+++ b/pkg/pipeline/resuming.go
@@ -23,7 +23,9 @@
 
 // Take takes a part over with what its planner before knew.
 func (p *Planner) Take(part Part, ledger Ledger) {
-	p.pieces.Take(part.Number, part.Of, ledger.Pieces)
+	if planned := p.pieces.Take(part.Number, part.Of, ledger.Pieces); planned {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for priority, told := range ledger.LatenessMs {
--- a/service/handover/claims.go
+++ b/service/handover/claims.go
@@ -29,6 +29,8 @@
 	changed func()
 	lost    func(ownership.Claim)
 	won     func(ownership.Claim)
+	// staysWith tells whether plans still go to an owner though another claims its part provisionally.
+	staysWith func(owner, claimer ownership.Owner) bool
 
 	mu    sync.Mutex
 	table *ownership.Table
@@ -41,8 +43,8 @@
 	until time.Time
 }
 
-func newClaims(clock clockwork.Clock, log *logrus.Entry, self ownership.Owner, changed func(), lost, won func(ownership.Claim)) *claims {
-	return &claims{clock: clock, log: log, changed: changed, lost: lost, won: won, table: ownership.NewTable(self)}
+func newClaims(clock clockwork.Clock, log *logrus.Entry, self ownership.Owner) *claims {
+	return &claims{clock: clock, log: log, table: ownership.NewTable(self)}
 }
 
 // holder returns the claim that holds for a part, as far as is known.
@@ -78,22 +80,53 @@
 	return names
 }
 
-// claim makes this instance the owner of a part, and tells whether it was not before. The
-// cause is for the log.
+// claim makes this instance the owner of a part, provisionally if another is known to own it, and tells
+// whether it was not the owner before. The cause is for the log.
 func (c *claims) claim(part pipeline.Part, cause string) bool {
 	c.mu.Lock()
 	if c.table.Owns(part) {
 		c.mu.Unlock()
 		return false
 	}
-	before, _ := c.table.Holder(part)
-	after := c.table.Claim(part)
+	before, known := c.table.Holder(part)
+	claim := c.table.Claim
+	if known {
+		claim = c.table.ClaimProvisionally
+	}
+	after := claim(part)
 	c.mu.Unlock()
 	c.note(before, after, cause)
 	c.changed()
 	return true
 }
 
+// confirm makes a provisional claim of this instance a certain one.
+func (c *claims) confirm(part pipeline.Part) {
+	c.mu.Lock()
+	before, _ := c.table.Holder(part)
+	confirmed := c.table.Confirm(part)
+	after, _ := c.table.Holder(part)
+	c.mu.Unlock()
+	if confirmed {
+		c.note(before, after, "reaches_most")
+		c.changed()
+	}
+}
+
+// provisional returns a provisional claim of this instance of a division into so many, and the claim that it
+// displaced, whose owner is the zero one if none is known; false if there is no such claim.
+func (c *claims) provisional(parts int) (own, displaced ownership.Claim, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, own := range c.table.Own() {
+		if own.Provisional && own.Part.Of == parts {
+			displaced, _ := c.table.Displaced(own.Part)
+			return own, displaced, true
+		}
+	}
+	return ownership.Claim{}, ownership.Claim{}, false
+}
+
 // assign makes another instance the owner of a part.
 func (c *claims) assign(part pipeline.Part, owner ownership.Owner, cause string) ownership.Claim {
 	c.mu.Lock()
@@ -110,7 +143,7 @@
 func (c *claims) hear(heard []ownership.Claim, cause string) {
 	c.mu.Lock()
 	self := c.table.Self()
-	changes := c.table.Hear(heard)
+	changes := c.table.Hear(heard, c.staysWith)
 	for _, change := range changes {
 		c.pass(change.After)
 	}
@@ -154,7 +187,7 @@
 // note logs a change of a part's owner.
 func (c *claims) note(before, after ownership.Claim, cause string) {
 	c.log.WithFields(logrus.Fields{
-		"event": "owner", "part": after.Part.Number, "parts": after.Part.Of, "term": after.Term, "owner": after.Owner.Name,
+		"event": "owner", "part": after.Part.Number, "parts": after.Part.Of, "term": after.Term, "owner": after.Owner.Name, "provisional": after.Provisional,
 		"before": before.Owner.Name, "cause": cause,
 	}).Info()
 }
--- a/service/handover/instance_test.go
+++ b/service/handover/instance_test.go
@@ -19,6 +19,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -85,11 +86,12 @@
 	return batch.Ledger{Endpoints: []batch.EndpointLedger{{Endpoint: "e", Calls: 1}}}
 }
 
-func (h *heldPieces) Take(part, parts int, ledger batch.Ledger) {
+func (h *heldPieces) Take(part, parts int, ledger batch.Ledger) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.setReleased(part, parts, false)
 	h.taken = append(h.taken, ledger)
+	return false
 }
 
 func (h *heldPieces) Resume(part, parts int) {
@@ -169,6 +171,8 @@
 	server   *peers.Server
 	listener net.Listener
 	client   *peers.Client
+	// unreached are the peer addresses that it does not reach.
+	unreached sync.Map
 	// endpoints is how many the least service has.
 	endpoints atomic.Int64
 
@@ -202,6 +206,63 @@
 // GomegaString is what a failed test prints.
 func (i *instance) GomegaString() string { return i.self.Name }
 
+// cuttable calls the peers that an instance reaches.
+type cuttable struct{ i *instance }
+
+func (c cuttable) Call(ctx context.Context, address, method string, params, result any) error {
+	if _, cut := c.i.unreached.Load(address); cut {
+		return problem.New(problem.Unavailable, "heal the cut", "peer %s is cut off", address)
+	}
+	return c.i.client.Call(ctx, address, method, params, result)
+}
+
+func (c cuttable) Notify(ctx context.Context, address, method string, params any) error {
+	if _, cut := c.i.unreached.Load(address); cut {
+		return problem.New(problem.Unavailable, "heal the cut", "peer %s is cut off", address)
+	}
+	return c.i.client.Notify(ctx, address, method, params)
+}
+
+// cut has the instances of a failure domain and all others not reach each other; heal ends that.
+func (g group) cut(domain string) {
+	g.acrossTo(domain, func(i, other *instance) { i.unreached.Store(other.self.PeerAddress, true) })
+}
+
+func (g group) heal(domain string) {
+	g.acrossTo(domain, func(i, other *instance) { i.unreached.Delete(other.self.PeerAddress) })
+}
+
+// acrossTo does something for each two instances of which one stands in a failure domain.
+func (g group) acrossTo(domain string, do func(i, other *instance)) {
+	for _, i := range g {
+		for _, other := range g {
+			if (i.self.FailureDomain == domain) != (other.self.FailureDomain == domain) {
+				do(i, other)
+			}
+		}
+	}
+}
+
+// beat has some tell each other who owns what, as heartbeats do.
+func (g group) beat(some []*instance) {
+	for _, from := range some {
+		for _, to := range some {
+			to.router.HearClaims(from.router.Claims())
+		}
+	}
+}
+
+// in returns the instances of a failure domain.
+func (g group) in(domain string) group {
+	var some group
+	for _, i := range g {
+		if i.self.FailureDomain == domain {
+			some = append(some, i)
+		}
+	}
+	return some
+}
+
 // kill ends an instance without a word.
 func (i *instance) kill() {
 	_ = i.listener.Close()
@@ -213,10 +274,16 @@
 type group []*instance
 
 func newInstances(n int, clock clockwork.Clock) group {
+	GinkgoHelper()
+	return newInstancesIn(2, n, clock)
+}
+
+// newInstancesIn returns instances in so many failure domains.
+func newInstancesIn(domains, n int, clock clockwork.Clock) group {
 	GinkgoHelper()
 	var all group
 	for k := range n {
-		all = append(all, newInstance(k, clock))
+		all = append(all, newInstance(k, k%domains, clock))
 	}
 	for _, i := range all {
 		for _, other := range all.others(i) {
@@ -333,7 +400,7 @@
 	var n int
 	_, err := fmt.Sscanf(old.self.Name, "i%d", &n)
 	Expect(err).NotTo(HaveOccurred())
-	young := newInstance(n, old.router.clock)
+	young := newInstance(n, n%2, old.router.clock)
 	young.members = old.members
 	for k, i := range g {
 		if i == old {
@@ -376,19 +443,19 @@
 // answerer answers runs and parts that are handed over.
 type answerer struct{ *Handler }
 
-func newInstance(n int, clock clockwork.Clock) *instance {
+func newInstance(n, domain int, clock clockwork.Clock) *instance {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	i := &instance{pieces: &heldPieces{}, listener: listener}
-	i.self = membership.Self{Name: fmt.Sprint("i", n), Incarnation: uint64(n), PeerAddress: listener.Addr().String(), FailureDomain: fmt.Sprint("zone-", n%2)}
+	i.self = membership.Self{Name: fmt.Sprint("i", n), Incarnation: uint64(n), PeerAddress: listener.Addr().String(), FailureDomain: fmt.Sprint("zone-", domain)}
 	i.endpoints.Store(1)
 	i.client = peers.NewClient(i.self.Name, testToken, nil)
 	i.router = NewRouter(Options{
 		Self:      i.self,
 		Live:      func() []membership.Member { return i.with(membership.Live) },
 		Leaving:   func() []membership.Member { return i.with(membership.Leaving) },
-		Client:    i.client,
+		Client:    cuttable{i},
 		Planner:   pipeline.NewPlanner(i.pieces, clock, metrics.NewSet(), logging.Discard().For("pipeline")),
 		Endpoints: func() int { return int(i.endpoints.Load()) },
 		Clock:     clock,
--- a/service/handover/relief.go
+++ b/service/handover/relief.go
@@ -18,7 +18,9 @@
 	if r.claims.owns(pipeline.Part{Of: r.divisions.inForce().Parts}) {
 		r.divisions.look()
 	}
-	r.relieve()
+	if !r.settle() {
+		r.relieve()
+	}
 }
 
 // relieve hands a part over, as a planned stop does, if this instance is not able to own any, or
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -33,7 +33,7 @@
 type Router struct {
 	owners    *owners
 	claims    *claims
-	client    *peers.Client
+	client    caller
 	planner   *pipeline.Planner
 	makers    makers
 	divisions *divisions
@@ -46,6 +46,16 @@
 
 var _ gateway.Stages = (*Router)(nil)
 
+// caller calls the methods of peers.
+type caller interface {
+	// Call calls a method of the peer at an address, and reads its answer into result.
+	Call(ctx context.Context, address, method string, params, result any) error
+	// Notify sends a message that has no answer. It may be lost.
+	Notify(ctx context.Context, address, method string, params any) error
+}
+
+var _ caller = (*peers.Client)(nil)
+
 // makers give up results.
 type makers interface {
 	// Free gives results up where they were made.
@@ -64,7 +74,7 @@
 	Leaving func() []membership.Member
 	// Contacts are the peer addresses of the settings, which own the parts at first.
 	Contacts []string
-	Client   *peers.Client
+	Client   caller
 	Planner  *pipeline.Planner
 	Batcher  *batch.Batcher
 	// Endpoints returns how many endpoints the least service that takes pieces has.
@@ -93,7 +103,9 @@
 		tell = func() {}
 	}
 	r.divisions = &divisions{clock: o.Clock, log: o.Log, endpoints: o.Endpoints, decided: tell, changed: func(d ownership.Division) { go r.divided(d) }}
-	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner(), tell, r.superseded, func(won ownership.Claim) { r.planner.Resume(won.Part) })
+	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner())
+	r.claims.changed, r.claims.lost, r.claims.staysWith = tell, r.superseded, r.owners.staysWith
+	r.claims.won = func(won ownership.Claim) { r.planner.Resume(won.Part) }
 	return r
 }
 
@@ -192,7 +204,7 @@
 	for range maxTurns {
 		if !r.claims.owns(part) {
 			if claim {
-				r.claims.claim(part, "owner_not_reached")
+				r.claim(part, "owner_not_reached")
 			}
 			r.planner.Resume(part)
 		}
@@ -236,7 +248,7 @@
 		if r.leavesOthers() {
 			return api.Ran{}, refuseLeaving("hand the plan to the next owner")
 		}
-		r.claims.claim(part, "asked_by_peer")
+		r.claim(part, "asked_by_peer")
 		r.planner.Resume(part)
 	}
 	return r.answer(call, r.planner.Run(ctx, part, plan)), nil
--- a/service/handover/succession.go
+++ b/service/handover/succession.go
@@ -57,7 +57,7 @@
 			// Another has claimed the part meanwhile.
 			return
 		}
-		r.claims.claim(part, "successor_not_reached")
+		r.claim(part, "successor_not_reached")
 		r.planner.Take(part, ledger)
 	}
 }
--- a/service/handover/succession_test.go
+++ b/service/handover/succession_test.go
@@ -32,13 +32,7 @@
 	})
 
 	// beat has all tell each other who owns what, as heartbeats do.
-	beat := func() {
-		for _, from := range all {
-			for _, to := range all {
-				to.router.HearClaims(from.router.Claims())
-			}
-		}
-	}
+	beat := func() { all.beat(all) }
 
 	It("stays the owner when one that would rank first comes back", func() {
 		first := all.ownerOf(all[0], "r1")
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -132,7 +132,7 @@
 
 // encodeClaim leaves out who the owner is if that is the sender.
 func encodeClaim(c ownership.Claim, from membership.Self) *pb.Claim {
-	wire := &pb.Claim{Part: uint32(c.Part.Number), Of: uint32(c.Part.Of), Term: c.Term}
+	wire := &pb.Claim{Part: uint32(c.Part.Number), Of: uint32(c.Part.Of), Term: c.Term, Provisional: c.Provisional}
 	if c.Owner != from.Owner() {
 		wire.Owner, wire.Incarnation, wire.PeerAddress = c.Owner.Name, c.Owner.Incarnation, c.Owner.PeerAddress
 	}
@@ -140,7 +140,7 @@
 }
 
 func decodeClaim(wire *pb.Claim, from membership.Self) ownership.Claim {
-	c := ownership.Claim{Part: ownership.Part{Number: int(wire.Part), Of: int(wire.Of)}, Term: wire.Term, Owner: from.Owner()}
+	c := ownership.Claim{Part: ownership.Part{Number: int(wire.Part), Of: int(wire.Of)}, Term: wire.Term, Owner: from.Owner(), Provisional: wire.Provisional}
 	if wire.Owner != "" {
 		c.Owner = ownership.Owner{Name: wire.Owner, Incarnation: wire.Incarnation, PeerAddress: wire.PeerAddress}
 	}
