config: the test of stale reads ends a change that can't be accepted by a condition, not by a time

Cause of its one failure on a busy machine, found by reading: its deadline of 0.1 s could cut a write off whose answer was under way; its fate is then unknown, as the submitter says, and the test wants not accepted. Change: the change is given up after two refused writes, by its caller, which cuts no write off. The assertion is the same; that it is not accepted before is asserted too.

--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -155,9 +155,19 @@
 		Expect(revision).To(Equal(uint64(1)), "the read is stale")
 		Expect(weight(a, "huila")).To(Equal(uint32(2)))
 		By("nor is a change accepted on the strength of a stale read")
-		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		_, err = a.submitter.Submit(ctx, config.NewChange("lost", "tester", time.UnixMilli(1), putOrganisation("huila", 9)))
+		before := service.Counts().Writes
+		ended := make(chan error, 1)
+		go func() {
+			_, err := a.submitter.Submit(ctx, config.NewChange("lost", "tester", time.UnixMilli(1), putOrganisation("huila", 9)))
+			ended <- err
+		}()
+		Eventually(func() int { return service.Counts().Writes - before }).Should(BeNumerically(">=", 2))
+		Consistently(ended).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		// It ends as given up, and not by a deadline that may cut a write off, whose fate is unknown then.
+		cancel()
+		Eventually(ended).Should(Receive(&err))
 		Expect(problem.KindOf(err)).To(Equal(problem.Unavailable))
 		service.SetFaults(standin.KeyValueFaults{})
 		old := service.Value(config.HeadKey)
