standin: an endpoint that is killed as soon as it has started takes no connection more

A test that killed a stand-in before its goroutine had run left it accepting, and a call was broken off where its connection should have been refused. Ruled out: a reused port, which is kept reserved. Change: the listener is closed too. Its test fails without that within 200 starts.

--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -139,6 +139,8 @@
 // Kill closes all connections, as the death of the process would. The list keeps
 // the entry, since it lags.
 func (e *Endpoint) Kill() {
+	// The server closes only a listener that it has begun to serve; one killed at once would go on accepting.
+	_ = e.listener.Close()
 	_ = e.server.Close()
 	if e.reserved == nil {
 		e.reserved = reserve(e.address)
