packed, peers, handover, cobaltcroft: what the change wrote twice stands once

The bytes by method were a number with a gauge made over it where metrics has a counter. Two pings are one, two look-ups of a member by its owner's name too, and so is writing when a change was accepted. domain list asks for the history only where a domain is evacuated.

--- a/cmd/cobaltcroft/cmds/configuration.go
+++ b/cmd/cobaltcroft/cmds/configuration.go
@@ -239,8 +239,13 @@
 	w := g.table()
 	fmt.Fprintf(w, "REVISION\tTIME\tAUTHOR\tCHANGE\tOBJECTS\n")
 	for _, change := range resp.Msg.Changes {
-		at := time.UnixMilli(change.TimeUnixMs).UTC().Format(time.RFC3339)
+		at := timeOf(change)
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\n", change.Revision, at, change.Author, change.ChangeId, len(change.Keys))
 	}
 	return w.Flush()
 }
+
+// timeOf writes when a change was accepted.
+func timeOf(change *pb.Change) string {
+	return time.UnixMilli(change.TimeUnixMs).UTC().Format(time.RFC3339)
+}
--- a/cmd/cobaltcroft/cmds/domain.go
+++ b/cmd/cobaltcroft/cmds/domain.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -66,6 +65,9 @@
 	if err != nil {
 		return err
 	}
+	if len(orders.Msg.Objects) == 0 {
+		return g.printDomains(nil, status.Msg, nil)
+	}
 	history, err := g.client().History(ctx, connect.NewRequest(&pb.HistoryRequest{Limit: config.HistoryLength}))
 	if err != nil {
 		return err
@@ -97,7 +99,7 @@
 func acceptedAt(changes []*pb.Change, revision uint64) string {
 	for _, change := range changes {
 		if change.Revision == revision {
-			return time.UnixMilli(change.TimeUnixMs).UTC().Format(time.RFC3339)
+			return timeOf(change)
 		}
 	}
 	return ""
--- a/pkg/discovery/shelf.go
+++ b/pkg/discovery/shelf.go
@@ -1,16 +1,15 @@
 package discovery
 
 import (
-	"bytes"
-	"compress/gzip"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/packed"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
@@ -73,18 +72,11 @@
 
 // pack compresses a document.
 func pack(d Document) (*parcel, error) {
-	var packed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	data, err := packed.Pack(d.Data)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := writer.Write(d.Data); err != nil {
-		return nil, err
-	}
-	if err := writer.Close(); err != nil {
-		return nil, err
-	}
-	return newParcel(d.Revision, packed.Bytes()), nil
+	return newParcel(d.Revision, data), nil
 }
 
 // unpack returns the document, if the bytes are those that the digest names.
@@ -92,17 +84,13 @@
 	if digestOf(p.data) != p.digest {
 		return Document{}, problem.New(problem.Invalid, "take it from another peer", "the packed document of revision %d is not what its digest says", p.revision)
 	}
-	reader, err := gzip.NewReader(bytes.NewReader(p.data))
-	if err != nil {
-		return Document{}, problem.Wrap(err, problem.Invalid, "take it from another peer", "the packed document of revision %d does not unpack", p.revision)
+	data, err := packed.Unpack(p.data, largestDocument)
+	if errors.Is(err, packed.ErrTooLarge) {
+		return Document{}, problem.New(problem.Invalid, "write a smaller configuration", "the document of revision %d is larger than %d bytes", p.revision, largestDocument)
 	}
-	data, err := io.ReadAll(io.LimitReader(reader, largestDocument+1))
 	if err != nil {
 		return Document{}, problem.Wrap(err, problem.Invalid, "take it from another peer", "the packed document of revision %d does not unpack", p.revision)
 	}
-	if len(data) > largestDocument {
-		return Document{}, problem.New(problem.Invalid, "write a smaller configuration", "the document of revision %d is larger than %d bytes", p.revision, largestDocument)
-	}
 	return Document{Revision: p.revision, Data: data}, nil
 }
 
--- a/service/handover/healing.go
+++ b/service/handover/healing.go
@@ -1,14 +1,12 @@
 package handover
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
-	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
 
 // askedOfDomain is how many instances of each other failure domain are asked, to find out whether it is
@@ -82,15 +80,10 @@
 
 // anyAnswers tells whether one of a few of some members answers.
 func (r *Router) anyAnswers(members []membership.Member) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
-	defer cancel()
-	answers := make(chan bool, askedOfDomain)
-	asked := 0
-	for _, n := range rand.Perm(len(members))[:min(askedOfDomain, len(members))] {
-		asked++
-		go func() {
-			answers <- r.client.Call(ctx, members[n].PeerAddress, api.MethodPing, struct{}{}, &struct{}{}) == nil
-		}()
+	asked := rand.Perm(len(members))[:min(askedOfDomain, len(members))]
+	answers := make(chan bool, len(asked))
+	for _, n := range asked {
+		go func() { answers <- r.ping(members[n].PeerAddress) }()
 	}
 	for range asked {
 		if <-answers {
@@ -124,10 +117,6 @@
 
 // neighbour tells whether an owner is a member of this instance's failure domain.
 func (o *owners) neighbour(owner ownership.Owner) bool {
-	for _, m := range o.live() {
-		if m.Name == owner.Name {
-			return m.FailureDomain == o.self.FailureDomain
-		}
-	}
-	return false
+	m, known := o.member(owner)
+	return known && m.FailureDomain == o.self.FailureDomain
 }
--- a/service/handover/packing.go
+++ b/service/handover/packing.go
@@ -1,13 +1,11 @@
 package handover
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 	"sync"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/packed"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
@@ -78,32 +76,29 @@
 			return k.data, nil
 		}
 	}
-	var packed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	plain, err := json.Marshal(value)
 	if err != nil {
 		return nil, err
 	}
-	if err := json.NewEncoder(writer).Encode(value); err != nil {
-		return nil, err
-	}
-	if err := writer.Close(); err != nil {
+	data, err := packed.Pack(plain)
+	if err != nil {
 		return nil, err
 	}
-	p.kept = append(p.kept, pack{key, packed.Bytes()})
+	p.kept = append(p.kept, pack{key, data})
 	if len(p.kept) > packsKept {
 		p.kept = p.kept[1:]
 	}
-	return packed.Bytes(), nil
+	return data, nil
 }
 
 // unpack reads what a peer packed into a value; nothing if it packed nothing.
-func unpack(packed []byte, value any) error {
-	if len(packed) == 0 {
+func unpack(data []byte, value any) error {
+	if len(data) == 0 {
 		return nil
 	}
-	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	plain, err := packed.Unpack(data, largestUnpacked)
 	if err == nil {
-		err = json.NewDecoder(io.LimitReader(reader, largestUnpacked)).Decode(value)
+		err = json.Unmarshal(plain, value)
 	}
 	if err != nil {
 		return problem.Wrap(err, problem.Invalid, "ask another peer", "packed endpoints do not unpack")
--- a/service/handover/relief.go
+++ b/service/handover/relief.go
@@ -49,13 +49,18 @@
 // often enough to tell that they are cut off; a part that is given to such a one is planned by nobody
 // for takeTimeout, and an owner inside a cut would give it again each second.
 func (r *Router) answers(owner ownership.Owner) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
-	defer cancel()
-	err := r.client.Call(ctx, owner.PeerAddress, api.MethodPing, struct{}{}, &struct{}{})
-	if err != nil {
+	reached := r.ping(owner.PeerAddress)
+	if !reached {
 		r.owners.suspect(owner.PeerAddress)
 	}
-	return err == nil
+	return reached
+}
+
+// ping tells whether the instance at an address answers within takeTimeout.
+func (r *Router) ping(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+	defer cancel()
+	return r.client.Call(ctx, address, api.MethodPing, struct{}{}, &struct{}{}) == nil
 }
 
 // relief returns the members that should own a part rather than this instance, which owns so many:
--- a/service/handover/succession.go
+++ b/service/handover/succession.go
@@ -170,12 +170,18 @@
 	if o.suspected(owner.PeerAddress) {
 		return false
 	}
+	m, known := o.member(owner)
+	return !known || m.Incarnation <= owner.Incarnation
+}
+
+// member returns the live member that has an owner's name.
+func (o *owners) member(owner ownership.Owner) (membership.Member, bool) {
 	for _, m := range o.live() {
 		if m.Name == owner.Name {
-			return m.Incarnation <= owner.Incarnation
+			return m, true
 		}
 	}
-	return true
+	return membership.Member{}, false
 }
 
 // alone tells whether no other instance is reached.
--- a/service/peers/usage.go
+++ b/service/peers/usage.go
@@ -32,7 +32,7 @@
 
 // usageCount is what came of one kind.
 type usageCount struct {
-	bytes atomic.Int64
+	bytes *metrics.Counter
 	calls atomic.Int64
 }
 
@@ -44,24 +44,25 @@
 	if u == nil {
 		return
 	}
-	k := kind{method, direction}
-	counted, known := u.counts.Load(k)
-	if !known {
-		counted, known = u.counts.LoadOrStore(k, &usageCount{})
-	}
-	count := counted.(*usageCount)
-	if !known {
-		u.set.NewGauge(fmt.Sprintf("cobaltcroft_peer_bytes_total{method=%q,direction=%q}", method, direction), func() float64 { return float64(count.bytes.Load()) })
-	}
-	count.bytes.Add(int64(bytes))
+	count := u.count(kind{method, direction})
+	count.bytes.Add(bytes)
 	count.calls.Add(1)
 }
 
+func (u *Usage) count(k kind) *usageCount {
+	if count, known := u.counts.Load(k); known {
+		return count.(*usageCount)
+	}
+	bytes := u.set.GetOrCreateCounter(fmt.Sprintf("cobaltcroft_peer_bytes_total{method=%q,direction=%q}", k.method, k.direction))
+	count, _ := u.counts.LoadOrStore(k, &usageCount{bytes: bytes})
+	return count.(*usageCount)
+}
+
 // Each calls do with the bytes and messages of each method and direction so far, in no order.
 func (u *Usage) Each(do func(method string, direction Direction, bytes, calls int64)) {
 	u.counts.Range(func(k, v any) bool {
 		count := v.(*usageCount)
-		do(k.(kind).method, k.(kind).direction, count.bytes.Load(), count.calls.Load())
+		do(k.(kind).method, k.(kind).direction, int64(count.bytes.Get()), count.calls.Load())
 		return true
 	})
 }
