gateway, httpconn, quarantine: tries of a request are told apart from others in the logs, and endpoints that ended from lost answers

Cause: the logs of the incident can't tell whether two tries are the same request, nor whether an endpoint whose call broke has ended. Change: a digest of caller, path and body in each request's line; after a break one connection is tried, and endpoint_broke_off tells what came of it. No decision rests on either yet. Conclusion: nothing is kept of a request after its end, at its instance or elsewhere; that one try goes to several endpoints is not the cause (one attempt each).

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -28,6 +28,8 @@
 	again
 	// redo: an input of the request is gone.
 	redo
+	// broken: as again, since the connection broke before the answer was whole.
+	broken
 )
 
 const (
@@ -65,6 +67,9 @@
 			}
 		case elsewhere:
 			u.tried[call.Endpoint.ID] = true
+		case broken:
+			u.examine(ctx, call)
+			fallthrough
 		case again:
 			u.endpointFailed(ctx, call.Endpoint.ID)
 			u.tried[call.Endpoint.ID] = true
@@ -178,6 +183,12 @@
 	return restAtMostOnce
 }
 
+// target is where a call goes.
+func (u *run) target(call *balance.Call) httpconn.Target {
+	e := call.Endpoint
+	return httpconn.Target{ID: e.ID, Address: e.Address, FailureDomain: e.FailureDomain, MaxConnections: u.connections()}
+}
+
 // send makes one attempt.
 func (u *run) send(ctx context.Context, call *balance.Call) next {
 	o := u.outbound(call)
@@ -186,8 +197,9 @@
 		return elsewhere
 	}
 	begin := u.Clock.Now()
+	u.eventsBefore = u.events
 	answer, err := u.Conns.Do(ctx, httpconn.Call{
-		Target:   httpconn.Target{ID: call.Endpoint.ID, Address: call.Endpoint.Address, FailureDomain: call.Endpoint.FailureDomain, MaxConnections: u.connections()},
+		Target:   u.target(call),
 		Method:   u.request.Method,
 		URI:      u.request.URI,
 		Host:     u.request.Host,
@@ -209,7 +221,7 @@
 }
 
 func (u *run) sendFailed(ctx context.Context, call *balance.Call, begin time.Time, err error) next {
-	outcome := again
+	outcome := brokenUnless(ctx)
 	result := balance.Bad
 	if httpconn.NotSent(err) {
 		outcome, result = unreached, balance.Unreachable
@@ -270,7 +282,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
 	if err != nil || len(body) > maxAnswer {
 		call.End(choose(ctx.Err() == nil, balance.Bad, balance.Canceled), nil)
-		return again
+		return choose(err != nil, brokenUnless(ctx), again)
 	}
 	call.Begun()
 	call.End(choose(answer.Status < http.StatusInternalServerError, balance.Well, balance.Bad), verdict.Load)
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -15,6 +15,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
@@ -115,6 +116,8 @@
 	route        *route.Route
 	service      *route.Service
 	organisation *route.Organisation
+	// digest is the same for all tries of the request; zero until its caller is known.
+	digest quarantine.Digest
 	// deadline is when the client leaves or the route's time is over.
 	deadline time.Time
 	// inputs are the results of stages that the request reads.
@@ -129,7 +132,9 @@
 	// lastEvent is the id of the last event sent on; events is how many were.
 	lastEvent string
 	events    int
-	begun     bool
+	// eventsBefore is events as it was when the last attempt was made.
+	eventsBefore int
+	begun        bool
 	// firstAfter is how long after the request the first event came; 0 if none has.
 	firstAfter time.Duration
 	// mayHaveRun says that some endpoint may have run the request.
@@ -186,6 +191,7 @@
 			return choose(unsure, refuseUnsure(), refuseNoKey())
 		}
 	}
+	u.digest = u.sum()
 	u.service = table.Service(u.route.Target(xxhash.Sum64String(u.request.ID)))
 	u.deadline = u.request.Arrived.Add(u.limit())
 	return nil
@@ -285,6 +291,9 @@
 		"ms": u.Clock.Since(u.request.Arrived).Milliseconds(), "attempts": u.attempts,
 		"events": u.events, "first_ms": u.firstAfter.Milliseconds(), "may_have_run": u.mayHaveRun,
 	}
+	if u.digest != (quarantine.Digest{}) {
+		fields["digest"] = u.digest.String()
+	}
 	if u.route != nil {
 		fields["route"] = u.route.Name
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -37,7 +37,7 @@
 			return finished
 		}
 		call.End(choose(ctx.Err() == nil, balance.Bad, balance.Canceled), nil)
-		return again
+		return brokenUnless(ctx)
 	}
 }
 
