quarantine, platform: ends are kept in the store, so that sides of a cut and instances that all start anew know of them

Cause: by heartbeats alone each side of a cut, and all instances after a loss of all, come to three ends by themselves: with three failure domains nine, where six are allowed. Ruled out: a watch of the records by each instance (a call more each for ever), a reading at each start (300 at a loss of all), a reading while members are missed (that shows after six seconds). Change: who finds an end writes it, with the longest lease; a request that an endpoint has ended under is looked up before it is sent again from here. So each side sends it once by itself. Calls are made for suspects alone: 2 a found end, 1 a repeat. Test: four instances that hear nothing of each other end four endpoints and not twelve; new instances after a loss of all end one more at most.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -80,7 +80,7 @@
 	budget *retry.Budget
 	pieces *retry.Budget
 	// quarantine has the requests that end their endpoints.
-	quarantine *quarantine.Table
+	quarantine *quarantine.Keeper
 
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
@@ -174,9 +174,12 @@
 		PeerAddress:   g.listeners.peers.Addr().String(),
 		Machine:       membership.Machine{Cores: s.Machine.Cores(), LinkMbps: s.Machine.LinkMbps},
 	}
-	g.quarantine = quarantine.New(g.clock, g.logs.For("quarantine"))
-	g.metrics.NewGauge("cobaltcroft_quarantined_requests", func() float64 { return float64(g.quarantine.Held()) })
 	g.store = platform.NewStore(s.Store)
+	table := quarantine.New(g.clock, g.logs.For("quarantine"))
+	// The group is put together below; no request comes before.
+	tell := func() { g.group.TellAll() }
+	g.quarantine = quarantine.NewKeeper(table, g.store, tell, g.clock, g.logs.For("quarantine"))
+	g.metrics.NewGauge("cobaltcroft_quarantined_requests", func() float64 { return float64(g.quarantine.Held()) })
 	g.usage = peers.NewUsage(g.metrics)
 	g.client = peers.NewClient(s.Instance, s.PeerToken, g.usage)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
@@ -216,7 +219,6 @@
 		Sponsors:  g.sponsors,
 
 		Quarantine: g.quarantine,
-		Suspect:    g.group.TellAll,
 	})
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
@@ -319,6 +321,7 @@
 	g.tomb.Go(func() error { g.server.Serve(g.listeners.peers); return nil })
 	g.tomb.Go(func() error { return g.face.Serve(g.listeners.requests) })
 	g.tomb.Go(func() error { g.face.Sweep(ctx); return nil })
+	g.tomb.Go(func() error { g.quarantine.Run(ctx); return nil })
 	g.tomb.Go(func() error { g.every(ctx, batchTick, g.batcher.Tick); return nil })
 	g.tomb.Go(func() error { g.every(ctx, sweepPeriod, g.sweep); return nil })
 	go func() { _ = http.Serve(g.listeners.readiness, http.HandlerFunc(g.ready)) }()
--- a/cmd/cobaltcroftd/gateway/quarantine_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_test.go
@@ -124,6 +124,35 @@
 		Expect(ended()).To(Equal(before))
 	})
 
+	It("is refused by instances that hear nothing of each other, each of which sends it once by itself", func() {
+		alone := []*instance{start(d.Address()), start(d.Address()), start(d.Address()), start(d.Address())}
+		kept := d.Store.Calls("/cobaltcroft/kv-txn")
+		for n, i := range alone[:3] {
+			Expect(try(i, "fixed").Status).To(Equal(http.StatusBadGateway))
+			Eventually(func() int { return d.Store.Calls("/cobaltcroft/kv-txn") - kept }).Should(Equal(n + 1))
+		}
+		for _, i := range alone[:3] {
+			Expect(try(i, "fixed").Status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(try(alone[3], "fixed").Status).To(Equal(http.StatusBadGateway), "it can't know")
+		Expect(try(alone[3], "fixed").Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(ended()).To(Equal(4))
+	})
+
+	It("is sent once more at most when all instances have started anew", func() {
+		for n := 0; try(instances[n%len(instances)], "stream").Status != http.StatusServiceUnavailable; n++ {
+			Expect(ended()).To(BeNumerically("<=", mayEnd))
+		}
+		Eventually(func() int { return d.Store.Calls("/cobaltcroft/kv-txn") }).Should(BeNumerically(">=", 1))
+		for _, i := range instances {
+			i.kill()
+		}
+		before := ended()
+		anew := start(d.Address())
+		Eventually(func() int { return try(anew, "stream").Status }).Should(Equal(http.StatusServiceUnavailable))
+		Expect(ended()).To(BeNumerically("<=", before+1))
+	})
+
 	It("has no stage made for it once it is known", func() {
 		staged := func(i *instance) answer {
 			r := i.request(http.MethodPost, "staged", newID(), fatal)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -48,6 +48,7 @@
 		if u.draining() {
 			return u.giveUp(refuseStopping())
 		}
+		u.Quarantine.Recall(ctx, u.digest)
 		if u.Quarantine.Holds(u.digest) {
 			// It was found meanwhile, here or elsewhere: stages take longer than the news.
 			return u.giveUp(refuseQuarantined())
--- a/pkg/gateway/breaks.go
+++ b/pkg/gateway/breaks.go
@@ -62,9 +62,7 @@
 // that was not its doing.
 func (u *run) survived() {
 	u.survival.shown = true
-	if u.Quarantine.Clear(u.digest) {
-		u.Suspect()
-	}
+	u.Quarantine.Clear(u.digest)
 }
 
 // examine finds out whether an endpoint has ended whose connection broke, and notes that it ended under
@@ -79,7 +77,6 @@
 	sign := u.Conns.Probe(ctx, u.target(call))
 	if sign == httpconn.Ended && u.unplanned(call.Endpoint) {
 		u.Quarantine.Note(u.digest, quarantine.Life{Endpoint: call.Endpoint.ID, Born: call.Endpoint.Born})
-		u.Suspect()
 	}
 	u.Log.WithFields(logrus.Fields{
 		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.digest.String(), "endpoint": call.Endpoint.ID,
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -54,10 +54,8 @@
 	// Sponsors tells whether this instance alone sends to an endpoint while all of its service are
 	// cold; nil: none.
 	Sponsors func(endpoint string) bool
-	// Quarantine has the requests that end their endpoints. Suspect has all others told at once of what
-	// this instance found of one.
-	Quarantine *quarantine.Table
-	Suspect    func()
+	// Quarantine has the requests that end their endpoints.
+	Quarantine *quarantine.Keeper
 }
 
 // Executor runs requests. Safe for concurrent use.
--- a/pkg/quarantine/telling.go
+++ b/pkg/quarantine/telling.go
@@ -30,12 +30,27 @@
 	now := t.clock.Now()
 	var all []End
 	for d, r := range t.requests {
-		for life, e := range r.ends {
-			age := now.Sub(e.at)
-			if len(r.ends) > 1 || age < toldFor {
-				all = append(all, End{Digest: d, Life: life, Age: age, Cleared: e.cleared})
-			}
+		if len(r.ends) > 1 || now.Sub(r.last) < toldFor {
+			all = r.appendTo(all, d, now)
 		}
 	}
 	return all
 }
+
+// of returns the ends of one request.
+func (t *Table) of(d Digest) []End {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.requests[d]
+	if r == nil {
+		return nil
+	}
+	return r.appendTo(nil, d, t.clock.Now())
+}
+
+func (r *request) appendTo(ends []End, d Digest, now time.Time) []End {
+	for life, e := range r.ends {
+		ends = append(ends, End{Digest: d, Life: life, Age: now.Sub(e.at), Cleared: e.cleared})
+	}
+	return ends
+}
