--- a/cmd/cobaltcroftd/gateway/quarantine_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_test.go
@@ -43,7 +43,7 @@
 	BeforeEach(func() {
 		d = deploy(endpoints)
 		for _, e := range d.Engines {
-			e.EndOn(fatal)
+			e.EndOn(fatal, nil)
 		}
 		instances = []*instance{start(d.Address())}
 		for range 2 {
