fleet, platform, discovery: an endpoint that starts again under its name is a new one, and entries of other writers name none

Cause: what is known of an endpoint (connections, kept parts, failures, cold time, results, ends) is kept by an ID that a later life could share; an entry that could not be read was skipped, so that the endpoint as it was known before stayed in use. Ruled out: a second key beside the ID in each place that keeps something by it.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -220,6 +220,7 @@
 
 		Quarantine: g.quarantine,
 	})
+	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, g.follower)
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -58,6 +58,8 @@
 	// kept after an outage is to be taken as gone.
 	lapses  lapses
 	release <-chan time.Time
+	// refusedEntries counts the entries that named no endpoint to use.
+	refusedEntries atomic.Uint64
 }
 
 // event hands news to the goroutine that owns the view.
@@ -85,6 +87,9 @@
 	return f
 }
 
+// RefusedEntries is how many entries named no endpoint to use.
+func (f *Follower) RefusedEntries() uint64 { return f.refusedEntries.Load() }
+
 // View returns what is known now.
 func (f *Follower) View() *View { return f.view.Load() }
 
--- a/pkg/discovery/lapse.go
+++ b/pkg/discovery/lapse.go
@@ -37,7 +37,7 @@
 	}
 	kept := listed.All()
 	for _, e := range before.All() {
-		if _, known := listed.Endpoint(e.ID); !known && !e.Leaving {
+		if !listed.Lists(e.Name()) && !e.Leaving {
 			kept = append(kept, e)
 		}
 	}
--- a/pkg/discovery/news.go
+++ b/pkg/discovery/news.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -26,6 +27,7 @@
 	if n.state.Revision < view.listed.Revision {
 		return nil
 	}
+	f.dropRefused(view, n.state.Refused)
 	before := view.listed.Revision
 	view.listed = view.listed.Replace(n.state.Revision, n.state.Endpoints)
 	f.confirmEndpoints(view, n.at, n.heard)
@@ -52,12 +54,27 @@
 		// nothing.
 		return nil
 	}
+	f.dropRefused(view, n.changes.Endpoints)
 	view.listed = view.listed.With(n.changes.Revision, n.changes.Endpoints)
 	f.confirmEndpoints(view, n.at, n.heard)
 	f.history.add(before, n.changes)
 	return f.history.wake
 }
 
+// dropRefused logs and counts the entries that name no endpoint to use, and drops the endpoints that
+// were known under their names: those have not lapsed in an outage, after which they would be kept for a
+// while.
+func (f *Follower) dropRefused(view *View, changes []fleet.Change) {
+	for _, c := range changes {
+		if c.Refused == "" {
+			continue
+		}
+		f.refusedEntries.Add(1)
+		f.log.WithFields(logrus.Fields{"event": "entry_refused", "entry": c.Endpoint.Name(), "error": c.Refused}).Warn()
+		view.Fleet = view.Fleet.With(view.Fleet.Revision, []fleet.Change{c})
+	}
+}
+
 // documentNews is a document that was the newest as of a revision of the source, confirmed
 // at a time.
 type documentNews struct {
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -28,6 +28,8 @@
 type State struct {
 	Revision  uint64           `json:"revision"`
 	Endpoints []fleet.Endpoint `json:"endpoints"`
+	// Refused are the entries that name no endpoint to use.
+	Refused []fleet.Change `json:"-"`
 }
 
 // Changes is what has changed of the endpoints up to a revision.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -10,8 +10,12 @@
 
 // Endpoint is one process that does a service's work.
 type Endpoint struct {
-	// ID is the incarnation: each start of an endpoint has a new one.
-	ID      string `json:"id"`
+	// ID names one life of the endpoint: each start has another one, so that nothing that is known by an
+	// ID (connections, kept parts, failures, results) is taken for a later life's.
+	ID string `json:"id"`
+	// Entry is the name under which the source lists it, where an endpoint may start again under the
+	// name that it had; empty: the ID.
+	Entry   string `json:"entry,omitempty"`
 	Service string `json:"service"`
 	// Address is IP:port.
 	Address string `json:"address"`
@@ -26,17 +30,25 @@
 	// ColdRevision is that of the entry which says so, 0 while it is warm: it may say the same once
 	// more when the endpoint has turned cold again.
 	ColdRevision uint64 `json:"cold_revision,omitempty"`
-	// Born is when this life of it began, in Unix milliseconds; 0 if it does not tell.
-	Born int64 `json:"born,omitempty"`
 	// Returned is the revision as of which its failure domain was last known to be no longer
 	// evacuated; 0 if it was not evacuated in this process's life. It is set in Ready alone.
 	Returned uint64 `json:"-"`
 }
 
+// Name is what the source and the endpoint itself call it.
+func (e Endpoint) Name() string {
+	if e.Entry != "" {
+		return e.Entry
+	}
+	return e.ID
+}
+
 // Snapshot is the set of endpoints as of a revision. It is immutable.
 type Snapshot struct {
-	Revision  uint64
+	Revision uint64
+	// endpoints are by name, so that a later life takes the place of the one before; names are by ID.
 	endpoints map[string]Endpoint
+	names     map[string]string
 	ready     map[string][]Endpoint
 	// evacuations are the failure domains whose endpoints get no new work, and returned has, by
 	// failure domain, when others were known to have returned.
@@ -47,8 +59,11 @@
 // Change is one endpoint's entry as it is now, or its end.
 type Change struct {
 	Endpoint Endpoint `json:"endpoint"`
-	// Gone says that the entry with the endpoint's ID has been removed.
+	// Gone says that the entry with the endpoint's name has been removed, whichever life it was of.
 	Gone bool `json:"gone,omitempty"`
+	// Refused says why the entry names no endpoint to use, where it is there and can't be read; the
+	// endpoint is gone then.
+	Refused string `json:"refused,omitempty"`
 }
 
 // New returns the snapshot with the endpoints given, and no evacuations.
@@ -60,17 +75,19 @@
 func (s *Snapshot) Replace(revision uint64, endpoints []Endpoint) *Snapshot {
 	all := make(map[string]Endpoint, len(endpoints))
 	for _, e := range endpoints {
-		all[e.ID] = e
+		all[e.Name()] = e
 	}
 	replaced := *s
 	replaced.Revision, replaced.endpoints = revision, all
 	return replaced.build()
 }
 
-// build sorts the endpoints that may get new work by service.
+// build finds the endpoints by ID, and sorts those that may get new work by service.
 func (s *Snapshot) build() *Snapshot {
 	s.ready = map[string][]Endpoint{}
-	for _, e := range s.endpoints {
+	s.names = make(map[string]string, len(s.endpoints))
+	for name, e := range s.endpoints {
+		s.names[e.ID] = name
 		if s.mayGetWork(e) {
 			e.Returned = s.returned[e.FailureDomain]
 			s.ready[e.Service] = append(s.ready[e.Service], e)
@@ -98,17 +115,17 @@
 	maps.Copy(after.endpoints, s.endpoints)
 	for _, c := range changes {
 		if c.Gone {
-			delete(after.endpoints, c.Endpoint.ID)
+			delete(after.endpoints, c.Endpoint.Name())
 			continue
 		}
-		after.endpoints[c.Endpoint.ID] = c.Endpoint
+		after.endpoints[c.Endpoint.Name()] = c.Endpoint
 	}
 	return after.build()
 }
 
 func (s *Snapshot) differs(changes []Change) bool {
 	for _, c := range changes {
-		known, ok := s.endpoints[c.Endpoint.ID]
+		known, ok := s.endpoints[c.Endpoint.Name()]
 		if c.Gone && ok || !c.Gone && (!ok || known != c.Endpoint) {
 			return true
 		}
@@ -143,16 +160,22 @@
 // slice must not be changed.
 func (s *Snapshot) Ready(service string) []Endpoint { return s.ready[service] }
 
-// Endpoint returns an endpoint by ID.
+// Endpoint returns an endpoint by ID: false if that life is over.
 func (s *Snapshot) Endpoint(id string) (Endpoint, bool) {
-	e, ok := s.endpoints[id]
-	return e, ok
+	name, ok := s.names[id]
+	return s.endpoints[name], ok
+}
+
+// Lists tells whether the source lists any life of an endpoint.
+func (s *Snapshot) Lists(name string) bool {
+	_, ok := s.endpoints[name]
+	return ok
 }
 
 // MayGetWork tells whether an endpoint is known, not leaving, and not in an evacuated failure
 // domain.
 func (s *Snapshot) MayGetWork(id string) bool {
-	e, ok := s.endpoints[id]
+	e, ok := s.Endpoint(id)
 	return ok && s.mayGetWork(e)
 }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -101,3 +101,35 @@
 		Expect(&s.Evacuate(orders(5, "a")).Ready("s")[0]).To(BeIdenticalTo(&s.Ready("s")[0]))
 	})
 })
+
+var _ = Describe("an endpoint that starts again under its name", func() {
+	first := fleet.Endpoint{ID: "e@1", Entry: "e", Service: "s", FailureDomain: "a", Slots: 4}
+	second := fleet.Endpoint{ID: "e@2", Entry: "e", Service: "s", FailureDomain: "a", Slots: 4}
+	other := fleet.Endpoint{ID: "f", Service: "s", FailureDomain: "a"}
+	before := fleet.New(1, []fleet.Endpoint{first, other})
+
+	It("takes the place of its former life", func() {
+		s := before.With(2, []fleet.Change{{Endpoint: second}})
+		Expect(s.Ready("s")).To(HaveExactElements(second, other))
+		Expect(s.MayGetWork("e@1")).To(BeFalse())
+		_, known := s.Endpoint("e@1")
+		Expect(known).To(BeFalse())
+		now, known := s.Endpoint("e@2")
+		Expect(known).To(BeTrue())
+		Expect(now).To(Equal(second))
+		Expect(s.Lists("e")).To(BeTrue())
+		Expect(before.MayGetWork("e@1")).To(BeTrue(), "an older snapshot is as it was")
+	})
+
+	It("goes with its entry, whichever life that was of", func() {
+		s := before.With(2, []fleet.Change{{Endpoint: fleet.Endpoint{ID: "e"}, Gone: true}})
+		Expect(s.Ready("s")).To(HaveExactElements(other))
+		Expect(s.Lists("e")).To(BeFalse())
+		Expect(s.MayGetWork("e@1")).To(BeFalse())
+	})
+
+	It("is called by its name", func() {
+		Expect(second.Name()).To(Equal("e"))
+		Expect(other.Name()).To(Equal("f"))
+	})
+})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -159,7 +159,7 @@
 // outbound is what the endpoint of an attempt is told.
 func (u *run) outbound(call *balance.Call) Outbound {
 	o := Outbound{
-		Endpoint:  call.Endpoint.ID,
+		Endpoint:  call.Endpoint.Name(),
 		Remaining: u.deadline.Sub(u.Clock.Now()),
 		Urgency:   -1,
 		Inputs:    u.inputHandles(),
--- a/pkg/gateway/breaks.go
+++ b/pkg/gateway/breaks.go
@@ -76,7 +76,7 @@
 	defer cancel()
 	sign := u.Conns.Probe(ctx, u.target(call))
 	if sign == httpconn.Ended && u.unplanned(call.Endpoint) {
-		u.Quarantine.Note(u.digest, quarantine.Life{Endpoint: call.Endpoint.ID, Born: call.Endpoint.Born})
+		u.Quarantine.Note(u.digest, call.Endpoint.ID)
 	}
 	u.Log.WithFields(logrus.Fields{
 		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.digest.String(), "endpoint": call.Endpoint.ID,
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -39,7 +39,7 @@
 
 // Outbound is what the gateway tells an endpoint of a request.
 type Outbound struct {
-	// Endpoint is the incarnation that may run it.
+	// Endpoint is the name of the endpoint that may run it.
 	Endpoint string
 	// Remaining is how long the endpoint may work on it.
 	Remaining    time.Duration
--- a/pkg/quarantine/judging.go
+++ b/pkg/quarantine/judging.go
@@ -33,7 +33,7 @@
 }
 
 // explained tells whether a life ended under another request that is the likelier cause.
-func (t *Table) explained(r *request, life Life) bool {
+func (t *Table) explained(r *request, life string) bool {
 	own := r.standing()
 	for d := range t.under[life] {
 		other := t.requests[d]
@@ -54,7 +54,7 @@
 	}
 	lives := make([]string, 0, len(r.ends))
 	for life := range r.ends {
-		lives = append(lives, life.Endpoint)
+		lives = append(lives, life)
 	}
 	slices.Sort(lives)
 	t.log.WithFields(logrus.Fields{
--- a/pkg/quarantine/keeper.go
+++ b/pkg/quarantine/keeper.go
@@ -48,7 +48,7 @@
 }
 
 // Note takes in that an endpoint's life ended now under a request, as this instance saw.
-func (k *Keeper) Note(d Digest, life Life) {
+func (k *Keeper) Note(d Digest, life string) {
 	k.Table.Note(d, life)
 	k.pass([]End{{Digest: d, Life: life}})
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -31,14 +31,14 @@
 	mu       sync.Mutex
 	requests map[Digest]*request
 	// under has the requests that each life ended under.
-	under map[Life]map[Digest]struct{}
+	under map[string]map[Digest]struct{}
 	// held is how many requests are refused.
 	held int
 }
 
 // request is what is known of the tries of one request.
 type request struct {
-	ends map[Life]*end
+	ends map[string]*end
 	// last is when the newest end was.
 	last time.Time
 	held bool
@@ -51,7 +51,7 @@
 
 // New returns an empty table.
 func New(clock clockwork.Clock, log *logrus.Entry) *Table {
-	return &Table{clock: clock, log: log, requests: map[Digest]*request{}, under: map[Life]map[Digest]struct{}{}}
+	return &Table{clock: clock, log: log, requests: map[Digest]*request{}, under: map[string]map[Digest]struct{}{}}
 }
 
 // Holds tells whether a request is to be refused, since it ends its endpoints.
@@ -95,7 +95,7 @@
 }
 
 // Note takes in that an endpoint's life ended now under a request, as this instance saw.
-func (t *Table) Note(d Digest, life Life) { t.Hear([]End{{Digest: d, Life: life}}) }
+func (t *Table) Note(d Digest, life string) { t.Hear([]End{{Digest: d, Life: life}}) }
 
 // Clear takes in that a request ran without ending its endpoint, and tells whether that is news: the
 // ends before it were not its doing.
@@ -136,7 +136,7 @@
 	r := t.requests[e.Digest]
 	if r == nil {
 		t.makeRoom()
-		r = &request{ends: map[Life]*end{}}
+		r = &request{ends: map[string]*end{}}
 		t.requests[e.Digest] = r
 	}
 	if known := r.ends[e.Life]; known != nil {
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -159,18 +159,18 @@
 }
 
 func encodeEnd(e quarantine.End) *pb.EndpointEnd {
-	return &pb.EndpointEnd{Digest: e.Digest[:], Endpoint: e.Life.Endpoint, BornMs: e.Life.Born, AgeMs: uint64(max(0, e.Age.Milliseconds())), Cleared: e.Cleared}
+	return &pb.EndpointEnd{Digest: e.Digest[:], Life: e.Life, AgeMs: uint64(max(0, e.Age.Milliseconds())), Cleared: e.Cleared}
 }
 
 // decodeEnd tells whether the end names a request and an endpoint.
 func decodeEnd(wire *pb.EndpointEnd) (quarantine.End, bool) {
 	e := quarantine.End{
-		Life:    quarantine.Life{Endpoint: wire.GetEndpoint(), Born: wire.GetBornMs()},
+		Life:    wire.GetLife(),
 		Age:     time.Duration(min(wire.GetAgeMs(), math.MaxInt32)) * time.Millisecond,
 		Cleared: wire.GetCleared(),
 	}
 	named := copy(e.Digest[:], wire.GetDigest()) == len(e.Digest) && len(wire.GetDigest()) == len(e.Digest)
-	return e, named && e.Life.Endpoint != ""
+	return e, named && e.Life != ""
 }
 
 func signature(body, secret []byte) []byte {
