bootclock, gateway: ages count the time in which the machine was suspended

Cause: all ages and deadlines rest on the steady clock, which stands still while a machine is suspended. Ruled out: a watcher with a gate before each decision (some sixty places), the boot time for each reading (a call of the system each), the time of day (it may be set). docs/design/suspension.md. Change: the gateway's clock counts suspensions; requests' deadlines are timers of it, so that those that passed end at once.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/bootclock"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	pkggateway "github.com/cobaltcroft/cobaltcroft/pkg/gateway"
@@ -113,13 +114,13 @@
 	g := &Gateway{
 		path:     path,
 		settings: s,
-		clock:    clockwork.NewRealClock(),
-		started:  time.Now(),
 		logs:     logs,
 		output:   output,
 		log:      logs.For("gateway"),
 		metrics:  metrics.NewSet(),
 	}
+	g.clock = bootclock.New(g.awoke)
+	g.started = g.clock.Now()
 	debug.SetMemoryLimit(int64(heapPart * megabyte * float64(s.MemoryMB)))
 	g.metrics.NewGauge("cobaltcroft_log_lines_dropped_total", func() float64 { return float64(output.Dropped()) })
 	if err := g.listen(); err != nil {
@@ -129,6 +130,11 @@
 	return g, nil
 }
 
+// awoke is called when the machine was suspended for a time.
+func (g *Gateway) awoke(span time.Duration) {
+	g.log.WithFields(logrus.Fields{"event": "suspended", "ms": span.Milliseconds()}).Warn("all that is known is older by that")
+}
+
 func (g *Gateway) listen() error {
 	l := g.settings.Listen
 	var errs [4]error
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -161,7 +161,7 @@
 		u.refuse(refuseQuarantined())
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, u.deadline)
+	ctx, cancel := u.until(ctx, u.deadline)
 	defer cancel()
 	if refusal := u.servable(); refusal != nil {
 		u.refuse(refusal)
@@ -178,6 +178,17 @@
 	}
 }
 
+// until returns a context that ends at a time of the clock: Go's own deadlines stand still while the
+// machine is suspended, so that an answer would be late by the span.
+func (u *run) until(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := u.Clock.AfterFunc(at.Sub(u.Clock.Now()), cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // admit finds route, service and organisation.
 func (u *run) admit() *Refusal {
 	table := u.view.Table
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -31,7 +31,7 @@
 	ctx, cancel := u.untilDrained(ctx)
 	defer cancel()
 	begin := u.Clock.Now()
-	ctx, stop := context.WithDeadline(ctx, u.stagesUntil())
+	ctx, stop := u.until(ctx, u.stagesUntil())
 	defer stop()
 	plan := u.plan()
 	outcome := u.Stages.Run(ctx, plan)
