--- a/pkg/bootclock/clock_test.go
+++ b/pkg/bootclock/clock_test.go
@@ -37,8 +37,10 @@
 		return read()
 	}
 	return readings{
-		now:   func() time.Time { return m.start.Add(locked(func() time.Duration { return m.steady })) },
-		ahead: func(time.Time, time.Time) time.Duration { return locked(func() time.Duration { return m.suspended + m.set }) },
+		now: func() time.Time { return m.start.Add(locked(func() time.Duration { return m.steady })) },
+		ahead: func(time.Time, time.Time) time.Duration {
+			return locked(func() time.Duration { return m.suspended + m.set })
+		},
 		boot: func() time.Duration {
 			return locked(func() time.Duration {
 				if m.noBoot {
--- a/pkg/gateway/breaks.go
+++ b/pkg/gateway/breaks.go
@@ -29,13 +29,13 @@
 	shown bool
 }
 
-// sum returns the request's digest.
+// sum returns the request's digest. The host is the route's, which a client can't spell in two ways.
 func (u *run) sum() quarantine.Digest {
 	caller := ""
 	if u.organisation != nil {
 		caller = u.organisation.Name
 	}
-	return quarantine.Sum(caller, u.request.Host, u.request.URI, u.request.Body)
+	return quarantine.Sum(caller, u.route.Host, u.request.URI, u.request.Body)
 }
 
 // brokenUnless is what follows a call whose connection broke, unless that was our doing since the
