--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -125,6 +125,16 @@
 		}
 	})
 
+	It("tells of a request with several ends however many others have one", func() {
+		t.Note(digest(guilty), life(1))
+		t.Note(digest(guilty), life(2))
+		for n := range 100 {
+			clock.Advance(time.Millisecond)
+			t.Note(digest(10+n), life(10+n))
+		}
+		Expect(t.Tell(4)).To(ContainElements(HaveField("Life", life(1)), HaveField("Life", life(2))))
+	})
+
 	It("stops telling of requests under which one endpoint alone ended", func() {
 		t.Note(digest(proper), life(1))
 		Expect(t.Tell(4)).To(HaveLen(1))
--- a/pkg/quarantine/telling.go
+++ b/pkg/quarantine/telling.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,31 +11,38 @@
 // that ran beside the cause. The others are told for as long as they are kept.
 const toldFor = 30 * time.Second
 
-// Tell returns up to n ends for other instances: the newest ones first, to half of n, and others in turn.
+// Tell returns up to n ends for other instances. The first half are the newest ones of requests under which
+// several endpoints ended, as far as there are any: after a crash of many endpoints a hundred others may
+// have one each. The second half are others in turn.
 func (t *Table) Tell(n int) []End {
 	all := t.told()
 	if len(all) <= n {
 		return all
 	}
-	slices.SortFunc(all, func(a, b End) int { return int(a.Age - b.Age) })
-	newest := (n + 1) / 2
-	rest := all[newest:]
+	rest := all[(n+1)/2:]
 	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	return all[:n]
 }
 
-// told returns all ends that others are told of, in no order.
+// told returns all ends that others are told of: those of requests with several first, and the newest of
+// each kind first.
 func (t *Table) told() []End {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	var all []End
+	var several, single []End
 	for d, r := range t.requests {
-		if len(r.ends) > 1 || now.Sub(r.last) < toldFor {
-			all = r.appendTo(all, d, now)
+		switch {
+		case len(r.ends) > 1:
+			several = r.appendTo(several, d, now)
+		case now.Sub(r.last) < toldFor:
+			single = r.appendTo(single, d, now)
 		}
 	}
-	return all
+	byAge := func(a, b End) int { return cmp.Compare(a.Age, b.Age) }
+	slices.SortFunc(several, byAge)
+	slices.SortFunc(single, byAge)
+	return append(several, single...)
 }
 
 // of returns the ends of one request.
