gateway, quarantine: operators list the requests that are refused and let one go

Who is refused by mistake can't show any more that it runs well, and would be for an hour. Ruled out: letting one try through now and then, since each costs an endpoint.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -333,7 +333,7 @@
 	g.tomb.Go(func() error { g.every(ctx, sweepPeriod, g.sweep); return nil })
 	go func() { _ = http.Serve(g.listeners.readiness, http.HandlerFunc(g.ready)) }()
 	if g.listeners.metrics != nil {
-		go func() { _ = http.Serve(g.listeners.metrics, http.HandlerFunc(g.writeMetrics)) }()
+		go func() { _ = http.Serve(g.listeners.metrics, g.operatorsFace()) }()
 	}
 	return g.obey(signals)
 }
@@ -379,12 +379,6 @@
 	}
 }
 
-func (g *Gateway) writeMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	g.metrics.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
-}
-
 // obey waits for signals and changed settings until the instance has stopped.
 func (g *Gateway) obey(signals <-chan os.Signal) error {
 	ticker := g.clock.NewTicker(settingsPeriod)
--- a/cmd/cobaltcroftd/gateway/quarantine_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
 )
 
@@ -153,6 +155,39 @@
 		Expect(ended()).To(BeNumerically("<=", before+1))
 	})
 
+	It("is listed for operators, who let it go at all instances when its endpoints bear it", func() {
+		for n := 0; try(instances[n%len(instances)], "stream").Status != http.StatusServiceUnavailable; n++ {
+			Expect(ended()).To(BeNumerically("<=", mayEnd))
+		}
+		lapse()
+		var list []quarantine.HeldRequest
+		status, body := operate(instances[0], http.MethodGet, "/quarantine")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(json.Unmarshal([]byte(body), &list)).To(Succeed())
+		Expect(list).To(HaveExactElements(HaveField("Endpoints", HaveLen(ended()))))
+		for _, e := range d.Engines {
+			e.EndOn("", nil)
+		}
+		status, _ = operate(instances[0], http.MethodDelete, "/quarantine/"+list[0].Digest)
+		Expect(status).To(Equal(http.StatusNoContent))
+		for _, i := range instances {
+			Eventually(func() int { return try(i, "stream").Status }).Should(Equal(http.StatusOK))
+		}
+		status, body = operate(instances[0], http.MethodGet, "/quarantine")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(MatchJSON("[]"))
+	})
+
+	DescribeTable("can't be let go by an operator who names none", func(digest string, status int) {
+		got, body := operate(instances[0], http.MethodDelete, "/quarantine/"+digest)
+		Expect(got).To(Equal(status))
+		Expect(body).To(ContainSubstring("remedy"))
+	},
+		Entry("no digest", "x", http.StatusBadRequest),
+		Entry("a digest that is too short", "00ff", http.StatusBadRequest),
+		Entry("one that is not refused", strings.Repeat("0f", 16), http.StatusNotFound),
+	)
+
 	It("has no stage made for it once it is known", func() {
 		staged := func(i *instance) answer {
 			r := i.request(http.MethodPost, "staged", newID(), fatal)
@@ -246,14 +281,22 @@
 	})
 })
 
-// metric returns a figure of an instance's metrics.
-func metric(i *instance, name string) string {
-	response, err := http.Get("http://" + i.Metrics + "/metrics")
+// operate makes a call at an instance's address for operators.
+func operate(i *instance, method, path string) (status int, body string) {
+	r, err := http.NewRequest(method, "http://"+i.Metrics+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(r)
 	Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(response.Body)
 	Expect(err).NotTo(HaveOccurred())
-	for line := range strings.Lines(string(text)) {
+	return response.StatusCode, string(data)
+}
+
+// metric returns a figure of an instance's metrics.
+func metric(i *instance, name string) string {
+	_, text := operate(i, http.MethodGet, "/metrics")
+	for line := range strings.Lines(text) {
 		if value, found := strings.CutPrefix(line, name+" "); found {
 			return strings.TrimSpace(value)
 		}
--- a/pkg/quarantine/digest.go
+++ b/pkg/quarantine/digest.go
@@ -8,6 +8,8 @@
 	"encoding/hex"
 	"hash"
 	"io"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
 // digestSize is in bytes. Two of a billion requests have the same digest by chance with a
@@ -39,3 +41,14 @@
 
 // String is the digest as logs and operators name it.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest reads a digest as String writes it.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(d) {
+		return d, problem.New(problem.Invalid, "name the digest of the request's lines in the logs", "%q is no digest of %d bytes in hexadecimal", text, len(d))
+	}
+	copy(d[:], data)
+	return d, nil
+}
--- a/pkg/quarantine/judging.go
+++ b/pkg/quarantine/judging.go
@@ -1,10 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-
-	"github.com/sirupsen/logrus"
-)
+import "github.com/sirupsen/logrus"
 
 // judgeAll judges a request, and those under which the same endpoints ended.
 func (t *Table) judgeAll(r *request) {
@@ -52,13 +48,8 @@
 		event = "request_quarantined"
 		t.held += 2
 	}
-	lives := make([]string, 0, len(r.ends))
-	for life := range r.ends {
-		lives = append(lives, life)
-	}
-	slices.Sort(lives)
 	t.log.WithFields(logrus.Fields{
-		"event": event, "digest": d.String(), "endpoints": lives, "ends": r.standing(),
+		"event": event, "digest": d.String(), "endpoints": r.lives(), "ends": r.standing(),
 		"age_ms": t.clock.Since(r.last).Milliseconds(),
 	}).Warn()
 }
--- a/pkg/quarantine/telling.go
+++ b/pkg/quarantine/telling.go
@@ -45,6 +45,41 @@
 	return append(several, single...)
 }
 
+// HeldRequest is a request that is refused, and what speaks against it.
+type HeldRequest struct {
+	Digest string `json:"digest"`
+	// Endpoints are the lives that ended under it.
+	Endpoints []string `json:"endpoints"`
+	// LastMs is the time since the last of them ended, in milliseconds.
+	LastMs int64 `json:"last_ms"`
+}
+
+// List returns the requests that are refused, the newest first.
+func (t *Table) List() []HeldRequest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := []HeldRequest{}
+	for d, r := range t.requests {
+		if r.held {
+			list = append(list, HeldRequest{Digest: d.String(), Endpoints: r.lives(), LastMs: t.clock.Since(r.last).Milliseconds()})
+		}
+	}
+	slices.SortFunc(list, func(a, b HeldRequest) int { return cmp.Compare(a.LastMs, b.LastMs) })
+	return list
+}
+
+// lives returns the lives that ended under a request, and were not taken back.
+func (r *request) lives() []string {
+	var lives []string
+	for life, e := range r.ends {
+		if !e.cleared {
+			lives = append(lives, life)
+		}
+	}
+	slices.Sort(lives)
+	return lives
+}
+
 // of returns the ends of one request.
 func (t *Table) of(d Digest) []End {
 	t.mu.Lock()
