quarantine: of two requests that ran beside each other each time neither is refused until one shows which it was

Ruled out: a rival that was told wrongly (its three ends are the fatal one's, within 6 ms). Change: with the same ends against both neither is held; they go apart, and the fourth end or a good run tells. At five both are held.

--- a/pkg/quarantine/judging.go
+++ b/pkg/quarantine/judging.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/sirupsen/logrus"
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+)
 
 // judgeAll judges a request, and those under which the same endpoints ended.
 func (t *Table) judgeAll(r *request) {
@@ -12,8 +16,10 @@
 }
 
 // judge decides whether a request is refused. An end counts unless another request explains it better:
-// one that is itself over the bound, and under which more endpoints ended. So a request that ran beside
-// such a one is not taken for it, and all who know the same ends come to the same decision.
+// one that is itself over the bound, and under which more endpoints ended. Where two ran beside each
+// other each time, which happens in services of three endpoints, neither is refused until it shows which
+// of them it was: they go apart, one ends another endpoint, and the other runs well. So a request that ran
+// beside such a one is not taken for it, and all who know the same ends come to the same decision.
 func (t *Table) judge(d Digest) {
 	r := t.requests[d]
 	counted := 0
@@ -22,7 +28,8 @@
 			counted++
 		}
 	}
-	if held := counted >= endsHeld; held != r.held {
+	held := counted >= endsHeldAnyway || counted >= endsHeld && !t.rivalled(r)
+	if held != r.held {
 		r.held = held
 		t.tell(d, r)
 	}
@@ -40,6 +47,18 @@
 	return false
 }
 
+// rivalled tells whether another request ran beside this one each time, and under no more endpoints that
+// ended.
+func (t *Table) rivalled(r *request) bool {
+	lives := r.lives()
+	for d := range t.under[lives[0]] {
+		if other := t.requests[d]; other != r && slices.Equal(other.lives(), lives) {
+			return true
+		}
+	}
+	return false
+}
+
 // tell logs that a request is refused from now on, or is not any more.
 func (t *Table) tell(d Digest, r *request) {
 	event := "request_released"
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -12,6 +12,9 @@
 	// endsHeld is how many endpoints must have ended under a request until it is refused: after three
 	// the users allow three more, in which the news of the third has to come to all instances.
 	endsHeld = 3
+	// endsHeldAnyway is how many if another request ran beside it each time, so that it does not show
+	// which of them it was.
+	endsHeldAnyway = 5
 	// kept is how long an end is remembered. Whoever sends such a request again after that has three
 	// more endpoints ended.
 	kept = time.Hour
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -92,6 +92,41 @@
 		Expect(t.Holds(digest(proper))).To(BeFalse())
 	})
 
+	// Where a service has three endpoints, the one that ends them and a proper one that is repeated beside
+	// it go from one to the next together: a soak had such a proper request refused.
+	It("holds neither of two that ran beside each other each time, until it shows which it was", func() {
+		for n := range 3 {
+			t.Note(digest(guilty), life(n))
+			t.Note(digest(proper), life(n))
+		}
+		Expect(t.Held()).To(BeZero())
+		t.Note(digest(guilty), life(3))
+		Expect(t.Holds(digest(guilty))).To(BeTrue())
+		Expect(t.Holds(digest(proper))).To(BeFalse())
+	})
+
+	It("holds both at five, since the users allow three more than three", func() {
+		for n := range 5 {
+			Expect(t.Held()).To(BeZero())
+			t.Note(digest(guilty), life(n))
+			t.Note(digest(proper), life(n))
+		}
+		Expect(t.Holds(digest(guilty))).To(BeTrue())
+		Expect(t.Holds(digest(proper))).To(BeTrue())
+		Expect(t.Clear(digest(proper))).To(BeTrue())
+		Expect(t.Holds(digest(guilty))).To(BeTrue())
+		Expect(t.Holds(digest(proper))).To(BeFalse())
+	})
+
+	It("holds the one at once when the other has run well", func() {
+		for n := range 3 {
+			t.Note(digest(guilty), life(n))
+			t.Note(digest(proper), life(n))
+		}
+		t.Clear(digest(proper))
+		Expect(t.Holds(digest(guilty))).To(BeTrue())
+	})
+
 	It("forgets an end an hour later, wherever it was heard of last", func() {
 		other := newTable(clock)
 		for n := range 3 {
