--- a/cmd/cobaltcroftd/gateway/quarantine_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_test.go
@@ -264,11 +264,10 @@
 		for n := range 3 {
 			e := d.Of("simple")[n]
 			Eventually(status).Should(Equal(http.StatusOK))
-			e.SetTimes(time.Minute, 0)
+			e.Next(platformtest.Mute)
 			cut := make(chan answer, 1)
 			go func() { cut <- same() }()
 			Eventually(e.Working).Should(Equal(1))
-			e.SetTimes(0, 0)
 			d.Store.Put("servers/"+e.ID, e.Entry("draining"))
 			Eventually(status).Should(Equal(http.StatusServiceUnavailable), "no endpoint is left")
 			e.Close()
