--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -51,12 +51,10 @@
 }
 
 const (
-	// endsToAll and endsToNew are how many ends a heartbeat names that goes to all at once, or to who is
-	// heard for the first time; endsUsually how many others do. At 54 bytes each (BenchmarkEndSize) the
-	// usual ones add 11 KB a second to the 52 heartbeats that an instance of 295 sends, and only while
-	// there are any.
-	endsToAll   = 32
-	endsToNew   = 32
+	// endsSeldom is how many ends a heartbeat names that goes to all at once, or to who is heard for the
+	// first time; endsUsually how many others do. At 54 bytes each (BenchmarkEndSize) the usual ones add
+	// 11 KB a second to the 52 heartbeats that an instance of 295 sends, and only while there are any.
+	endsSeldom  = 32
 	endsUsually = 4
 )
 
@@ -162,7 +160,7 @@
 		case <-g.news:
 			g.beat(members)
 		case <-g.decision:
-			g.send(members.NextToAll(), endsToAll)
+			g.send(members.NextToAll(), endsSeldom)
 		case <-ticker.Chan():
 			g.tell(members.Tick(g.clock.Now()))
 			g.beat(members)
@@ -200,7 +198,7 @@
 	for n, message := range members.Next(g.clock.Now(), rand.IntN) {
 		ends := endsUsually
 		if n > 0 {
-			ends = endsToNew
+			ends = endsSeldom
 		}
 		g.send(message, ends)
 	}
