httpconn, platform, gateway: the logs tell what answers say of their endpoints, and which attempts were a last resort

Cause looked for: requests reach endpoints whose answers said that they leave or want rest. Logs could not tell which answers said so, nor whether the endpoint was left out when it was chosen. The pool hands the head of each answer, of requests, pieces, reports and frees, to one place; nothing is decided by it yet. Ruled out by it: a word that is read and lost again (no line read it).

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -191,7 +191,7 @@
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
 	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision, Ends: g.quarantine.Tell, HeardEnds: g.quarantine.Hear}, g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
-	g.conns = httpconn.NewPool(g.clock, g.metrics, g.mayCall)
+	g.conns = httpconn.NewPool(g.clock, g.metrics, g.mayCall, g.heardAnswer)
 	g.balancer = balance.New(g.clock)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -261,6 +261,15 @@
 	return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
 }
 
+// heardAnswer takes in what the head of an answer says of its endpoint.
+func (g *Gateway) heardAnswer(target httpconn.Target, status int, h http.Header) {
+	n := platform.Notice(status, h)
+	if n.None() {
+		return
+	}
+	g.log.WithFields(logrus.Fields{"event": "endpoint_notice", "endpoint": target.ID, "status": status, "leaving": n.Leaving, "rest_ms": n.Rest.Milliseconds()}).Info()
+}
+
 // sponsors tells whether this instance alone sends to an endpoint that is cold. One that has just
 // started may not know of the others.
 func (g *Gateway) sponsors(endpoint string) bool {
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -129,6 +129,8 @@
 // Call is a call counted in at its endpoint.
 type Call struct {
 	Endpoint fleet.Endpoint
+	// LeftOut says that the endpoint was chosen though it was left out, since no other was there.
+	LeftOut  bool
 	balancer *Balancer
 	begin    time.Time
 	unread   int
@@ -219,7 +221,7 @@
 
 func (b *Balancer) begin(now time.Time, e fleet.Endpoint, need Need) *Call {
 	s := b.seen(e.ID)
-	c := &Call{Endpoint: e, balancer: b, begin: now, parts: need.Parts}
+	c := &Call{Endpoint: e, LeftOut: now.Before(s.outUntil), balancer: b, begin: now, parts: need.Parts}
 	if need.Engine {
 		c.unread = need.tokens() - s.kept.match(need.Parts)
 		c.expected = readTime(c.unread+s.reading, s.slowness)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -249,6 +249,9 @@
 		"event": "attempt", "id": u.request.ID, "endpoint": call.Endpoint.ID, "address": call.Endpoint.Address, "status": status,
 		"ms": u.Clock.Since(begin).Milliseconds(), "next": int(outcome), "events": u.events, "domain": call.Endpoint.FailureDomain,
 	}
+	if call.LeftOut {
+		fields["left_out"] = true
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -87,7 +87,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Open)
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Open, httpconn.Deaf)
 		DeferCleanup(pool.Close)
 	})
 
@@ -122,7 +122,7 @@
 				return errBarred
 			}
 			return nil
-		})
+		}, httpconn.Deaf)
 		DeferCleanup(pool.Close)
 		c := call(s, "1")
 		c.Target.FailureDomain = "a"
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -42,14 +43,21 @@
 // passes it last, so that one that was planned, queued or chosen before an order came is not made.
 type Gate func(Target) error
 
+// Heard is told the head of each answer that an endpoint gave, whichever call it belongs to.
+type Heard func(target Target, status int, h http.Header)
+
 // Open is the gate that lets all calls pass.
 func Open(Target) error { return nil }
 
+// Deaf takes in nothing of what endpoints answer.
+func Deaf(Target, int, http.Header) {}
+
 // Pool keeps connections to endpoints. Safe for concurrent use.
 type Pool struct {
 	clock       clockwork.Clock
 	dialTimeout time.Duration
 	gate        Gate
+	heard       Heard
 	dialed      *metrics.Counter
 	reused      *metrics.Counter
 	barred      *metrics.Counter
@@ -75,11 +83,12 @@
 }
 
 // NewPool returns a pool without connections. Counters are made in set.
-func NewPool(clock clockwork.Clock, set *metrics.Set, gate Gate) *Pool {
+func NewPool(clock clockwork.Clock, set *metrics.Set, gate Gate, heard Heard) *Pool {
 	return &Pool{
 		clock:       clock,
 		dialTimeout: DefaultDialTimeout,
 		gate:        gate,
+		heard:       heard,
 		dialed:      set.NewCounter("cobaltcroft_endpoint_connections_opened_total"),
 		reused:      set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
 		barred:      set.NewCounter("cobaltcroft_endpoint_calls_barred_total"),
