notice, fleet, discovery, balance, batch, httpconn: what endpoints say in their answers is heeded

Cause: leaving was learnt from the endpoints' entries alone, which stand still while the store is silent, and no line read what the answers say; an endpoint that turned a request away was left out for 0.1 s, whatever rest it asked for, and taken as the last resort when all were left out. Ruled out: a word that is read and lost again; calls of other parts (all in the record are attempts of requests). Change: the head of each answer, of requests, pieces, reports and frees, is read in one place. A rest is kept by machine and life; balancer and batcher pass such endpoints by in every choice, no choice has them as a last resort, frees wait, and the gate of all calls bars what was chosen before. Where all want rest a request is refused at once, with the time at which the first has had it, before its stages are made.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
@@ -75,6 +76,8 @@
 	group    *group.Group
 	gossip   *peers.Gossip
 	follower *discovery.Follower
+	// rests are those that endpoints want from this machine.
+	rests    *notice.Rests
 	conns    *httpconn.Pool
 	balancer *balance.Balancer
 	// budget is for requests sent again, pieces for pieces made again.
@@ -189,13 +192,14 @@
 	g.usage = peers.NewUsage(g.metrics)
 	g.client = peers.NewClient(s.Instance, s.PeerToken, g.usage)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
-	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision, Ends: g.quarantine.Tell, HeardEnds: g.quarantine.Hear}, g.gossip, g.clock, g.logs.For("peers"))
+	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision, Ends: g.quarantine.Tell, HeardEnds: g.quarantine.Hear, Departing: g.departing, HeardDeparting: g.hearDeparting}, g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
-	g.conns = httpconn.NewPool(g.clock, g.metrics, g.mayCall, g.heardAnswer)
-	g.balancer = balance.New(g.clock)
+	g.rests = notice.NewRests(g.clock, g.logs.For("notice"))
+	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.mayConnect, Send: g.maySend}, g.heardAnswer)
+	g.balancer = balance.New(g.clock, g.rests)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
-	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower}, g.pieces, g.clock, g.metrics, g.logs.For("batch"))
+	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower, g.rests}, g.pieces, g.clock, g.metrics, g.logs.For("batch"))
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
 	g.router = handover.NewRouter(handover.Options{
 		Self:      self,
@@ -226,6 +230,8 @@
 
 		Quarantine: g.quarantine,
 	})
+	g.metrics.NewGauge("cobaltcroft_endpoints_resting", func() float64 { return float64(g.rests.Count()) })
+	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
@@ -250,24 +256,40 @@
 func (g *Gateway) documentRevision() uint64 { return g.follower.View().Document.Revision }
 func (g *Gateway) hearRevision(r uint64)    { g.follower.Heard(r) }
 
+// departing and hearDeparting tell and hear which endpoints have said that they leave.
+func (g *Gateway) departing(n int) []string     { return g.follower.Departing(n) }
+func (g *Gateway) hearDeparting(lives []string) { g.follower.Depart(lives...) }
+
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
-// mayCall is the gate of all calls to endpoints: one in an evacuated failure domain gets none.
-func (g *Gateway) mayCall(target httpconn.Target) error {
+// mayConnect is the gate of all that goes to endpoints: one in an evacuated failure domain gets nothing.
+func (g *Gateway) mayConnect(target httpconn.Target) error {
 	if !g.follower.View().Evacuations().Has(target.FailureDomain) {
 		return nil
 	}
 	return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
 }
 
+// maySend is the gate of all calls to endpoints, requests, pieces, reports and frees alike: one that wants
+// rest from this machine gets none.
+func (g *Gateway) maySend(target httpconn.Target) error {
+	left := g.rests.Left(target.ID)
+	if left == 0 {
+		return nil
+	}
+	return problem.New(problem.Overloaded, "use another endpoint, or this one after that time", "endpoint %s wants %v of rest from this machine", target.ID, left)
+}
+
 // heardAnswer takes in what the head of an answer says of its endpoint.
 func (g *Gateway) heardAnswer(target httpconn.Target, status int, h http.Header) {
 	n := platform.Notice(status, h)
-	if n.None() {
-		return
+	if n.Leaving {
+		g.follower.Depart(target.ID)
+	}
+	if n.Rest > 0 {
+		g.rests.Ask(target.ID, n.Rest)
 	}
-	g.log.WithFields(logrus.Fields{"event": "endpoint_notice", "endpoint": target.ID, "status": status, "leaving": n.Leaving, "rest_ms": n.Rest.Milliseconds()}).Info()
 }
 
 // sponsors tells whether this instance alone sends to an endpoint that is cold. One that has just
@@ -308,7 +330,10 @@
 }
 
 // known is what the batcher knows of services and endpoints.
-type known struct{ follower *discovery.Follower }
+type known struct {
+	follower *discovery.Follower
+	rests    *notice.Rests
+}
 
 // Batching implements batch.Known.
 func (k known) Batching(service string) *route.Batching {
@@ -327,6 +352,9 @@
 	return k.follower.View().Fleet.Endpoint(id)
 }
 
+// Rest implements batch.Known.
+func (k known) Rest(id string) time.Duration { return k.rests.Left(id) }
+
 // Run runs the instance until it has stopped as planned.
 func (g *Gateway) Run(signals <-chan os.Signal) error {
 	g.log.WithFields(logrus.Fields{"event": "started", "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain, "requests": g.settings.Listen.Requests, "peers": g.settings.Listen.Peers, "store": g.settings.Store}).Info()
@@ -371,6 +399,7 @@
 	g.conns.Sweep(exists)
 	g.balancer.Forget(exists)
 	g.quarantine.Sweep()
+	g.rests.Sweep()
 	g.router.Look()
 	g.tellUsage(g.clock.Now())
 }
--- a/cmd/cobaltcroftd/gateway/notices_test.go
+++ b/cmd/cobaltcroftd/gateway/notices_test.go
@@ -118,6 +118,59 @@
 		Expect(arrived(firsts())).To(Equal(before))
 	})
 
+	It("that they leave is heeded by instances to which they did not say it, while the store is silent", func() {
+		told := start(d.Address())
+		other := start(d.Address(), told.Peers)
+		d.Store.SetFault(platformtest.StoreSilent)
+		leaving := d.Of("simple")[0]
+		leaving.Leave()
+		Eventually(func() int { told.ask("once"); return leaving.Arrived() }).ShouldNot(BeZero())
+		Eventually(func() int {
+			before := leaving.Arrived()
+			for range 8 {
+				Expect(send(other.request(http.MethodPost, "once", newID(), "")).Status).To(Equal(http.StatusOK))
+			}
+			return leaving.Arrived() - before
+		}).WithTimeout(2 * leaveBound).Should(BeZero())
+		before := leaving.Arrived()
+		for range 50 {
+			other.ask("once")
+		}
+		Expect(leaving.Arrived()).To(Equal(before))
+	})
+
+	It("that they leave does not hold for an endpoint that starts again under the same id", func() {
+		i := start(d.Address())
+		leaving := d.Of("simple")[0]
+		leaving.Leave()
+		heard(i, []*platformtest.Engine{leaving})
+		leaving.Close()
+		reborn, err := leaving.Reborn()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(reborn.Close)
+		d.Store.Put("servers/"+reborn.ID, reborn.Entry("ready"))
+		Eventually(func() int { traffic(i); return len(reborn.Runs()) }).ShouldNot(BeZero())
+	})
+
+	It("that all the readers of a request want rest has it refused before its stages are made", func() {
+		i := start(d.Address())
+		for _, e := range d.Of("model") {
+			e.AskRest(rest)
+		}
+		for _, e := range d.Of("model") {
+			Eventually(func() int { i.ask("stream"); return e.RestsAsked() }).ShouldNot(BeZero())
+		}
+		for _, e := range d.Of("model") {
+			e.AskRest(0)
+		}
+		before := arrived(d.Of("first"))
+		r := i.request(http.MethodPost, "staged", newID(), "")
+		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+		r.Header.Set("Cobaltcroft-Piece-Key", "key")
+		Expect(send(r).Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(arrived(d.Of("first"))).To(Equal(before))
+	})
+
 	It("that they want rest is heeded, by calls of all kinds, for as long as they ask", func() {
 		i := start(d.Address())
 		for _, e := range firsts() {
--- a/pkg/balance/apart_test.go
+++ b/pkg/balance/apart_test.go
@@ -18,7 +18,7 @@
 	)
 
 	BeforeEach(func() {
-		b = balance.New(clockwork.NewFakeClock())
+		b = balance.New(clockwork.NewFakeClock(), restless(clockwork.NewFakeClock()))
 		all = nil
 		for n := range 18 {
 			all = append(all, fleet.Endpoint{ID: fmt.Sprint("e", n), FailureDomain: "a", Slots: 4})
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -10,8 +10,15 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 )
 
+// restless are the rests of endpoints that want none.
+func restless(clock clockwork.Clock) *notice.Rests {
+	return notice.NewRests(clock, logging.Discard().For("balance"))
+}
+
 func TestBalance(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "balance")
@@ -26,7 +33,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		b = balance.New(clock)
+		b = balance.New(clock, restless(clock))
 		all = []fleet.Endpoint{
 			{ID: "a1", FailureDomain: "a", Slots: 4},
 			{ID: "a2", FailureDomain: "a", Slots: 4},
@@ -123,7 +130,7 @@
 	})
 
 	It("sends kindred prompts to one engine, over all failure domains, at each instance", func() {
-		other := balance.New(clock)
+		other := balance.New(clock, restless(clock))
 		for _, subject := range []string{"s1", "s2", "s3", "s4", "s5"} {
 			c := b.Pick(all, prompt(subject, "own"))
 			c.Begun()
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 )
 
 const (
@@ -80,6 +81,9 @@
 // Balancer holds what this instance has seen of the endpoints. Safe for concurrent use.
 type Balancer struct {
 	clock clockwork.Clock
+	// rests are those that endpoints want from this machine. It is no choice of the balancer to
+	// pass them by, not even where no other endpoint is left.
+	rests *notice.Rests
 
 	mu        sync.Mutex
 	endpoints map[string]*seen
@@ -122,8 +126,8 @@
 }
 
 // New returns a balancer that has seen nothing.
-func New(clock clockwork.Clock) *Balancer {
-	return &Balancer{clock: clock, endpoints: map[string]*seen{}, silent: map[string]time.Time{}}
+func New(clock clockwork.Clock, rests *notice.Rests) *Balancer {
+	return &Balancer{clock: clock, rests: rests, endpoints: map[string]*seen{}, silent: map[string]time.Time{}}
 }
 
 // Call is a call counted in at its endpoint.
@@ -140,7 +144,7 @@
 	ended    bool
 }
 
-// Pick chooses an endpoint and counts the call in. It returns nil if all are excluded.
+// Pick chooses an endpoint and counts the call in. It returns nil if all are excluded, or want rest.
 // Endpoints that are left out for failures are chosen only when no other is there.
 func (b *Balancer) Pick(candidates []fleet.Endpoint, need Need) *Call {
 	b.mu.Lock()
@@ -450,6 +454,10 @@
 	s.outUntil = now.Add(s.out)
 }
 
+// Rest is how long it takes until one of the endpoints wants work again, where all want rest; 0 if one
+// wants none.
+func (b *Balancer) Rest(endpoints []fleet.Endpoint) time.Duration { return b.rests.Least(endpoints) }
+
 // InFlight returns this instance's calls in flight at an endpoint.
 func (b *Balancer) InFlight(id string) int {
 	b.mu.Lock()
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -81,9 +81,10 @@
 
 func (c *coldness) cold(now time.Time) bool { return now.Before(c.until) }
 
-// usable returns the endpoints that a call may go to: those that are warm, or if none of them is
-// left the cold ones that this instance may send a request to now.
+// usable returns the endpoints that a call may go to: of those that want no rest those that are warm, or if
+// none of them is left the cold ones that this instance may send a request to now.
 func (b *Balancer) usable(now time.Time, candidates []fleet.Endpoint, need Need) []fleet.Endpoint {
+	candidates = b.rests.Awake(candidates)
 	if need.Cold.PerSecond <= 0 || !b.learnCold(now, candidates) {
 		return candidates
 	}
--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -31,7 +31,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		b = balance.New(clock)
+		b = balance.New(clock, restless(clock))
 		all, revision = nil, 0
 		for n := range 6 {
 			all = append(all, fleet.Endpoint{ID: fmt.Sprintf("e%d", n), FailureDomain: "a", Slots: 4})
@@ -149,7 +149,7 @@
 	endpoints := []fleet.Endpoint{{ID: "x", ColdMs: time.Hour.Milliseconds(), ColdRevision: 1}, {ID: "y", ColdMs: time.Hour.Milliseconds(), ColdRevision: 2}}
 	balancers := make([]*balance.Balancer, instances)
 	for n := range balancers {
-		balancers[n] = balance.New(clock)
+		balancers[n] = balance.New(clock, restless(clock))
 	}
 	// group is the side of a cut on which a failure domain is; joined is when an instance knows others.
 	var group [domains]int
@@ -196,7 +196,7 @@
 		},
 		"restart": func(t *rapid.T) {
 			n := rapid.IntRange(0, instances-1).Draw(t, "instance")
-			balancers[n] = balance.New(clock)
+			balancers[n] = balance.New(clock, restless(clock))
 			joined[n] = clock.Now().Add(3 * time.Second)
 		},
 		"": func(t *rapid.T) {
--- /dev/null
+++ b/pkg/balance/rest_test.go
@@ -0,0 +1,63 @@
+package balance_test
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+)
+
+var _ = Describe("endpoints that want rest", func() {
+	var (
+		clock *clockwork.FakeClock
+		rests *notice.Rests
+		b     *balance.Balancer
+	)
+	all := []fleet.Endpoint{{ID: "a", FailureDomain: "d"}, {ID: "b", FailureDomain: "d"}}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		rests = restless(clock)
+		b = balance.New(clock, rests)
+	})
+
+	DescribeTable("are not chosen, by whichever way",
+		func(need balance.Need) {
+			rests.Ask("a", time.Second)
+			for range 20 {
+				call := b.Pick(all, need)
+				Expect(call.Endpoint.ID).To(Equal("b"))
+				call.End(balance.Well, nil)
+			}
+			Expect(b.Options(all, need, 2)).To(HaveLen(1))
+			clock.Advance(time.Second)
+			Expect(b.Options(all, need, 2)).To(HaveLen(2))
+		},
+		Entry("the least cost", balance.Need{}),
+		Entry("as a model engine, with parts", balance.Need{Engine: true, Parts: []balance.Part{{ID: "shared", Tokens: 100}, {ID: "own", Tokens: 1}}}),
+		Entry("preferred", balance.Need{Prefer: "a"}),
+		Entry("apart from others", balance.Need{Apart: "x"}),
+	)
+
+	It("are no last resort, unlike those that are left out for failures", func() {
+		rests.Ask("a", 3*time.Second)
+		for range 2 {
+			b.Pick(all, balance.Need{}).End(balance.Unreachable, nil)
+		}
+		call := b.Pick(all, balance.Need{})
+		Expect(call.LeftOut).To(BeTrue())
+		Expect(call.Endpoint.ID).To(Equal("b"))
+		call.End(balance.Canceled, nil)
+		Expect(b.Rest(all)).To(BeZero())
+		rests.Ask("b", 2*time.Second)
+		Expect(b.Pick(all, balance.Need{})).To(BeNil())
+		Expect(b.Rest(all)).To(Equal(2 * time.Second))
+		expected, _ := b.Expect(all, balance.Need{})
+		Expect(expected).To(BeZero(), "nothing is known of a call that can't be made")
+	})
+})
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -162,4 +162,6 @@
 	Ready(service string) []fleet.Endpoint
 	// Endpoint returns an endpoint by ID.
 	Endpoint(id string) (fleet.Endpoint, bool)
+	// Rest is how much longer an endpoint wants nothing from this machine; 0: it wants no rest.
+	Rest(id string) time.Duration
 }
--- a/pkg/batch/freeing.go
+++ b/pkg/batch/freeing.go
@@ -20,11 +20,17 @@
 	}
 }
 
-// flush sends the results that are to be freed to their makers.
+// flush sends the results that are to be freed to their makers. Those of a maker that wants rest wait.
 func (b *Batcher) flush() {
 	b.mu.Lock()
 	freeing := b.freeing
 	b.freeing = map[string][]Result{}
+	for id, results := range freeing {
+		if b.known.Rest(id) > 0 {
+			b.freeing[id] = results
+			delete(freeing, id)
+		}
+	}
 	b.mu.Unlock()
 	for id, results := range freeing {
 		if e, ok := b.known.Endpoint(id); ok {
@@ -66,6 +72,7 @@
 	s := b.service(at)
 	workers := s.update(b.known.Ready(at.Service))
 	now := b.clock.Now()
+	b.heed(workers, now)
 	full := batching.CallTime(batching.Size).Seconds()
 	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size}
 	slots := 0
--- a/pkg/batch/standin_test.go
+++ b/pkg/batch/standin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -47,6 +48,8 @@
 	// cut are the endpoints that can't be reached, and reaches how often one was tried.
 	cut     map[string]bool
 	reaches int
+	// rests is how much longer endpoints want rest.
+	rests map[string]time.Duration
 }
 
 func (e *endpoints) Run(ctx context.Context, endpoint fleet.Endpoint, pieces []batch.Piece) ([]batch.Result, batch.CallOutcome) {
@@ -123,6 +126,22 @@
 	return fleet.Endpoint{ID: id, FailureDomain: "zone"}, true
 }
 
+func (e *endpoints) Rest(id string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rests[id]
+}
+
+// setRest has an endpoint want rest for so much longer.
+func (e *endpoints) setRest(id string, left time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rests == nil {
+		e.rests = map[string]time.Duration{}
+	}
+	e.rests[id] = left
+}
+
 func (e *endpoints) Count(string, int) {}
 
 func (e *endpoints) Take(string, int) bool {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -380,6 +380,33 @@
 		Expect(f.Known(0).State.Endpoints).To(BeEmpty())
 	})
 
+	It("takes an endpoint that said so as leaving, whatever is read of it later, and tells of it until the source does", func() {
+		put(store, state(5, 4, 3, "a", "b"))
+		Eventually(ready).Should(Equal(2))
+		f.Depart("a", "unknown")
+		Eventually(ready).Should(Equal(1))
+		Expect(f.Departing(8)).To(Equal([]string{"a"}))
+		By("an entry that changes, one that is read anew, and one that lapses in an outage and returns")
+		put(store, state(6, 4, 3, "a", "b"))
+		Eventually(listed).Should(Equal(uint64(6)))
+		Expect(ready()).To(Equal(1))
+		outage()
+		store.forget(state(9, 8, 7, "b"))
+		Eventually(listed).Should(Equal(uint64(9)))
+		Expect(f.View().Fleet.MayGetWork("a")).To(BeFalse())
+		Expect(f.Departing(8)).To(BeEmpty())
+		put(store, state(12, 12, 8, "a", "b"))
+		Eventually(listed).Should(Equal(uint64(12)))
+		Expect(ready()).To(Equal(1))
+		By("the source, which says so at last")
+		leaving := state(15, 12, 8, "a", "b", "unknown")
+		leaving.Endpoints[0].Leaving = true
+		put(store, leaving)
+		Eventually(listed).Should(Equal(uint64(15)))
+		Expect(ready()).To(Equal(1), "another was heard of before it was listed")
+		Expect(f.Departing(8)).To(Equal([]string{"unknown"}))
+	})
+
 	It("takes an endpoint as gone at once whose entry goes while the source answers", func() {
 		put(store, state(5, 4, 3, "a", "b"))
 		Eventually(ready).Should(Equal(2))
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -58,6 +58,8 @@
 	// kept after an outage is to be taken as gone.
 	lapses  lapses
 	release <-chan time.Time
+	// departures are what endpoints said of their leaving.
+	departures *departures
 	// refusedEntries counts the entries that named no endpoint to use.
 	refusedEntries atomic.Uint64
 }
@@ -81,6 +83,7 @@
 		wanted:     make(chan struct{}, 1),
 		shelf:      newShelf(clock),
 		hesitation: rand.N(longestHesitation),
+		departures: newDepartures(),
 	}
 	none := fleet.New(0, nil)
 	f.view.Store(&View{Fleet: none, listed: none})
@@ -133,6 +136,8 @@
 			f.apply(n)
 		case <-f.release:
 			f.apply(lapseNews{})
+		case <-f.departures.news:
+			f.apply(departNews{})
 		case <-ctx.Done():
 			return nil
 		}
--- /dev/null
+++ b/pkg/fleet/departures_test.go
@@ -0,0 +1,61 @@
+package fleet_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+var _ = Describe("endpoints that said in answers that they leave", func() {
+	var s *fleet.Snapshot
+
+	endpoint := func(name, born string) fleet.Endpoint {
+		return fleet.Endpoint{ID: name + "@" + born, Entry: name, Service: "s"}
+	}
+	ready := func() []string {
+		var ids []string
+		for _, e := range s.Ready("s") {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+
+	BeforeEach(func() {
+		s = fleet.New(1, []fleet.Endpoint{endpoint("a", "1"), endpoint("b", "1")}).Depart(fleet.Departures{"a@1": true})
+	})
+
+	It("get no new work, and are known as leaving", func() {
+		Expect(ready()).To(HaveExactElements("b@1"))
+		Expect(s.MayGetWork("a@1")).To(BeFalse())
+		known, ok := s.Endpoint("a@1")
+		Expect(ok).To(BeTrue())
+		Expect(known.Leaving).To(BeTrue())
+		Expect(s.All()).To(ContainElement(SatisfyAll(HaveField("ID", "a@1"), HaveField("Leaving", true))))
+	})
+
+	It("stay so whatever their entries say later", func() {
+		changed := endpoint("a", "1")
+		changed.Slots = 9
+		s = s.With(2, []fleet.Change{{Endpoint: changed}})
+		Expect(ready()).To(HaveExactElements("b@1"))
+		s = s.Replace(3, []fleet.Endpoint{endpoint("a", "1"), endpoint("b", "1")})
+		Expect(ready()).To(HaveExactElements("b@1"))
+		s = s.With(4, []fleet.Change{{Endpoint: endpoint("a", "1"), Gone: true}})
+		s = s.With(5, []fleet.Change{{Endpoint: endpoint("a", "1")}})
+		Expect(ready()).To(HaveExactElements("b@1"), "the entry lapsed and came back")
+	})
+
+	It("are not those that start again under the same name", func() {
+		s = s.With(2, []fleet.Change{{Endpoint: endpoint("a", "2")}})
+		Expect(ready()).To(HaveExactElements("a@2", "b@1"))
+	})
+
+	It("are told to others until the source says so", func() {
+		Expect(s.Undeclared()).To(HaveExactElements("a@1"))
+		leaving := endpoint("a", "1")
+		leaving.Leaving = true
+		Expect(s.With(2, []fleet.Change{{Endpoint: leaving}}).Undeclared()).To(BeEmpty())
+		Expect(s.With(2, []fleet.Change{{Endpoint: leaving, Gone: true}}).Undeclared()).To(BeEmpty())
+	})
+})
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -22,7 +22,7 @@
 	// FailureDomain that it stands in.
 	FailureDomain string `json:"failure_domain"`
 	Slots         int    `json:"slots"`
-	// Leaving endpoints get no new work.
+	// Leaving endpoints get no new work. Their entry says so, or they themselves in an answer.
 	Leaving bool `json:"leaving"`
 	// ColdMs is how much longer it bears little work, in milliseconds, as of when its entry was
 	// written; 0: it is warm.
@@ -54,6 +54,8 @@
 	// failure domain, when others were known to have returned.
 	evacuations Evacuations
 	returned    map[string]uint64
+	// departures are the lives that said in answers that they leave.
+	departures Departures
 }
 
 // Change is one endpoint's entry as it is now, or its end.
@@ -88,6 +90,7 @@
 	s.names = make(map[string]string, len(s.endpoints))
 	for name, e := range s.endpoints {
 		s.names[e.ID] = name
+		e = s.marked(e)
 		if s.mayGetWork(e) {
 			e.Returned = s.returned[e.FailureDomain]
 			s.ready[e.Service] = append(s.ready[e.Service], e)
@@ -163,7 +166,7 @@
 // Endpoint returns an endpoint by ID: false if that life is over.
 func (s *Snapshot) Endpoint(id string) (Endpoint, bool) {
 	name, ok := s.names[id]
-	return s.endpoints[name], ok
+	return s.marked(s.endpoints[name]), ok
 }
 
 // Lists tells whether the source lists any life of an endpoint.
@@ -183,7 +186,7 @@
 func (s *Snapshot) All() []Endpoint {
 	list := make([]Endpoint, 0, len(s.endpoints))
 	for _, e := range s.endpoints {
-		list = append(list, e)
+		list = append(list, s.marked(e))
 	}
 	return list
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -55,7 +55,7 @@
 		}
 		call := u.pick()
 		if call == nil {
-			return u.giveUp(refuseNoEndpoint(u.comeBack()))
+			return u.giveUp(u.refuseAway())
 		}
 		if u.attempts > 0 && !u.mayRepeat() {
 			call.End(balance.Canceled, nil)
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -48,6 +48,12 @@
 	// HeardEnds takes in those of another member, and must not block. Both may be nil.
 	Ends      func(n int) []quarantine.End
 	HeardEnds func([]quarantine.End)
+	// Departing returns up to n lives of endpoints that have said in answers that they leave, though
+	// the source does not say so, which are told; HeardDeparting takes in those of another member, and must
+	// not block. Both may be nil. They go with the usual heartbeats, and are not sent at once: whoever has
+	// sent something to an endpoint hears it from its own answers.
+	Departing      func(n int) []string
+	HeardDeparting func(lives []string)
 }
 
 const (
@@ -56,6 +62,9 @@
 	// 11 KB a second to the 52 heartbeats that an instance of 295 sends, and only while there are any.
 	endsSeldom  = 32
 	endsUsually = 4
+	// departingTold is how many lives a heartbeat names that leave: 29 bytes each, and only until the
+	// source says so.
+	departingTold = 8
 )
 
 // Transport sends heartbeats. Its method must not block.
@@ -69,7 +78,7 @@
 	transport Transport
 	clock     clockwork.Clock
 	log       *logrus.Entry
-	heard     chan membership.Heartbeat
+	heard     chan heard
 	// news says that something was decided here which some others are told at once, decision that
 	// all are.
 	news     chan struct{}
@@ -78,6 +87,12 @@
 	members  atomic.Pointer[lists]
 }
 
+// heard is a heartbeat, and the lives of endpoints that it says leave.
+type heard struct {
+	membership.Heartbeat
+	departing []control.LeavingEndpoint
+}
+
 // lists are the other members by their state, at one time. They are immutable.
 type lists struct {
 	live    []membership.Member
@@ -86,7 +101,7 @@
 
 // New returns a group that knows its contacts only.
 func New(settings Settings, transport Transport, clock clockwork.Clock, log *logrus.Entry) *Group {
-	g := &Group{settings: settings, transport: transport, clock: clock, log: log, heard: make(chan membership.Heartbeat, queueLength), news: make(chan struct{}, 1), decision: make(chan struct{}, 1)}
+	g := &Group{settings: settings, transport: transport, clock: clock, log: log, heard: make(chan heard, queueLength), news: make(chan struct{}, 1), decision: make(chan struct{}, 1)}
 	g.members.Store(&lists{})
 	return g
 }
@@ -95,9 +110,9 @@
 func (g *Group) Self() membership.Self { return g.settings.Self }
 
 // Heard takes a heartbeat in; one for which there is no room counts as lost.
-func (g *Group) Heard(h membership.Heartbeat, _ []control.LeavingEndpoint) {
+func (g *Group) Heard(h membership.Heartbeat, departing []control.LeavingEndpoint) {
 	select {
-	case g.heard <- h:
+	case g.heard <- heard{h, departing}:
 	default:
 	}
 }
@@ -155,7 +170,7 @@
 	for {
 		select {
 		case h := <-g.heard:
-			g.tell(members.Observe(g.clock.Now(), h))
+			g.tell(members.Observe(g.clock.Now(), h.Heartbeat))
 			g.hearNews(h)
 		case <-g.news:
 			g.beat(members)
@@ -179,7 +194,7 @@
 }
 
 // hearNews passes on what a heartbeat tells beyond its sender's life.
-func (g *Group) hearNews(h membership.Heartbeat) {
+func (g *Group) hearNews(h heard) {
 	if g.settings.HeardDivision != nil && h.Division.Term > 0 {
 		g.settings.HeardDivision(h.Division)
 	}
@@ -192,6 +207,26 @@
 	if g.settings.HeardEnds != nil && len(h.Ends) > 0 {
 		g.settings.HeardEnds(h.Ends)
 	}
+	if g.settings.HeardDeparting != nil && len(h.departing) > 0 {
+		lives := make([]string, len(h.departing))
+		for i, e := range h.departing {
+			lives[i] = e.Name
+		}
+		g.settings.HeardDeparting(lives)
+	}
+}
+
+// departing are the lives of endpoints that are told to leave. A life's ID stands for name and incarnation
+// together.
+func (g *Group) departing() []control.LeavingEndpoint {
+	if g.settings.Departing == nil {
+		return nil
+	}
+	var departing []control.LeavingEndpoint
+	for _, life := range g.settings.Departing(departingTold) {
+		departing = append(departing, control.LeavingEndpoint{Name: life})
+	}
+	return departing
 }
 
 func (g *Group) beat(members *membership.Members) {
@@ -220,7 +255,7 @@
 	if g.settings.Ends != nil {
 		h.Ends = g.settings.Ends(ends)
 	}
-	g.transport.Broadcast(h, nil, message.To)
+	g.transport.Broadcast(h, g.departing(), message.To)
 }
 
 func (g *Group) tell(changes []membership.Change) {
--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -49,7 +49,7 @@
 }
 
 // Broadcast implements group.Transport.
-func (n *network) Broadcast(h membership.Heartbeat, _ []control.LeavingEndpoint, to []string) {
+func (n *network) Broadcast(h membership.Heartbeat, leaving []control.LeavingEndpoint, to []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.sent[h.From.Name] == nil {
@@ -61,7 +61,7 @@
 	}
 	for _, address := range to {
 		if g := n.groups[address]; g != nil {
-			g.Heard(h, nil)
+			g.Heard(h, leaving)
 		}
 	}
 }
@@ -187,6 +187,28 @@
 		Expect(asked).To(Equal(map[int]bool{4: true, 32: true}))
 	})
 
+	It("tells of endpoints that leave, a few with each heartbeat", func() {
+		heard := make(chan []string, 1000)
+		clock = clockwork.NewFakeClock()
+		n = &network{clock: clock, groups: map[string]*group.Group{}, sent: map[string]map[time.Time]bool{}, heard: map[string][]string{}}
+		var t tomb.Tomb
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+		departing := func(n int) []string { return []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}[:n] }
+		teller := group.New(group.Settings{Self: membership.Self{Name: "teller", PeerAddress: "a0"}, Contacts: []string{"a1"}, Heartbeat: time.Second, SuspectAfter: time.Second, Departing: departing}, n, clock, logging.Discard().For("peers"))
+		hearer := group.New(group.Settings{Self: membership.Self{Name: "hearer", PeerAddress: "a1"}, Contacts: []string{"a0"}, Heartbeat: time.Second, SuspectAfter: time.Second, HeardDeparting: func(lives []string) { heard <- lives }}, n, clock, logging.Discard().For("peers"))
+		n.groups["a0"], n.groups["a1"] = teller, hearer
+		t.Go(func() error { return teller.Run(&t) })
+		t.Go(func() error { return hearer.Run(&t) })
+		Eventually(func() int {
+			clock.Advance(200 * time.Millisecond)
+			return len(heard)
+		}).ShouldNot(BeZero())
+		Expect(<-heard).To(Equal([]string{"a", "b", "c", "d", "e", "f", "g", "h"}))
+	})
+
 	It("sends heartbeats five times as often at first, and then once a second", func() {
 		Eventually(func() int { return n.beats("i1") }).Should(Equal(1))
 		for range 20 {
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -72,8 +72,10 @@
 // Do makes a call and returns the head of its answer. Unless NotSent(err), the endpoint
 // may have acted on the call. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
-	if err := p.pass(call.Target); err != nil {
-		return nil, err
+	for _, gate := range []Gate{p.gates.Connect, p.gates.Send} {
+		if err := p.pass(gate, call.Target); err != nil {
+			return nil, err
+		}
 	}
 	c, err := p.take(ctx, call.Target, call.MaxRest)
 	if err != nil {
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -87,7 +87,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Open, httpconn.Deaf)
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open}, httpconn.Deaf)
 		DeferCleanup(pool.Close)
 	})
 
@@ -113,16 +113,41 @@
 		return plain(r.Header.Get("X-Id"), "for "+r.Header.Get("X-Id")), true
 	}
 
+	It("sends nothing to an endpoint to which only connections may be made, and makes those", func() {
+		s := serve(echo)
+		errBarred := errors.New("barred")
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: func(httpconn.Target) error { return errBarred }}, httpconn.Deaf)
+		DeferCleanup(pool.Close)
+		_, err := do(call(s, "1"))
+		Expect(err).To(MatchError(errBarred))
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+		Expect(s.conns.Load()).To(BeZero())
+		Expect(pool.Reach(context.Background(), call(s, "1").Target)).To(Succeed())
+	})
+
+	It("tells of the heads of all answers, of those to other calls too", func() {
+		s := serve(func(_ int, r *http.Request) (string, bool) {
+			return plain("another", "x") + plain(r.Header.Get("X-Id"), "y"), true
+		})
+		var heard []string
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open}, func(target httpconn.Target, status int, h http.Header) {
+			heard = append(heard, fmt.Sprint(target.ID, " ", status, " ", h.Get("X-Id")))
+		})
+		DeferCleanup(pool.Close)
+		Expect(do(call(s, "1"))).To(Equal("y"))
+		Expect(heard).To(Equal([]string{"e 200 another", "e 200 1"}))
+	})
+
 	It("sends nothing that the gate does not let pass, and says that nothing was sent", func() {
 		s := serve(echo)
 		errBarred := errors.New("barred")
 		barred := true
-		pool = httpconn.NewPool(clock, metrics.NewSet(), func(target httpconn.Target) error {
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Send: httpconn.Open, Connect: func(target httpconn.Target) error {
 			if barred && target.FailureDomain == "a" {
 				return errBarred
 			}
 			return nil
-		}, httpconn.Deaf)
+		}}, httpconn.Deaf)
 		DeferCleanup(pool.Close)
 		c := call(s, "1")
 		c.Target.FailureDomain = "a"
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -39,14 +39,21 @@
 	MaxConnections int
 }
 
-// Gate says whether anything may be sent to an endpoint now: the error tells why not. Every call
-// passes it last, so that one that was planned, queued or chosen before an order came is not made.
+// Gate says whether an endpoint may be used now: the error tells why not.
 type Gate func(Target) error
 
+// Gates are passed last, so that what was planned, queued or chosen before an order came is not done.
+type Gates struct {
+	// Connect is passed by connections and calls, Send by calls alone: a connection that is made and
+	// closed again asks nothing of an endpoint.
+	Connect Gate
+	Send    Gate
+}
+
 // Heard is told the head of each answer that an endpoint gave, whichever call it belongs to.
 type Heard func(target Target, status int, h http.Header)
 
-// Open is the gate that lets all calls pass.
+// Open is the gate that lets all pass.
 func Open(Target) error { return nil }
 
 // Deaf takes in nothing of what endpoints answer.
@@ -56,7 +63,7 @@
 type Pool struct {
 	clock       clockwork.Clock
 	dialTimeout time.Duration
-	gate        Gate
+	gates       Gates
 	heard       Heard
 	dialed      *metrics.Counter
 	reused      *metrics.Counter
@@ -83,11 +90,11 @@
 }
 
 // NewPool returns a pool without connections. Counters are made in set.
-func NewPool(clock clockwork.Clock, set *metrics.Set, gate Gate, heard Heard) *Pool {
+func NewPool(clock clockwork.Clock, set *metrics.Set, gates Gates, heard Heard) *Pool {
 	return &Pool{
 		clock:       clock,
 		dialTimeout: DefaultDialTimeout,
-		gate:        gate,
+		gates:       gates,
 		heard:       heard,
 		dialed:      set.NewCounter("cobaltcroft_endpoint_connections_opened_total"),
 		reused:      set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
@@ -96,9 +103,9 @@
 	}
 }
 
-// pass tells whether the gate lets a call pass.
-func (p *Pool) pass(target Target) error {
-	if err := p.gate(target); err != nil {
+// pass tells whether a gate lets a connection or a call pass.
+func (p *Pool) pass(gate Gate, target Target) error {
+	if err := gate(target); err != nil {
 		p.barred.Inc()
 		return notSent(err)
 	}
@@ -164,7 +171,7 @@
 
 // Reach tells whether an endpoint takes connections: one is made, and closed again.
 func (p *Pool) Reach(ctx context.Context, target Target) error {
-	if err := p.pass(target); err != nil {
+	if err := p.pass(p.gates.Connect, target); err != nil {
 		return err
 	}
 	c, err := p.dial(ctx, target)
--- /dev/null
+++ b/pkg/notice/rests.go
@@ -0,0 +1,106 @@
+package notice
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+// Rests are the rests that endpoints want from this machine. They are not told to other instances: an
+// endpoint asks each machine by itself. Safe for concurrent use.
+type Rests struct {
+	clock clockwork.Clock
+	log   *logrus.Entry
+	// resting is how many rests are kept, so that it costs nothing to ask while there are none.
+	resting atomic.Int64
+
+	mu sync.Mutex
+	// until has, by the ID of an endpoint's life, when its rest ends.
+	until map[string]time.Time
+}
+
+// NewRests returns rests of no endpoint.
+func NewRests(clock clockwork.Clock, log *logrus.Entry) *Rests {
+	return &Rests{clock: clock, log: log, until: map[string]time.Time{}}
+}
+
+// Ask takes in that an endpoint's life wants rest from now on. Of two rests the one that ends later holds:
+// each answer was a promise of its own.
+func (r *Rests) Ask(endpoint string, rest time.Duration) {
+	until := r.clock.Now().Add(rest)
+	r.mu.Lock()
+	if until.After(r.until[endpoint]) {
+		r.until[endpoint] = until
+	}
+	r.resting.Store(int64(len(r.until)))
+	r.mu.Unlock()
+	r.log.WithFields(logrus.Fields{"event": "endpoint_rests", "endpoint": endpoint, "ms": rest.Milliseconds()}).Info()
+}
+
+// Left is how much longer an endpoint's life wants rest; 0: it wants none.
+func (r *Rests) Left(endpoint string) time.Duration {
+	if r.resting.Load() == 0 {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, asked := r.until[endpoint]
+	if !asked {
+		return 0
+	}
+	return max(0, until.Sub(r.clock.Now()))
+}
+
+// Least is how long it takes until the first of several endpoints wants no rest; 0 if one wants none now, or
+// if there are none.
+func (r *Rests) Least(endpoints []fleet.Endpoint) time.Duration {
+	least := time.Duration(0)
+	for _, e := range endpoints {
+		left := r.Left(e.ID)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// Awake returns the endpoints that want no rest: the same slice if that is all of them.
+func (r *Rests) Awake(endpoints []fleet.Endpoint) []fleet.Endpoint {
+	if r.resting.Load() == 0 {
+		return endpoints
+	}
+	awake := make([]fleet.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if r.Left(e.ID) == 0 {
+			awake = append(awake, e)
+		}
+	}
+	if len(awake) == len(endpoints) {
+		return endpoints
+	}
+	return awake
+}
+
+// Count is how many endpoints want rest.
+func (r *Rests) Count() int { return int(r.resting.Load()) }
+
+// Sweep drops the rests that are over.
+func (r *Rests) Sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	for endpoint, until := range r.until {
+		if !now.Before(until) {
+			delete(r.until, endpoint)
+		}
+	}
+	r.resting.Store(int64(len(r.until)))
+}
