--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,8 @@
 	bin/cobaltcroft-soak --seed 7100 --length 10s
 	bin/cobaltcroft-soak --seed 309 --length 12s --instances 6 --clients 16
 	bin/cobaltcroft-soak --seed 9603 --length 8s
+	bin/cobaltcroft-soak --seed 20004 --length 10s
+	bin/cobaltcroft-soak --seed 20005 --length 10s
 
 soak-short: build
 	bin/cobaltcroft-soak --seed 7 --length 9s --instances 3 --clients 8
--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -192,7 +192,7 @@
 	g.usage = peers.NewUsage(g.metrics)
 	g.client = peers.NewClient(s.Instance, s.PeerToken, g.usage)
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
-	g.group = group.New(group.Settings{Self: self, Contacts: s.Peers, Heartbeat: heartbeat, SuspectAfter: suspectAfter, Claims: g.claims, HeardClaims: g.hearClaims, Division: g.division, HeardDivision: g.hearDivision, Revision: g.documentRevision, HeardRevision: g.hearRevision, Ends: g.quarantine.Tell, HeardEnds: g.quarantine.Hear, Departing: g.departing, HeardDeparting: g.hearDeparting}, g.gossip, g.clock, g.logs.For("peers"))
+	g.group = group.New(g.groupSettings(self), g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
 	g.rests = notice.NewRests(g.clock, g.logs.For("notice"))
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.mayConnect, Send: g.maySend}, g.heardAnswer)
@@ -239,6 +239,27 @@
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
+// groupSettings say what this instance tells the others with its heartbeats, and what becomes of what they
+// tell.
+func (g *Gateway) groupSettings(self membership.Self) group.Settings {
+	return group.Settings{
+		Self:           self,
+		Contacts:       g.settings.Peers,
+		Heartbeat:      heartbeat,
+		SuspectAfter:   suspectAfter,
+		Claims:         g.claims,
+		HeardClaims:    g.hearClaims,
+		Division:       g.division,
+		HeardDivision:  g.hearDivision,
+		Revision:       g.documentRevision,
+		HeardRevision:  g.hearRevision,
+		Ends:           g.quarantine.Tell,
+		HeardEnds:      g.quarantine.Hear,
+		Departing:      g.departing,
+		HeardDeparting: g.hearDeparting,
+	}
+}
+
 func budgetBounds(s settings.Gateway) retry.Bounds {
 	return retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window()}
 }
--- a/cmd/cobaltcroftd/gateway/notices_test.go
+++ b/cmd/cobaltcroftd/gateway/notices_test.go
@@ -152,6 +152,24 @@
 		Eventually(func() int { traffic(i); return len(reborn.Runs()) }).ShouldNot(BeZero())
 	})
 
+	It("that all of a service want a short rest has requests wait for it, and served", func() {
+		const short = 200 * time.Millisecond
+		i := start(d.Address())
+		for range 3 {
+			for _, e := range d.Of("simple") {
+				before := e.RestsAsked()
+				e.AskRest(short)
+				Eventually(func() int { i.ask("once"); return e.RestsAsked() - before }).ShouldNot(BeZero())
+				e.AskRest(0)
+			}
+			_, got := i.ask("once")
+			Expect(got.Status).To(Equal(http.StatusOK))
+		}
+		for _, e := range d.Of("simple") {
+			Expect(e.Disturbed()).To(BeZero())
+		}
+	})
+
 	It("that all the readers of a request want rest has it refused before its stages are made", func() {
 		i := start(d.Address())
 		for _, e := range d.Of("model") {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -54,6 +54,9 @@
 			return u.giveUp(refuseQuarantined())
 		}
 		call := u.pick()
+		if call == nil && u.awaitRest(ctx) {
+			continue
+		}
 		if call == nil {
 			return u.giveUp(u.refuseAway())
 		}
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -224,7 +224,7 @@
 	if len(ready) == 0 {
 		return refuseNoEndpoint(u.comeBack())
 	}
-	if u.restOutlasts(u.Balancer.Rest(ready)) {
+	if rest := u.Balancer.Rest(ready); rest > 0 && u.outlasts(rest) {
 		return u.refuseAway()
 	}
 	for i, stage := range u.route.Stages {
@@ -235,22 +235,6 @@
 	return nil
 }
 
-// restOutlasts tells whether the rest that all endpoints want leaves no time for the request: one with stages
-// comes to its endpoint when they are made, and may be in time yet if the rest ends before it is due.
-func (u *run) restOutlasts(rest time.Duration) bool {
-	if len(u.route.Stages) == 0 || len(u.request.Pieces) == 0 {
-		return rest > 0
-	}
-	return rest > 0 && u.Clock.Now().Add(rest).After(u.due())
-}
-
-// refuseAway refuses a request for which no endpoint can be chosen. If all want rest its client may come back
-// when the first has had it, and not before.
-func (u *run) refuseAway() *Refusal {
-	rest := u.Balancer.Rest(u.View().Fleet.Ready(u.service.Name))
-	return refuseNoEndpoint(max(u.comeBack(), rest))
-}
-
 func choose[T any](condition bool, yes, no T) T {
 	if condition {
 		return yes
--- /dev/null
+++ b/pkg/gateway/resting.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+// Where all endpoints of a service want rest, none gets a request: it would be turned away, and add to what they
+// rest from. It is refused at once, before its stages are made, and its caller told when the first endpoint has
+// had its rest. Only a rest that is over before a caller would come back anyway is waited for: that spares the
+// caller a try, and holds it no longer than the refusal would.
+
+// outlasts tells whether a rest is too long to wait for.
+func (u *run) outlasts(rest time.Duration) bool {
+	return rest > u.comeBack() || u.Clock.Now().Add(rest).After(u.due())
+}
+
+// awaitRest waits until the first endpoint that the request has not been sent to has had its rest, and tells
+// whether one may be chosen then.
+func (u *run) awaitRest(ctx context.Context) bool {
+	var untried []fleet.Endpoint
+	for _, e := range u.View().Fleet.Ready(u.service.Name) {
+		if !u.tried[e.ID] {
+			untried = append(untried, e)
+		}
+	}
+	rest := u.Balancer.Rest(untried)
+	if rest == 0 || u.outlasts(rest) {
+		return false
+	}
+	ctx, cancel := u.untilDrained(ctx)
+	defer cancel()
+	select {
+	case <-u.Clock.After(rest):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuseAway refuses a request for which no endpoint can be chosen. If all want rest its client may come back
+// when the first has had it, and not before.
+func (u *run) refuseAway() *Refusal {
+	rest := u.Balancer.Rest(u.View().Fleet.Ready(u.service.Name))
+	return refuseNoEndpoint(max(u.comeBack(), rest))
+}
