httpconn, notice, gateway: a last look before the first byte; operators see what is heeded; who comes back is spread

Cause: an endpoint may say so while a call waits for its connection; a call that is barred counted as one that did not reach its endpoint, which was left out for it; all who were refused were told the same moment; what can't be read in Retry-After was passed over unseen. A property test: whatever the order of entries and answers, a life that said that it leaves gets no work.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -77,7 +77,9 @@
 	gossip   *peers.Gossip
 	follower *discovery.Follower
 	// rests are those that endpoints want from this machine.
-	rests    *notice.Rests
+	rests *notice.Rests
+	// unread counts the rests that were asked for in words that can't be read.
+	unread   *metrics.Counter
 	conns    *httpconn.Pool
 	balancer *balance.Balancer
 	// budget is for requests sent again, pieces for pieces made again.
@@ -194,6 +196,7 @@
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), limits.NewShares(g.clock), g.metrics, g.logs.For("peers"), func(membership.Self, uint64) {})
 	g.group = group.New(g.groupSettings(self), g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
+	g.unread = g.metrics.NewCounter("cobaltcroft_notices_unread_total")
 	g.rests = notice.NewRests(g.clock, g.logs.For("notice"))
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.mayConnect, Send: g.maySend}, g.heardAnswer)
 	g.balancer = balance.New(g.clock, g.rests)
@@ -279,7 +282,7 @@
 
 // departing and hearDeparting tell and hear which endpoints have said that they leave.
 func (g *Gateway) departing(n int) []string     { return g.follower.Departing(n) }
-func (g *Gateway) hearDeparting(lives []string) { g.follower.Depart(lives...) }
+func (g *Gateway) hearDeparting(lives []string) { g.follower.Depart(discovery.Peer, lives...) }
 
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
@@ -306,11 +309,15 @@
 func (g *Gateway) heardAnswer(target httpconn.Target, status int, h http.Header) {
 	n := platform.Notice(status, h)
 	if n.Leaving {
-		g.follower.Depart(target.ID)
+		g.follower.Depart(discovery.Answer, target.ID)
 	}
 	if n.Rest > 0 {
 		g.rests.Ask(target.ID, n.Rest)
 	}
+	if n.Unread != "" {
+		g.unread.Inc()
+		g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "status": status, "retry_after": n.Unread}).Warn("it is passed over; seconds are expected")
+	}
 }
 
 // sponsors tells whether this instance alone sends to an endpoint that is cold. One that has just
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -458,6 +458,11 @@
 // wants none.
 func (b *Balancer) Rest(endpoints []fleet.Endpoint) time.Duration { return b.rests.Least(endpoints) }
 
+// Return is when a caller may come back where all endpoints want rest.
+func (b *Balancer) Return(endpoints []fleet.Endpoint, soon time.Duration) time.Duration {
+	return b.rests.Return(endpoints, soon)
+}
+
 // InFlight returns this instance's calls in flight at an endpoint.
 func (b *Balancer) InFlight(id string) int {
 	b.mu.Lock()
--- a/pkg/discovery/departing.go
+++ b/pkg/discovery/departing.go
@@ -15,12 +15,21 @@
 // they have said so.
 const departedFor = 10 * time.Minute
 
+// Teller is who told that an endpoint leaves.
+type Teller string
+
+// The tellers.
+const (
+	Answer Teller = "answer"
+	Peer   Teller = "peer"
+)
+
 // departures collect what endpoints said of their leaving, here or to a peer, until the goroutine that owns
 // the view takes it. Safe for concurrent use.
 type departures struct {
 	mu sync.Mutex
 	// waiting are lives that the view does not have yet.
-	waiting []string
+	waiting map[string]Teller
 	// news wakes the owner of the view.
 	news chan struct{}
 	// heard is when a life was heard of; it belongs to the owner of the view.
@@ -28,12 +37,14 @@
 }
 
 func newDepartures() *departures {
-	return &departures{news: make(chan struct{}, 1), heard: map[string]time.Time{}}
+	return &departures{waiting: map[string]Teller{}, news: make(chan struct{}, 1), heard: map[string]time.Time{}}
 }
 
-func (d *departures) add(lives []string) {
+func (d *departures) add(from Teller, lives []string) {
 	d.mu.Lock()
-	d.waiting = append(d.waiting, lives...)
+	for _, life := range lives {
+		d.waiting[life] = from
+	}
 	d.mu.Unlock()
 	select {
 	case d.news <- struct{}{}:
@@ -41,16 +52,17 @@
 	}
 }
 
-func (d *departures) take() []string {
+func (d *departures) take() map[string]Teller {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	waiting := d.waiting
-	d.waiting = nil
+	d.waiting = map[string]Teller{}
 	return waiting
 }
 
-// Depart takes in that lives of endpoints have said in answers that they leave. It does not block.
-func (f *Follower) Depart(lives ...string) {
+// Depart takes in that lives of endpoints have said in answers that they leave: to this instance, or to a peer
+// that tells so. It does not block.
+func (f *Follower) Depart(from Teller, lives ...string) {
 	known := f.View().listed
 	var unknown []string
 	for _, life := range lives {
@@ -59,7 +71,7 @@
 		}
 	}
 	if len(unknown) > 0 {
-		f.departures.add(unknown)
+		f.departures.add(from, unknown)
 	}
 }
 
@@ -82,10 +94,10 @@
 
 func (departNews) apply(f *Follower, view *View) func() {
 	now := f.clock.Now()
-	for _, life := range f.departures.take() {
+	for life, from := range f.departures.take() {
 		if _, known := f.departures.heard[life]; !known {
 			e, listed := view.listed.Endpoint(life)
-			f.log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": life, "service": e.Service, "listed": listed}).Info()
+			f.log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": life, "service": e.Service, "listed": listed, "from": string(from)}).Info()
 		}
 		f.departures.heard[life] = now
 	}
--- a/pkg/fleet/departures.go
+++ b/pkg/fleet/departures.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // An endpoint that leaves says so in its entry and in its answers. The entry may come late, while the source
 // is silent or the store of it slow, or never; the answers are heard by whoever calls the endpoint. Both are
@@ -27,6 +30,9 @@
 // Departing tells whether a life has said in an answer that it leaves.
 func (s *Snapshot) Departing(id string) bool { return s.departures[id] }
 
+// Departed returns the lives that have said in answers that they leave, sorted.
+func (s *Snapshot) Departed() []string { return slices.Sorted(maps.Keys(s.departures)) }
+
 // Undeclared returns the lives that have said in answers that they leave, and that the source lists as if
 // they did not.
 func (s *Snapshot) Undeclared() []string {
--- a/pkg/fleet/departures_test.go
+++ b/pkg/fleet/departures_test.go
@@ -1,8 +1,11 @@
 package fleet_test
 
 import (
+	"maps"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
@@ -51,6 +54,43 @@
 		Expect(ready()).To(HaveExactElements("a@2", "b@1"))
 	})
 
+	It("get no new work in whatever order entries and answers are learnt", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := fleet.New(1, nil)
+			said := fleet.Departures{}
+			revision := uint64(1)
+			t.Repeat(map[string]func(*rapid.T){
+				"an entry is written": func(t *rapid.T) {
+					revision++
+					e := endpoint(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), rapid.SampledFrom([]string{"1", "2"}).Draw(t, "born"))
+					e.Leaving, e.Slots = rapid.Bool().Draw(t, "leaving"), rapid.IntRange(1, 3).Draw(t, "slots")
+					all = all.With(revision, []fleet.Change{{Endpoint: e, Gone: rapid.Bool().Draw(t, "gone")}})
+				},
+				"all entries are read": func(t *rapid.T) {
+					revision++
+					all = all.Replace(revision, []fleet.Endpoint{endpoint("a", rapid.SampledFrom([]string{"1", "2"}).Draw(t, "born")), endpoint("b", "1")})
+				},
+				"an endpoint says that it leaves": func(t *rapid.T) {
+					said = maps.Clone(said)
+					said[endpoint(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), rapid.SampledFrom([]string{"1", "2"}).Draw(t, "born")).ID] = true
+					all = all.Depart(said)
+				},
+				"": func(t *rapid.T) {
+					for _, e := range all.Ready("s") {
+						if said[e.ID] || e.Leaving {
+							t.Fatalf("%s gets work", e.ID)
+						}
+					}
+					for id := range said {
+						if known, ok := all.Endpoint(id); ok && !known.Leaving || all.MayGetWork(id) {
+							t.Fatalf("%s is not known as leaving", id)
+						}
+					}
+				},
+			})
+		})
+	})
+
 	It("are told to others until the source says so", func() {
 		Expect(s.Undeclared()).To(HaveExactElements("a@1"))
 		leaving := endpoint("a", "1")
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -30,6 +30,8 @@
 	redo
 	// broken: as again, since the connection broke before the answer was whole.
 	broken
+	// barred: nothing was sent, since the endpoint may not be used any more.
+	barred
 )
 
 const (
@@ -73,6 +75,11 @@
 			if unreachedCount++; unreachedCount >= maxUnreached {
 				return u.giveUp(refuseNoEndpoint(u.comeBack()))
 			}
+		case barred:
+			// It says nothing against the endpoint; only the choices are bounded.
+			if unreachedCount++; unreachedCount >= maxUnreached {
+				return u.giveUp(u.refuseAway())
+			}
 		case elsewhere:
 			u.tried[call.Endpoint.ID] = true
 		case broken:
@@ -234,9 +241,12 @@
 func (u *run) sendFailed(ctx context.Context, call *balance.Call, begin time.Time, err error) next {
 	outcome := brokenUnless(ctx)
 	result := balance.Bad
-	if httpconn.NotSent(err) {
+	switch {
+	case httpconn.Barred(err):
+		outcome, result = barred, balance.Canceled
+	case httpconn.NotSent(err):
 		outcome, result = unreached, balance.Unreachable
-	} else {
+	default:
 		u.attempts++
 	}
 	if ctx.Err() != nil && u.Clock.Since(begin) < u.route.Objective {
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -39,6 +39,10 @@
 	return &Refusal{http.StatusServiceUnavailable, after, "no_endpoint", "no endpoint of the service can take the request; it has not run; come back after the time told"}
 }
 
+func refuseResting(after time.Duration) *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, after, "endpoints_rest", "all endpoints of the service want rest; the request has not run; come back after the time told"}
+}
+
 func refuseBusy(after time.Duration) *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, after, "busy", "the request would not be done in time; it has not run; come back after the time told"}
 }
--- a/pkg/gateway/resting.go
+++ b/pkg/gateway/resting.go
@@ -41,8 +41,10 @@
 }
 
 // refuseAway refuses a request for which no endpoint can be chosen. If all want rest its client may come back
-// when the first has had it, and not before.
+// when one has had it, and not before.
 func (u *run) refuseAway() *Refusal {
-	rest := u.Balancer.Rest(u.View().Fleet.Ready(u.service.Name))
-	return refuseNoEndpoint(max(u.comeBack(), rest))
+	if rest := u.Balancer.Return(u.View().Fleet.Ready(u.service.Name), u.comeBack()); rest > 0 {
+		return refuseResting(max(u.comeBack(), rest))
+	}
+	return refuseNoEndpoint(u.comeBack())
 }
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -69,6 +69,21 @@
 	return errors.As(err, &e)
 }
 
+// BarredError says that a gate did not let a call or a connection pass.
+type BarredError struct{ Cause error }
+
+// Error implements error.
+func (e *BarredError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *BarredError) Unwrap() error { return e.Cause }
+
+// Barred tells whether err says that the endpoint may not be used now, which says nothing against it.
+func Barred(err error) bool {
+	var e *BarredError
+	return errors.As(err, &e)
+}
+
 // Do makes a call and returns the head of its answer. Unless NotSent(err), the endpoint
 // may have acted on the call. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
@@ -81,6 +96,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.pass(p.gates.Send, call.Target); err != nil {
+		// The endpoint said so to another call while this one waited for its connection.
+		p.keep(c, 0)
+		return nil, err
+	}
 	x := &exchange{pool: p, conn: c, call: call, written: make(chan error, 1)}
 	x.unhook = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := x.write(); err != nil {
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -125,6 +125,23 @@
 		Expect(pool.Reach(context.Background(), call(s, "1").Target)).To(Succeed())
 	})
 
+	It("asks once more when a call has its connection, and keeps that for others", func() {
+		s := serve(echo)
+		asked := 0
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: func(httpconn.Target) error {
+			if asked++; asked == 2 {
+				return errors.New("said so meanwhile")
+			}
+			return nil
+		}}, httpconn.Deaf)
+		DeferCleanup(pool.Close)
+		_, err := do(call(s, "1"))
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+		Expect(httpconn.Barred(err)).To(BeTrue())
+		Expect(do(call(s, "2"))).To(Equal("for 2"))
+		Expect(s.conns.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("tells of the heads of all answers, of those to other calls too", func() {
 		s := serve(func(_ int, r *http.Request) (string, bool) {
 			return plain("another", "x") + plain(r.Header.Get("X-Id"), "y"), true
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -107,7 +107,7 @@
 func (p *Pool) pass(gate Gate, target Target) error {
 	if err := gate(target); err != nil {
 		p.barred.Inc()
-		return notSent(err)
+		return notSent(&BarredError{err})
 	}
 	return nil
 }
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -10,7 +10,6 @@
 	Leaving bool
 	// Rest is how long the endpoint wants nothing from this machine; 0: it does not say.
 	Rest time.Duration
+	// Unread is what the answer says of a rest and can't be read; empty: nothing.
+	Unread string
 }
-
-// None tells whether the notice says nothing.
-func (n Notice) None() bool { return n == Notice{} }
--- a/pkg/notice/rests.go
+++ b/pkg/notice/rests.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,23 @@
 	return least
 }
 
+// Return is when a caller may come back whom all endpoints' rests have turned away: when one of them, drawn at
+// random, has had its rest. It is the first or one that ends soon after that, so that not all callers come to the
+// first endpoint at one moment.
+func (r *Rests) Return(endpoints []fleet.Endpoint, soon time.Duration) time.Duration {
+	least := r.Least(endpoints)
+	var ends []time.Duration
+	for _, e := range endpoints {
+		if left := r.Left(e.ID); left <= least+soon {
+			ends = append(ends, left)
+		}
+	}
+	if least == 0 || len(ends) == 0 {
+		return least
+	}
+	return ends[rand.IntN(len(ends))]
+}
+
 // Awake returns the endpoints that want no rest: the same slice if that is all of them.
 func (r *Rests) Awake(endpoints []fleet.Endpoint) []fleet.Endpoint {
 	if r.resting.Load() == 0 {
@@ -89,6 +107,20 @@
 	return awake
 }
 
+// List returns how much longer each endpoint's life wants rest that wants any.
+func (r *Rests) List() map[string]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	list := make(map[string]time.Duration, len(r.until))
+	for endpoint, until := range r.until {
+		if now.Before(until) {
+			list[endpoint] = until.Sub(now)
+		}
+	}
+	return list
+}
+
 // Count is how many endpoints want rest.
 func (r *Rests) Count() int { return int(r.resting.Load()) }
 
--- a/pkg/notice/rests_test.go
+++ b/pkg/notice/rests_test.go
@@ -77,6 +77,21 @@
 		Expect(rests.Least(endpoints)).To(Equal(2 * time.Second))
 	})
 
+	It("spread those who come back over the ends that are near, none before the first", func() {
+		rests.Ask("a", 2*time.Second)
+		rests.Ask("b", 2*time.Second+400*time.Millisecond)
+		Expect(rests.Return(endpoints, time.Second)).To(BeZero(), "one wants none")
+		rests.Ask("c", time.Minute)
+		told := map[time.Duration]int{}
+		for range 200 {
+			told[rests.Return(endpoints, time.Second)]++
+		}
+		Expect(told).To(HaveLen(2))
+		Expect(told[2*time.Second]).To(BeNumerically(">", 50))
+		Expect(told[2400*time.Millisecond]).To(BeNumerically(">", 50))
+		Expect(rests.List()).To(HaveLen(3))
+	})
+
 	It("are dropped when they are over", func() {
 		rests.Ask("a", time.Second)
 		rests.Ask("b", 2*time.Second)
