--- a/cmd/cobaltcroftd/gateway/notices_test.go
+++ b/cmd/cobaltcroftd/gateway/notices_test.go
@@ -227,6 +227,27 @@
 		Expect(arrived(d.Of("first"))).To(Equal(before))
 	})
 
+	It("that all the makers of a stage want rest has requests refused at once", func() {
+		i := start(d.Address())
+		for _, e := range d.Of("second") {
+			e.AskRest(rest)
+		}
+		for _, e := range d.Of("second") {
+			Eventually(func() int { traffic(i); return e.RestsAsked() }).ShouldNot(BeZero())
+		}
+		began := time.Now()
+		r := i.request(http.MethodPost, "staged", newID(), "")
+		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+		r.Header.Set("Cobaltcroft-Piece-Key", "key")
+		refused := send(r)
+		GinkgoWriter.Println("TOOK", time.Since(began), refused.Status, refused.Header.Get("Retry-After"), refused.Body)
+		Expect(refused.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(began)).To(BeNumerically("<", rest/4))
+		for _, e := range d.Of("second") {
+			Expect(e.Disturbed()).To(BeZero())
+		}
+	})
+
 	It("that they want rest is heeded, by calls of all kinds, for as long as they ask", func() {
 		i := start(d.Address())
 		for _, e := range firsts() {
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -82,6 +82,8 @@
 	Others float64
 	// Call is the time that a call takes that is made now.
 	Call time.Duration
+	// Rest is how long it takes until the first endpoint wants calls, where all want rest; 0: one does.
+	Rest time.Duration
 	// RoomBytes is an endpoint's memory for results, and Size the pieces of a full call.
 	RoomBytes int64
 	Size      int
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -183,15 +183,6 @@
 	}
 }
 
-// heed has workers rest for as long as their endpoints want, in whichever answer they said so.
-func (b *Batcher) heed(workers []*worker, now time.Time) {
-	for _, w := range workers {
-		if until := now.Add(b.known.Rest(w.endpoint.ID)); until.After(w.restUntil) {
-			w.restUntil = until
-		}
-	}
-}
-
 // current are the workers that may get work, for as long as the service's endpoints stay the same.
 // Every piece asks for them: at the owner of one of four parts of 42 endpoints, cutting them anew
 // would make a forecast of a stage take 28 us and not 1 us, and a stage 31 us and not 4 us
--- a/pkg/batch/standin_test.go
+++ b/pkg/batch/standin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,8 +49,10 @@
 	// cut are the endpoints that can't be reached, and reaches how often one was tried.
 	cut     map[string]bool
 	reaches int
-	// rests is how much longer endpoints want rest.
-	rests map[string]time.Duration
+	// rests is how much longer endpoints want rest; resting says that some did, so that it costs as
+	// little to ask as it does where none does.
+	rests   map[string]time.Duration
+	resting atomic.Bool
 }
 
 func (e *endpoints) Run(ctx context.Context, endpoint fleet.Endpoint, pieces []batch.Piece) ([]batch.Result, batch.CallOutcome) {
@@ -127,6 +130,9 @@
 }
 
 func (e *endpoints) Rest(id string) time.Duration {
+	if !e.resting.Load() {
+		return 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.rests[id]
@@ -140,6 +146,7 @@
 		e.rests = map[string]time.Duration{}
 	}
 	e.rests[id] = left
+	e.resting.Store(true)
 }
 
 func (e *endpoints) Count(string, int) {}
--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -131,6 +131,9 @@
 // stageTime is how long a stage takes that begins after a time.
 func (p *Planner) stageTime(queue batch.Queue, plan *Plan, pieces int, begins time.Duration) time.Duration {
 	capacity := p.pieces.Capacity(queue)
+	if capacity.PerSecond <= 0 && capacity.Rest > 0 {
+		return max(0, capacity.Rest-begins) + capacity.Call
+	}
 	if capacity.PerSecond <= 0 {
 		return unknownTime
 	}
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -196,6 +196,15 @@
 		Expect(outcomeOf(done).Results).To(HaveLen(2))
 	})
 
+	It("forecasts a stage whose endpoints all want rest by the end of the first rest", func() {
+		m.capacity = batch.Capacity{Call: 300 * time.Millisecond, Rest: 1500 * time.Millisecond, RoomBytes: 1000, Size: 4}
+		refused := outcomeOf(run(chain("late", 2*time.Second)))
+		Expect(refused.Reason).To(Equal(pipeline.Busy))
+		Expect(refused.RetryAfter).To(BeNumerically("<", 1500*time.Millisecond), "it may come back before an endpoint's silence would be forecast to end")
+		run(chain("in time", 2800*time.Millisecond))
+		Eventually(m.stages).Should(Receive())
+	})
+
 	It("refuses at once what would be late, with when to come back, and makes nothing", func() {
 		outcome := outcomeOf(run(chain("r", 500*time.Millisecond)))
 		Expect(outcome.Reason).To(Equal(pipeline.Busy))
