peers, batch: what it costs to tell of an endpoint that leaves is measured

The time of a call where a queue has no endpoint at work is told only where all want rest; elsewhere it stays as it was, since the planner reads it.

--- a/pkg/batch/capacity.go
+++ b/pkg/batch/capacity.go
@@ -15,11 +15,9 @@
 	now := b.clock.Now()
 	b.heed(workers, now)
 	full := batching.CallTime(batching.Size).Seconds()
-	c := Capacity{
-		Call:      batching.CallTime(batching.Size),
-		Rest:      b.leastRest(workers),
-		RoomBytes: batching.RoomBytes,
-		Size:      batching.Size,
+	c := Capacity{RoomBytes: batching.RoomBytes, Size: batching.Size, Rest: b.leastRest(workers)}
+	if c.Rest > 0 {
+		c.Call = batching.CallTime(batching.Size)
 	}
 	slots := 0
 	speed := 0.0
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -62,8 +62,8 @@
 	// 11 KB a second to the 52 heartbeats that an instance of 295 sends, and only while there are any.
 	endsSeldom  = 32
 	endsUsually = 4
-	// departingTold is how many lives a heartbeat names that leave: 29 bytes each, and only until the
-	// source says so.
+	// departingTold is how many lives a heartbeat names that leave: 30 bytes each (BenchmarkDepartingSize), and
+	// only until the source says so.
 	departingTold = 8
 )
 
--- a/service/peers/ends_test.go
+++ b/service/peers/ends_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	pb "github.com/cobaltcroft/cobaltcroft/api/cobaltcroft/v1"
+	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 )
 
@@ -60,6 +61,22 @@
 }
 
 // BenchmarkEndSize gives the bytes that an end adds to a heartbeat.
+// BenchmarkDepartingSize gives the bytes that one life adds to a heartbeat which names it as leaving.
+func BenchmarkDepartingSize(b *testing.B) {
+	const n = 8
+	var size int
+	for b.Loop() {
+		beat := typical()
+		before, _ := encode(beat, secret)
+		for i := range n {
+			beat.leaving = append(beat.leaving, control.LeavingEndpoint{Name: fmt.Sprintf("i-0123456%03x@1796270000%03d", i, i)})
+		}
+		after, _ := encode(beat, secret)
+		size = (len(after) - len(before)) / n
+	}
+	b.ReportMetric(float64(size), "bytes/life")
+}
+
 func BenchmarkEndSize(b *testing.B) {
 	const n = 32
 	var size int
