soak, fleet, handover: an earlier build and the present one run side by side; endpoints keep their names through an earlier one

Cause: a missing field was read as 'the same as the ID'. Change: a life's ID without a name is read as what an earlier build passed on; a name that has the mark itself is always told.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,8 @@
 	bin/cobaltcroft-soak --seed 9603 --length 8s
 	bin/cobaltcroft-soak --seed 20004 --length 10s
 	bin/cobaltcroft-soak --seed 20005 --length 10s
+	bin/cobaltcroft-soak --from 241ded6 --seed 30001 --length 18s
 
 soak-short: build
 	bin/cobaltcroft-soak --seed 7 --length 9s --instances 3 --clients 8
+	bin/cobaltcroft-soak --from last --if-there --seed 30001 --length 12s --instances 3 --clients 8
--- a/cmd/cobaltcroft-soak/cmds/cmds.go
+++ b/cmd/cobaltcroft-soak/cmds/cmds.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/platform/platformtest/soak"
 )
 
@@ -16,6 +17,9 @@
 
 type commandLine struct {
 	Program   string        `default:"bin/cobaltcroftd" type:"path" help:"The program whose instances are run."`
+	From      string        `help:"Begin with the program of an earlier commit, replace the instances one after the other by the present one, go back, and forward again; last: the newest of the landings."`
+	IfThere   bool          `help:"Where the history lacks the commit of --from, such as in a shallow clone, say so and play nothing."`
+	Landings  string        `default:"_fixtures/landings.txt" help:"The list of landings, with the promises that each lacks."`
 	Seed      uint64        `help:"The first seed; 0: one by the clock."`
 	Seeds     int           `default:"1" help:"How many seeds are played, one after the other."`
 	Length    time.Duration `default:"15s" help:"How long faults come, for each seed."`
@@ -31,20 +35,60 @@
 	if line.Seed == 0 {
 		line.Seed = uint64(time.Now().UnixNano())
 	}
+	earlier, cleanUp, err := line.buildEarlier()
+	if line.IfThere && problem.KindOf(err) == problem.NotFound {
+		fmt.Println("mixed builds are not played:", err)
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
+		os.Exit(exitBreach)
+	}
+	defer cleanUp()
 	broken := 0
 	for n := range uint64(line.Seeds) {
-		if !line.play(line.Seed + n) {
+		if !line.play(line.Seed+n, earlier) {
 			broken++
 		}
 	}
 	fmt.Printf("%d seeds, %d with a breach\n", line.Seeds, broken)
 	if broken > 0 {
+		cleanUp()
 		os.Exit(exitBreach)
 	}
 }
 
+// earlier is the build with which the instances begin; its program is empty if that is the present one.
+type earlier struct {
+	program string
+	lacks   []soak.Promise
+}
+
+// buildEarlier builds the earlier program that is asked for, if any; the function removes it.
+func (c commandLine) buildEarlier() (earlier, func(), error) {
+	if c.From == "" {
+		return earlier{}, func() {}, nil
+	}
+	l, err := readLanding(c.Landings, c.From)
+	if err != nil {
+		return earlier{}, nil, err
+	}
+	dir, err := os.MkdirTemp("", "cobaltcroft-earlier-")
+	if err != nil {
+		return earlier{}, nil, err
+	}
+	cleanUp := func() { _ = os.RemoveAll(dir) }
+	program, err := l.build(dir)
+	if err != nil {
+		cleanUp()
+		return earlier{}, nil, err
+	}
+	fmt.Printf("begins with %s, which lacks %v\n", l.commit, l.lacks)
+	return earlier{program, l.lacks}, cleanUp, nil
+}
+
 // play plays one seed, and tells whether nothing broke.
-func (c commandLine) play(seed uint64) bool {
+func (c commandLine) play(seed uint64, from earlier) bool {
 	base := c.Dir
 	if base == "" {
 		base = os.TempDir()
@@ -54,7 +98,7 @@
 		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
 		return false
 	}
-	report, err := soak.Run(soak.Options{Program: c.Program, Dir: dir, Seed: seed, Length: c.Length, Instances: c.Instances, Clients: c.Clients})
+	report, err := soak.Run(soak.Options{Program: c.Program, Earlier: from.program, Lacks: from.lacks, Dir: dir, Seed: seed, Length: c.Length, Instances: c.Instances, Clients: c.Clients})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
 		return false
--- a/service/handover/knowledge.go
+++ b/service/handover/knowledge.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
@@ -52,6 +53,9 @@
 	if err == nil {
 		err = unpack(known.PackedEndpoints, &known.State.Endpoints)
 	}
+	for i, e := range known.State.Endpoints {
+		known.State.Endpoints[i] = fleet.Told(e)
+	}
 	return known.Known, err
 }
 
@@ -122,6 +126,9 @@
 	if err == nil {
 		err = unpack(relayed.PackedChanges, &relayed.Changes.Endpoints)
 	}
+	for i, c := range relayed.Changes.Endpoints {
+		relayed.Changes.Endpoints[i].Endpoint = fleet.Told(c.Endpoint)
+	}
 	return relayed.Relayed, err
 }
 
--- /dev/null
+++ b/service/handover/knowledge_test.go
@@ -0,0 +1,50 @@
+package handover
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
+)
+
+// recorded answers each method with the text that an instance of an earlier build gave.
+type recorded map[string]string
+
+func (r recorded) Answer(_ context.Context, method string, _ json.RawMessage) (any, error) {
+	return json.RawMessage(r[method]), nil
+}
+
+var _ = Describe("what instances of earlier builds tell", func() {
+	It("has the names of endpoints whose lives they do not know", func() {
+		usage := peers.NewUsage(metrics.NewSet())
+		server := peers.NewServer(recorded{
+			api.MethodState:  `{"state":{"revision":9,"endpoints":[{"id":"a@17","service":"s","address":"10.0.0.1:1","failure_domain":"d","slots":8,"leaving":false}]},"age_ns":1000000,"mark":{"revision":4,"at":9,"age_ns":1,"newest":4}}`,
+			api.MethodFollow: `{"changes":{"revision":12,"endpoints":[{"endpoint":{"id":"a@18","service":"s","address":"10.0.0.1:1","failure_domain":"d","slots":8,"leaving":true}},{"endpoint":{"id":"b","service":"","address":"","failure_domain":"","slots":0,"leaving":false},"gone":true}]},"age_ns":1000000,"mark":{"revision":4,"at":12,"age_ns":1,"newest":4}}`,
+		}, testToken, usage, logging.Discard().For("peers"))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go server.Serve(listener)
+		DeferCleanup(server.Close)
+		k := &Knowledge{Client: peers.NewClient("newer", testToken, usage), Live: func() []membership.Member { return nil }, Contacts: []string{listener.Addr().String()}}
+
+		known, err := k.State(context.Background(), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(known.State.Endpoints).To(HaveLen(1))
+		Expect(known.State.Endpoints[0]).To(SatisfyAll(HaveField("ID", "a@17"), HaveField("Name()", "a"), HaveField("Slots", 8), HaveField("Address", "10.0.0.1:1")))
+
+		relayed, err := k.Relay(context.Background(), listener.Addr().String(), discovery.RelaySelect{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(relayed.Changes.Endpoints).To(HaveLen(2))
+		Expect(relayed.Changes.Endpoints[0].Endpoint).To(SatisfyAll(HaveField("ID", "a@18"), HaveField("Name()", "a"), HaveField("Leaving", true)))
+		Expect(relayed.Changes.Endpoints[1]).To(SatisfyAll(HaveField("Endpoint.ID", "b"), HaveField("Endpoint.Name()", "b"), HaveField("Gone", true)))
+	})
+})
