--- a/cmd/cobaltcroftd/gateway/evacuation_test.go
+++ b/cmd/cobaltcroftd/gateway/evacuation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +19,7 @@
 )
 
 var _ = Describe("an evacuation of a failure domain", func() {
+	kinds := []string{"once", "repeat", "stream", "fixed", "staged", "staged"}
 	var d *platformtest.Deployment
 
 	BeforeEach(func() {
@@ -47,35 +47,11 @@
 		return n
 	}
 
-	// traffic sends requests of all kinds at once, and returns the statuses.
-	traffic := func(i *instance) []int {
-		var statuses []int
-		var mu sync.Mutex
-		var group sync.WaitGroup
-		for _, route := range []string{"once", "repeat", "stream", "fixed", "staged", "staged"} {
-			group.Go(func() {
-				defer GinkgoRecover()
-				id := newID()
-				r := i.request(http.MethodPost, route, id, "")
-				if route == "staged" {
-					r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
-					r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
-				}
-				got := send(r)
-				mu.Lock()
-				defer mu.Unlock()
-				statuses = append(statuses, got.Status)
-			})
-		}
-		group.Wait()
-		return statuses
-	}
-
 	// quiet returns how many requests reach a failure domain while traffic comes.
 	quiet := func(i *instance, zone string) func() int {
 		return func() int {
 			before := arrived(zone)
-			traffic(i)
+			traffic(i, kinds...)
 			return arrived(zone) - before
 		}
 	}
@@ -87,7 +63,7 @@
 		Eventually(quiet(i, home)).WithTimeout(evacuateBound).Should(BeZero())
 		before := arrived(home)
 		for range 10 {
-			Expect(traffic(i)).To(HaveEach(http.StatusOK))
+			Expect(traffic(i, kinds...)).To(HaveEach(http.StatusOK))
 		}
 		Expect(arrived(home)).To(Equal(before))
 		Expect(i.ready()).To(BeTrue())
@@ -128,11 +104,11 @@
 			))
 		}
 		begin := time.Now()
-		Expect(traffic(i)).To(HaveEach(http.StatusServiceUnavailable))
+		Expect(traffic(i, kinds...)).To(HaveEach(http.StatusServiceUnavailable))
 		Expect(time.Since(begin)).To(BeNumerically("<", time.Second), "the deadline is 5 s")
 		Expect(i.ready()).To(BeTrue())
 		restore(away)
-		Eventually(func() []int { return traffic(i) }).Should(HaveEach(http.StatusOK))
+		Eventually(func() []int { return traffic(i, kinds...) }).Should(HaveEach(http.StatusOK))
 	})
 
 	It("of all engines has no stage made for them, though the stages' own endpoints are not evacuated", func() {
@@ -148,7 +124,7 @@
 		evacuate(away)
 		Eventually(func() int { _, got := i.ask("stream"); return got.Status }).Should(Equal(http.StatusServiceUnavailable))
 		before := arrived("zone-c")
-		Expect(traffic(i)).To(HaveEach(http.StatusServiceUnavailable))
+		Expect(traffic(i, kinds...)).To(HaveEach(http.StatusServiceUnavailable))
 		Expect(arrived("zone-c")).To(Equal(before))
 	})
 
@@ -158,7 +134,7 @@
 		b := launch(unheard(), a.Peers)
 		Eventually(b.ready).Should(BeTrue())
 		for _, i := range []*instance{a, b} {
-			Eventually(func() []int { return traffic(i) }).Should(HaveEach(http.StatusOK))
+			Eventually(func() []int { return traffic(i, kinds...) }).Should(HaveEach(http.StatusOK))
 		}
 		Expect(arrived(home)).To(BeZero())
 	})
--- a/cmd/cobaltcroftd/gateway/notices_test.go
+++ b/cmd/cobaltcroftd/gateway/notices_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,35 +33,13 @@
 		// rest is what endpoints ask for here.
 		rest = 2 * time.Second
 	)
+	// kinds are the routes of requests that traffic consists of: enough to reach both endpoints of each service.
+	kinds := []string{"once", "once", "repeat", "repeat", "stream", "fixed", "staged", "staged", "staged"}
 	services := []string{"simple", "model", "first", "second", "third"}
 	var d *platformtest.Deployment
 
 	BeforeEach(func() { d = deploy(2) })
 
-	// traffic sends requests of all kinds at once, and returns the statuses.
-	traffic := func(i *instance) []int {
-		var statuses []int
-		var mu sync.Mutex
-		var group sync.WaitGroup
-		for _, route := range []string{"once", "once", "repeat", "repeat", "stream", "fixed", "staged", "staged", "staged"} {
-			group.Go(func() {
-				defer GinkgoRecover()
-				id := newID()
-				r := i.request(http.MethodPost, route, id, "")
-				if route == "staged" {
-					r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
-					r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
-				}
-				got := send(r)
-				mu.Lock()
-				defer mu.Unlock()
-				statuses = append(statuses, got.Status)
-			})
-		}
-		group.Wait()
-		return statuses
-	}
-
 	// firsts are the first endpoints of all services.
 	firsts := func() []*platformtest.Engine {
 		var list []*platformtest.Engine
@@ -85,7 +62,7 @@
 		GinkgoHelper()
 		for _, e := range engines {
 			before := e.Arrived()
-			Eventually(func() int { traffic(i); return e.Arrived() }).Should(BeNumerically(">", before))
+			Eventually(func() int { traffic(i, kinds...); return e.Arrived() }).Should(BeNumerically(">", before))
 		}
 	}
 
@@ -94,7 +71,7 @@
 	leave := func(i *instance, e *platformtest.Engine) {
 		GinkgoHelper()
 		e.Leave()
-		Eventually(func() int { traffic(i); return e.LeavesTold() }).ShouldNot(BeZero())
+		Eventually(func() int { traffic(i, kinds...); return e.LeavesTold() }).ShouldNot(BeZero())
 	}
 
 	It("that they leave is heeded while the store is silent, and holds whatever it says later", func() {
@@ -106,12 +83,12 @@
 		}
 		Eventually(func() int {
 			before := arrived(firsts())
-			traffic(i)
+			traffic(i, kinds...)
 			return arrived(firsts()) - before
 		}).WithTimeout(leaveBound).Should(BeZero())
 		before := arrived(firsts())
 		for range 10 {
-			Expect(traffic(i)).To(HaveEach(http.StatusOK))
+			Expect(traffic(i, kinds...)).To(HaveEach(http.StatusOK))
 		}
 		By("entries that still call them ready")
 		d.Store.SetFault(platformtest.StoreWell)
@@ -122,7 +99,7 @@
 		}
 		until := time.Now().Add(leaveBound)
 		for time.Now().Before(until) {
-			Expect(traffic(i)).To(HaveEach(http.StatusOK))
+			Expect(traffic(i, kinds...)).To(HaveEach(http.StatusOK))
 		}
 		Expect(arrived(firsts())).To(Equal(before))
 	})
@@ -157,7 +134,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(reborn.Close)
 		d.Store.Put("servers/"+reborn.ID, reborn.Entry("ready"))
-		Eventually(func() int { traffic(i); return len(reborn.Runs()) }).ShouldNot(BeZero())
+		Eventually(func() int { traffic(i, kinds...); return len(reborn.Runs()) }).ShouldNot(BeZero())
 	})
 
 	It("that all of a service want a short rest has requests wait for it, and served", func() {
@@ -183,7 +160,7 @@
 		leaving, resting := d.Of("simple")[0], d.Of("model")[0]
 		leave(i, leaving)
 		resting.AskRest(time.Minute)
-		Eventually(func() int { traffic(i); return resting.RestsAsked() }).ShouldNot(BeZero())
+		Eventually(func() int { traffic(i, kinds...); return resting.RestsAsked() }).ShouldNot(BeZero())
 		get := func(path string) string {
 			response, err := http.Get("http://" + i.Metrics + path)
 			Expect(err).NotTo(HaveOccurred())
@@ -220,10 +197,7 @@
 			e.AskRest(0)
 		}
 		before := arrived(d.Of("first"))
-		r := i.request(http.MethodPost, "staged", newID(), "")
-		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
-		r.Header.Set("Cobaltcroft-Piece-Key", "key")
-		Expect(send(r).Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(send(i.staged(newID())).Status).To(Equal(http.StatusServiceUnavailable))
 		Expect(arrived(d.Of("first"))).To(Equal(before))
 	})
 
@@ -233,14 +207,10 @@
 			e.AskRest(rest)
 		}
 		for _, e := range d.Of("second") {
-			Eventually(func() int { traffic(i); return e.RestsAsked() }).ShouldNot(BeZero())
+			Eventually(func() int { traffic(i, kinds...); return e.RestsAsked() }).ShouldNot(BeZero())
 		}
 		began := time.Now()
-		r := i.request(http.MethodPost, "staged", newID(), "")
-		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
-		r.Header.Set("Cobaltcroft-Piece-Key", "key")
-		refused := send(r)
-		GinkgoWriter.Println("TOOK", time.Since(began), refused.Status, refused.Header.Get("Retry-After"), refused.Body)
+		refused := send(i.staged(newID()))
 		Expect(refused.Status).To(Equal(http.StatusServiceUnavailable))
 		Expect(time.Since(began)).To(BeNumerically("<", rest/4))
 		for _, e := range d.Of("second") {
@@ -254,11 +224,11 @@
 			e.AskRest(rest)
 		}
 		for _, e := range firsts() {
-			Eventually(func() int { traffic(i); return e.RestsAsked() }).ShouldNot(BeZero())
+			Eventually(func() int { traffic(i, kinds...); return e.RestsAsked() }).ShouldNot(BeZero())
 		}
 		until := time.Now().Add(rest)
 		for time.Now().Before(until) {
-			Expect(traffic(i)).To(HaveEach(http.StatusOK))
+			Expect(traffic(i, kinds...)).To(HaveEach(http.StatusOK))
 		}
 		for _, e := range firsts() {
 			Expect(e.Disturbed()).To(BeZero(), "calls to an endpoint of %s that wants rest", e.Service)
--- a/cmd/cobaltcroftd/gateway/stages_test.go
+++ b/cmd/cobaltcroftd/gateway/stages_test.go
@@ -21,10 +21,7 @@
 	// staged sends a request with pieces in a chain of three stages and one beside it.
 	staged := func(i *instance) (string, answer) {
 		id := newID()
-		r := i.request(http.MethodPost, "staged", id, "")
-		r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
-		r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
-		return id, send(r)
+		return id, send(i.staged(id))
 	}
 
 	served := func(id string, got answer) {
--- a/cmd/cobaltcroftd/gateway/suite_test.go
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -117,6 +118,36 @@
 	return r
 }
 
+// staged returns a client's request with pieces in a chain of three stages and one beside it.
+func (i *instance) staged(id string) *http.Request {
+	r := i.request(http.MethodPost, "staged", id, "")
+	r.Header.Set("Cobaltcroft-Pieces", "1,3,2,2")
+	r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
+	return r
+}
+
+// traffic sends a request on each of the routes at once, and returns the statuses.
+func traffic(i *instance, routes ...string) []int {
+	var statuses []int
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, route := range routes {
+		group.Go(func() {
+			defer GinkgoRecover()
+			r := i.request(http.MethodPost, route, newID(), "")
+			if route == "staged" {
+				r = i.staged(newID())
+			}
+			got := send(r)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses = append(statuses, got.Status)
+		})
+	}
+	group.Wait()
+	return statuses
+}
+
 func send(r *http.Request) answer {
 	// A connection for each request, so that nothing is sent again by the client.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
