--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -30,7 +30,6 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
-	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
@@ -242,48 +241,10 @@
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
-// groupSettings say what this instance tells the others with its heartbeats, and what becomes of what they
-// tell.
-func (g *Gateway) groupSettings(self membership.Self) group.Settings {
-	return group.Settings{
-		Self:           self,
-		Contacts:       g.settings.Peers,
-		Heartbeat:      heartbeat,
-		SuspectAfter:   suspectAfter,
-		Claims:         g.claims,
-		HeardClaims:    g.hearClaims,
-		Division:       g.division,
-		HeardDivision:  g.hearDivision,
-		Revision:       g.documentRevision,
-		HeardRevision:  g.hearRevision,
-		Ends:           g.quarantine.Tell,
-		HeardEnds:      g.quarantine.Hear,
-		Departing:      g.departing,
-		HeardDeparting: g.hearDeparting,
-	}
-}
-
 func budgetBounds(s settings.Gateway) retry.Bounds {
 	return retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window()}
 }
 
-// claims and hearClaims tell and hear who owns which part. Heartbeats begin when all is put
-// together.
-func (g *Gateway) claims() []ownership.Claim          { return g.router.Claims() }
-func (g *Gateway) hearClaims(heard []ownership.Claim) { g.router.HearClaims(heard) }
-
-// division and hearDivision tell and hear into which parts the endpoints are cut.
-func (g *Gateway) division() ownership.Division          { return g.router.Division() }
-func (g *Gateway) hearDivision(heard ownership.Division) { g.router.HearDivision(heard) }
-
-// documentRevision and hearRevision tell and hear which configuration is in force where.
-func (g *Gateway) documentRevision() uint64 { return g.follower.View().Document.Revision }
-func (g *Gateway) hearRevision(r uint64)    { g.follower.Heard(r) }
-
-// departing and hearDeparting tell and hear which endpoints have said that they leave.
-func (g *Gateway) departing(n int) []string     { return g.follower.Departing(n) }
-func (g *Gateway) hearDeparting(lives []string) { g.follower.Depart(discovery.Peer, lives...) }
-
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
@@ -295,31 +256,6 @@
 	return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
 }
 
-// maySend is the gate of all calls to endpoints, requests, pieces, reports and frees alike: one that wants
-// rest from this machine gets none.
-func (g *Gateway) maySend(target httpconn.Target) error {
-	left := g.rests.Left(target.ID)
-	if left == 0 {
-		return nil
-	}
-	return problem.New(problem.Overloaded, "use another endpoint, or this one after that time", "endpoint %s wants %v of rest from this machine", target.ID, left)
-}
-
-// heardAnswer takes in what the head of an answer says of its endpoint.
-func (g *Gateway) heardAnswer(target httpconn.Target, status int, h http.Header) {
-	n := platform.Notice(status, h)
-	if n.Leaving {
-		g.follower.Depart(discovery.Answer, target.ID)
-	}
-	if n.Rest > 0 {
-		g.rests.Ask(target.ID, n.Rest)
-	}
-	if n.Unread != "" {
-		g.unread.Inc()
-		g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "status": status, "retry_after": n.Unread}).Warn("it is passed over; seconds are expected")
-	}
-}
-
 // sponsors tells whether this instance alone sends to an endpoint that is cold. One that has just
 // started may not know of the others.
 func (g *Gateway) sponsors(endpoint string) bool {
--- a/cmd/cobaltcroftd/gateway/operators.go
+++ b/cmd/cobaltcroftd/gateway/operators.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net/http"
-	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -34,29 +32,6 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-// heeded is what one endpoint's life said in its answers, as far as it is heeded.
-type heeded struct {
-	Endpoint string `json:"endpoint"`
-	// Leaving: it gets no new work for as long as it lives.
-	Leaving bool `json:"leaving,omitempty"`
-	// RestMs is how much longer it wants nothing from this machine, in milliseconds.
-	RestMs int64 `json:"rest_ms,omitempty"`
-}
-
-func (g *Gateway) listNotices(w http.ResponseWriter, _ bunrouter.Request) error {
-	view := g.follower.View()
-	list := []heeded{}
-	for _, life := range view.Fleet.Departed() {
-		list = append(list, heeded{Endpoint: life, Leaving: true})
-	}
-	rests := g.rests.List()
-	for _, life := range slices.Sorted(maps.Keys(rests)) {
-		list = append(list, heeded{Endpoint: life, RestMs: rests[life].Milliseconds()})
-	}
-	w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(w).Encode(list)
-}
-
 func (g *Gateway) listQuarantine(w http.ResponseWriter, _ bunrouter.Request) error {
 	w.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(w).Encode(g.quarantine.List())
