--- a/pkg/discovery/departing.go
+++ b/pkg/discovery/departing.go
@@ -10,9 +10,9 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// departedFor is how long a life that has said that it leaves is remembered after the source lists it no
-// more: its entry may lapse in an outage and come back as it was. Endpoints serve on for many seconds after
-// they have said so.
+// departedFor is how long after it was heard of a life that has said that it leaves is remembered, though the
+// source does not list it: its entry may lapse in an outage and come back as it was. Endpoints serve on for many
+// seconds after they have said so.
 const departedFor = 10 * time.Minute
 
 // Teller is who told that an endpoint leaves.
