rollout, fleet, discovery, gateway: an order to move a service's traffic to another version is obeyed

Cause: an endpoint's version was read nowhere, nor op/rollout/SERVICE. Endpoints of a new version got traffic like all others as soon as their entries were read, and no status was ever written. Ruled out: a share counted by each instance (at 0.4 requests a second nobody can count a tenth); counts told in heartbeats (cross domains every two minutes at 74 instances); a verdict that follows the written status (the slowest instance would be the last to stop). Change: orders travel with evacuations (one watch, relays, peers). What an instance doesn't know of an order withholds the version; an endpoint of a version that turned up after the orders are known for waits. One conductor, agreed by rendezvous, gets the counts of all instances and answers with step and share, which hold for two reports; a new one learns all from the next reports. Trial of 0.6 of the allowed share by the request's hash, at as many endpoints as make their load the others'; two short steps; all; the record when nothing that can't go on elsewhere runs at the old endpoints. The version is weighed against the others answer by answer, by route, by failures and times (CUSUM of likelihoods, e^12), what speaks for it being forgotten. The record changes under a condition on its revision.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
+	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
@@ -86,6 +87,8 @@
 	pieces *retry.Budget
 	// quarantine has the requests that end their endpoints.
 	quarantine *quarantine.Keeper
+	// rollouts move traffic between versions.
+	rollouts *rollout.Keeper
 
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
@@ -216,6 +219,8 @@
 		Clock:     g.clock,
 		Log:       g.logs.For("handover"),
 	})
+	conducting := &handover.Conducting{Client: g.client, Instance: self, Live: g.group.Live}
+	g.rollouts = rollout.NewKeeper(rolling{g.follower}, conducting, g.store, s.Rollouts.Share, g.clock, g.logs.For("rollout"))
 	g.executor = pkggateway.New(pkggateway.Options{
 		View:      g.follower.View,
 		Dialect:   platform.Dialect{},
@@ -231,13 +236,14 @@
 		Sponsors:  g.sponsors,
 
 		Quarantine: g.quarantine,
+		Rollouts:   g.rollouts.Participant,
 	})
 	g.metrics.NewGauge("cobaltcroft_endpoints_resting", func() float64 { return float64(g.rests.Count()) })
 	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.handler = handover.NewHandler(g.router, g.follower)
+	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts)
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
@@ -248,12 +254,17 @@
 // instances is how many instances there are, as far as is known.
 func (g *Gateway) instances() int { return 1 + len(g.group.Live()) }
 
-// mayConnect is the gate of all that goes to endpoints: one in an evacuated failure domain gets nothing.
+// mayConnect is the gate of all that goes to endpoints: one in an evacuated failure domain gets nothing, nor one of a
+// version that is not to get work.
 func (g *Gateway) mayConnect(target httpconn.Target) error {
-	if !g.follower.View().Evacuations().Has(target.FailureDomain) {
-		return nil
+	view := g.follower.View()
+	if view.Evacuations().Has(target.FailureDomain) {
+		return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
+	}
+	if view.Fleet.Barred(target.ID) {
+		return problem.New(problem.Unavailable, "use an endpoint of another version", "the version of endpoint %s gets no work", target.ID)
 	}
-	return problem.New(problem.Unavailable, "use an endpoint of another failure domain", "failure domain %s of endpoint %s is evacuated", target.FailureDomain, target.ID)
+	return nil
 }
 
 // sponsors tells whether this instance alone sends to an endpoint that is cold. One that has just
@@ -330,6 +341,7 @@
 	g.tomb.Go(func() error { return g.face.Serve(g.listeners.requests) })
 	g.tomb.Go(func() error { g.face.Sweep(ctx); return nil })
 	g.tomb.Go(func() error { g.quarantine.Run(ctx); return nil })
+	g.tomb.Go(func() error { g.rollouts.Run(ctx); return nil })
 	g.tomb.Go(func() error { g.every(ctx, batchTick, g.batcher.Tick); return nil })
 	g.tomb.Go(func() error { g.every(ctx, sweepPeriod, g.sweep); return nil })
 	go func() { _ = http.Serve(g.listeners.readiness, http.HandlerFunc(g.ready)) }()
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -180,6 +180,7 @@
 	mark := discovery.Mark{Revision: state.Document.Revision, At: state.Revision, Age: p.oldness(), Newest: state.Document.Revision}
 	if p.mu.Lock(); !p.silentOnOrders {
 		mark.Evacuations = fleet.Evacuations{Revision: state.Revision, Domains: state.Evacuated}
+		mark.Rollouts = fleet.Rollouts{Revision: state.Revision}
 	}
 	p.mu.Unlock()
 	return mark
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -60,8 +60,8 @@
 	if lacking, lacks := view.Lacking(now); lacks && lacking > sourceAfter+f.hesitation {
 		return true
 	}
-	if view.Evacuations().Revision < view.DocumentAt {
-		// Those who told of the document did not tell of evacuations.
+	if view.knownOrders() < view.DocumentAt {
+		// Those who told of the document did not tell of all orders.
 		return true
 	}
 	relayed := f.relayed.Load()
@@ -84,7 +84,7 @@
 	view := f.View()
 	_, lacks := view.Lacking(f.clock.Now())
 	ask := f.watchDocument
-	if anew || lacks || !view.Evacuations().Known() {
+	if anew || lacks || view.knownOrders() == 0 {
 		// The answer to a watch would hold every version that was missed; this one has the newest alone.
 		ask = f.readDocument
 	}
@@ -152,11 +152,12 @@
 }
 
 // takeIn delivers what the source told: a document, or that there is no newer one; and all
-// evacuations that were ordered since a revision, or if that is 0 all that are in force.
+// orders that were given since a revision, or if that is 0 all that are in force.
 func (f *Follower) takeIn(ctx context.Context, newest Newest, since uint64, at time.Time) {
 	f.refuseMalformed(newest.Evacuations, newest.At)
+	f.refuseRollouts(newest.Rollouts)
 	view := f.View()
-	n := documentNews{document: newest.Document, at: at, from: "source", orders: orders{since: since, at: newest.At, given: newest.Evacuations}}
+	n := documentNews{document: newest.Document, at: at, from: "source", orders: orders{since: since, at: newest.At, given: newest.Evacuations, rollouts: newest.Rollouts}}
 	n.mark = Mark{Revision: max(newest.Document.Revision, view.Document.Revision), At: newest.At}
 	if newest.Document.Revision > max(view.Document.Revision, view.refused) {
 		n.table = f.compile(newest.Document, n.from)
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -178,7 +178,7 @@
 
 func (f *Follower) askRelay(ctx context.Context, relay string) bool {
 	view := f.View()
-	selection := RelaySelect{Since: view.listed.Revision, Document: view.known(), Evacuations: view.Evacuations(), Wait: relayWait}
+	selection := RelaySelect{Since: view.listed.Revision, Document: view.known(), Evacuations: view.Evacuations(), Rollouts: view.Rollouts(), Wait: relayWait}
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
 	told, err := f.peers.Relay(callCtx, relay, selection)
 	cancel()
--- a/pkg/discovery/evacuating.go
+++ b/pkg/discovery/evacuating.go
@@ -6,16 +6,17 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// orders are what the source told of evacuations, as of a revision: those that were given since an
-// earlier one, or if that is 0 all that are in force. The zero value tells nothing.
+// orders are what the source told of evacuations and rollouts, as of a revision: those that were given
+// since an earlier one, or if that is 0 all that are in force. The zero value tells nothing.
 type orders struct {
-	since uint64
-	at    uint64
-	given []fleet.Evacuation
+	since    uint64
+	at       uint64
+	given    []fleet.Evacuation
+	rollouts []fleet.RolloutOrder
 }
 
 // follow tells whether the orders follow what is known: not if some before them are not known.
-func (o orders) follow(known fleet.Evacuations) bool { return o.since <= known.Revision }
+func (o orders) follow(known *View) bool { return o.since <= known.knownOrders() }
 
 // after returns what holds after the orders, where others were known before: those, if the orders
 // are older.
@@ -38,7 +39,7 @@
 	if after.Same(before) {
 		return false
 	}
-	view.Fleet = f.lapses.keep(f.clock.Now(), view.Fleet, view.listed)
+	f.keepFleet(view)
 	evacuated, returned := after.Changed(before)
 	for _, domain := range evacuated {
 		f.logEvacuation("domain_evacuated", domain, view)
--- a/pkg/discovery/history.go
+++ b/pkg/discovery/history.go
@@ -1,10 +1,6 @@
 package discovery
 
-import (
-	"sync"
-
-	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
-)
+import "sync"
 
 // historyLength bounds the changes that are kept for those who are relayed to.
 const historyLength = 512
@@ -91,7 +87,7 @@
 	for {
 		changed := f.history.changed()
 		view := f.View()
-		if view.listed.Revision > selection.Since || view.Newest() > selection.Document || evacuatesOthers(view.Evacuations(), selection.Evacuations) {
+		if view.listed.Revision > selection.Since || view.Newest() > selection.Document || ordersOthers(view, selection) {
 			return f.relay(view, selection.Since)
 		}
 		select {
@@ -102,10 +98,12 @@
 	}
 }
 
-// evacuatesOthers tells whether an instance knows of evacuations that an asker does not know, or of
-// their end. One that told none is not woken: it asks the source.
-func evacuatesOthers(known, asker fleet.Evacuations) bool {
-	return asker.Known() && known.Revision > asker.Revision && !known.Same(asker)
+// ordersOthers tells whether an instance knows of orders that an asker does not know, or of their end.
+// One that told none is not woken: it asks the source.
+func ordersOthers(view *View, asker RelaySelect) bool {
+	evacuations, rollouts := view.Evacuations(), view.Rollouts()
+	return asker.Evacuations.Known() && evacuations.Revision > asker.Evacuations.Revision && !evacuations.Same(asker.Evacuations) ||
+		asker.Rollouts.Known() && rollouts.Revision > asker.Rollouts.Revision && !rollouts.Same(asker.Rollouts)
 }
 
 // relay returns what a view has beyond a revision of the endpoints.
--- a/pkg/discovery/model_test.go
+++ b/pkg/discovery/model_test.go
@@ -32,8 +32,10 @@
 	// invalid documents compile nowhere.
 	invalid map[uint64]bool
 	// orders are those to evacuate failure domains, each with the revision of its index in ordered.
-	orders    []fleet.Evacuation
-	ordered   []uint64
+	orders  []fleet.Evacuation
+	ordered []uint64
+	// rollouts are those to move traffic between versions; each has the revision that it was given at.
+	rollouts  []fleet.RolloutOrder
 	followers []*Follower
 	// sent are the news under way.
 	sent []delivery
@@ -93,9 +95,34 @@
 	return orders
 }
 
-// order has the operator evacuate a failure domain, or take it back.
+// rolled are the rollouts as of a revision of the source.
+func (m *model) rolled(at uint64) fleet.Rollouts {
+	return fleet.Rollouts{}.With(at, m.rolloutsAfter(0, at))
+}
+
+func (m *model) rolloutsAfter(since, at uint64) []fleet.RolloutOrder {
+	var orders []fleet.RolloutOrder
+	for _, order := range m.rollouts {
+		if order.Revision > since && order.Revision <= at {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// order has the operator evacuate a failure domain, or move a service's traffic, or take that back.
 func (m *model) order(t *rapid.T) {
 	m.revision++
+	if rapid.Bool().Draw(t, "a rollout") {
+		m.rollouts = append(m.rollouts, fleet.RolloutOrder{
+			Rollout: fleet.Rollout{
+				Service: rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service"), Version: rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"), Revision: m.revision,
+			},
+			Ended:   rapid.Bool().Draw(t, "taken back"),
+			Refused: rapid.SampledFrom([]string{"", "", "it does not parse"}).Draw(t, "refused"),
+		})
+		return
+	}
 	m.ordered = append(m.ordered, m.revision)
 	m.orders = append(m.orders, fleet.Evacuation{
 		Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
@@ -135,10 +162,11 @@
 	}
 	n.mark = Mark{Revision: max(n.document.Revision, view.Document.Revision), At: m.revision}
 	n.orders = orders{at: m.revision}
-	if view.Evacuations().Known() && !rapid.Bool().Draw(t, "all") {
+	if view.knownOrders() > 0 && !rapid.Bool().Draw(t, "all") {
 		n.orders.since = view.ordersAt()
 	}
 	n.orders.given = m.ordersAfter(n.orders.since, m.revision)
+	n.orders.rollouts = m.rolloutsAfter(n.orders.since, m.revision)
 	m.sent = append(m.sent, delivery{to: to, news: n})
 }
 
@@ -196,7 +224,7 @@
 }
 
 func (m *model) checkForward(t *rapid.T, i int, before, after *View) {
-	if after.Evacuations().Revision < before.Evacuations().Revision {
+	if after.Evacuations().Revision < before.Evacuations().Revision || after.Rollouts().Revision < before.Rollouts().Revision {
 		t.Fatalf("follower %d went back from %+v to %+v", i, before.Evacuations(), after.Evacuations())
 	}
 	if after.Document.Revision < before.Document.Revision || after.DocumentAt < before.DocumentAt {
@@ -224,8 +252,11 @@
 		if e := view.Evacuations(); e.Known() && !e.Same(m.evacuated(e.Revision)) {
 			t.Fatalf("%s: it takes %v to be evacuated as of %d, which are %v", name, e.Domains, e.Revision, m.evacuated(e.Revision).Domains)
 		}
-		if view.Document.Revision > 0 && view.Evacuations().Revision < view.DocumentAt {
-			t.Fatalf("%s: it knows the evacuations as of %d alone", name, view.Evacuations().Revision)
+		if r := view.Rollouts(); r.Known() && !r.Same(m.rolled(r.Revision)) {
+			t.Fatalf("%s: it takes %v to be ordered as of %d, which are %v", name, r.Orders, r.Revision, m.rolled(r.Revision).Orders)
+		}
+		if view.Document.Revision > 0 && view.knownOrders() < view.DocumentAt {
+			t.Fatalf("%s: it knows the orders as of %d alone", name, view.knownOrders())
 		}
 		w := m.told[i]
 		if w.revision > view.settled() && now.Sub(w.at) < toldFor {
@@ -264,7 +295,7 @@
 	})
 }
 
-var _ = Describe("followers that tell each other of documents and evacuations", func() {
+var _ = Describe("followers that tell each other of documents, evacuations and rollouts", func() {
 	It("claim what is so, never go back, and refuse when they lack what others have", func() {
 		for range plays {
 			rapid.Check(GinkgoT(), playFollowers)
--- a/pkg/discovery/news.go
+++ b/pkg/discovery/news.go
@@ -89,11 +89,13 @@
 }
 
 func (n documentNews) apply(f *Follower, view *View) func() {
-	if !n.orders.follow(view.Evacuations()) {
+	if !n.orders.follow(view) {
 		return nil
 	}
 	changed := f.evacuate(view, n.orders.after(view.Evacuations()))
 	changed = f.evacuate(view, n.mark.Evacuations) || changed
+	changed = f.roll(view, n.orders.rolledAfter(view.Rollouts())) || changed
+	changed = f.roll(view, n.mark.Rollouts) || changed
 	return f.wakeIf(changed, n.takeDocument(f, view))
 }
 
@@ -137,12 +139,13 @@
 }
 
 func (n markNews) apply(f *Follower, view *View) func() {
-	evacuated := f.evacuate(view, n.mark.Evacuations)
+	ordered := f.evacuate(view, n.mark.Evacuations)
+	ordered = f.roll(view, n.mark.Rollouts) || ordered
 	view.confirmDocument(n.mark, n.at)
 	now := f.clock.Now()
 	had := view.hear(n.mark.Revision, true, now)
 	heard := view.hear(n.mark.Newest, false, now)
-	return f.wakeIf(evacuated, f.spread(had || heard))
+	return f.wakeIf(ordered, f.spread(had || heard))
 }
 
 // rumourNews is the revision of a document that a peer has in force.
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -47,6 +47,8 @@
 	// Evacuations are the orders to evacuate failure domains, in the order in which they were
 	// given: of a reading all that are in force, of a watch those after its revision.
 	Evacuations []fleet.Evacuation
+	// Rollouts are the orders to move traffic between versions, told as the evacuations are.
+	Rollouts []fleet.RolloutOrder
 }
 
 // Progress is told each time that bytes of an answer have come.
@@ -60,10 +62,10 @@
 	// Watch returns the changes of endpoints after a revision as soon as there is one, or
 	// none after the time to wait. It fails with ErrHistoryGone if they are not kept.
 	Watch(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Changes, error)
-	// Document reads the newest document, and which failure domains are evacuated.
+	// Document reads the newest document, and the orders in force.
 	Document(ctx context.Context, progress Progress) (Newest, error)
 	// WatchDocument returns the newest document as soon as one was written after a revision
-	// of the source, or a failure domain evacuated or taken back, or neither after the time to wait.
+	// of the source, or an order given or taken back, or neither after the time to wait.
 	// It fails as Watch does.
 	WatchDocument(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Newest, error)
 	// Decode reads a document.
@@ -84,6 +86,9 @@
 	// Evacuations are the failure domains that it knows to be evacuated. A version that does not
 	// tell them knows none; who hears it asks the source.
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
+	// Rollouts are the orders to move traffic between versions that it knows; as for evacuations, a version
+	// that does not tell them knows none.
+	Rollouts fleet.Rollouts `json:"rollouts,omitzero"`
 }
 
 // Known is what a peer knows.
@@ -114,6 +119,8 @@
 	Document uint64
 	// Evacuations are those that the asker knows of.
 	Evacuations fleet.Evacuations
+	// Rollouts are the orders that the asker knows of.
+	Rollouts fleet.Rollouts
 	// Wait is how long to wait for something newer.
 	Wait time.Duration
 }
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -63,13 +63,20 @@
 // what is known of documents.
 func (v *View) Evacuations() fleet.Evacuations { return v.listed.Evacuations() }
 
+// Rollouts are the orders to move traffic between versions, as new as evacuations are.
+func (v *View) Rollouts() fleet.Rollouts { return v.listed.Rollouts() }
+
 // Complete tells whether requests can be served: by a configuration, and knowing which failure
-// domains are evacuated.
-func (v *View) Complete() bool { return v.Table != nil && v.Evacuations().Known() }
+// domains are evacuated and which versions are not to be trusted yet.
+func (v *View) Complete() bool { return v.Table != nil && v.knownOrders() > 0 }
+
+// knownOrders is the revision of the source up to which this instance knows all evacuations and
+// rollouts.
+func (v *View) knownOrders() uint64 { return min(v.Evacuations().Revision, v.Rollouts().Revision) }
 
 // ordersAt is the revision of the source up to which this instance knows all documents and all
-// evacuations.
-func (v *View) ordersAt() uint64 { return min(v.DocumentAt, v.Evacuations().Revision) }
+// orders.
+func (v *View) ordersAt() uint64 { return min(v.DocumentAt, v.knownOrders()) }
 
 // Age is how long ago the source confirmed that the configuration is the newest.
 func (v *View) Age(now time.Time) time.Duration { return since(v.DocumentConfirmed, now) }
@@ -113,7 +120,7 @@
 // mark is what others are told of the document. Who refused a newer one does not vouch for
 // its own beyond that: others may take it.
 func (v *View) mark(now time.Time) Mark {
-	m := Mark{Revision: v.Document.Revision, At: v.DocumentAt, Age: v.Age(now), Newest: v.Newest(), Evacuations: v.Evacuations()}
+	m := Mark{Revision: v.Document.Revision, At: v.DocumentAt, Age: v.Age(now), Newest: v.Newest(), Evacuations: v.Evacuations(), Rollouts: v.Rollouts()}
 	if v.refused > v.Document.Revision {
 		m.At = v.Document.Revision
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -1,5 +1,6 @@
 // Package fleet holds what is known of the endpoints: an immutable snapshot, with the
-// revision of the source that it stands for, and the failure domains that are evacuated.
+// revision of the source that it stands for, the failure domains that are evacuated, and the
+// versions to which traffic is moved.
 package fleet
 
 import (
@@ -21,7 +22,9 @@
 	Address string `json:"address"`
 	// FailureDomain that it stands in.
 	FailureDomain string `json:"failure_domain"`
-	Slots         int    `json:"slots"`
+	// Version is that of its software; empty if it was not told.
+	Version string `json:"version,omitempty"`
+	Slots   int    `json:"slots"`
 	// Leaving endpoints get no new work. Their entry says so, or they themselves in an answer.
 	Leaving bool `json:"leaving"`
 	// ColdMs is how much longer it bears little work, in milliseconds, as of when its entry was
@@ -56,6 +59,14 @@
 	returned    map[string]uint64
 	// departures are the lives that said in answers that they leave.
 	departures Departures
+	// rollouts are the orders to move traffic between versions, and standings how they stand.
+	rollouts  Rollouts
+	standings Standings
+	versions  versions
+	withdrawn withdrawn
+	// trials are by service; barred are the IDs of endpoints that get nothing for their version's sake.
+	trials map[string]Trial
+	barred map[string]bool
 }
 
 // Change is one endpoint's entry as it is now, or its end.
@@ -75,11 +86,12 @@
 
 // Replace returns the snapshot with other endpoints, as of a revision, and the same evacuations.
 func (s *Snapshot) Replace(revision uint64, endpoints []Endpoint) *Snapshot {
+	replaced := *s
 	all := make(map[string]Endpoint, len(endpoints))
 	for _, e := range endpoints {
 		all[e.Name()] = e
+		replaced.versions = replaced.versions.with(revision, e)
 	}
-	replaced := *s
 	replaced.Revision, replaced.endpoints = revision, all
 	return replaced.build()
 }
@@ -87,22 +99,25 @@
 // build finds the endpoints by ID, and sorts those that may get new work by service.
 func (s *Snapshot) build() *Snapshot {
 	s.ready = map[string][]Endpoint{}
+	s.trials, s.barred = map[string]Trial{}, map[string]bool{}
 	s.names = make(map[string]string, len(s.endpoints))
 	for name, e := range s.endpoints {
 		s.names[e.ID] = name
 		e = s.marked(e)
-		if s.mayGetWork(e) {
+		if s.stays(e) {
 			e.Returned = s.returned[e.FailureDomain]
 			s.ready[e.Service] = append(s.ready[e.Service], e)
 		}
 	}
-	for _, list := range s.ready {
+	for service, list := range s.ready {
 		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+		s.ready[service] = s.admit(service, list)
 	}
 	return s
 }
 
-func (s *Snapshot) mayGetWork(e Endpoint) bool {
+// stays tells whether an endpoint neither leaves nor stands in a failure domain that is evacuated.
+func (s *Snapshot) stays(e Endpoint) bool {
 	return !e.Leaving && !s.evacuations.Has(e.FailureDomain)
 }
 
@@ -122,6 +137,7 @@
 			continue
 		}
 		after.endpoints[c.Endpoint.Name()] = c.Endpoint
+		after.versions = after.versions.with(revision, c.Endpoint)
 	}
 	return after.build()
 }
@@ -175,11 +191,11 @@
 	return ok
 }
 
-// MayGetWork tells whether an endpoint is known, not leaving, and not in an evacuated failure
-// domain.
+// MayGetWork tells whether an endpoint is known, not leaving, not in an evacuated failure domain, and of
+// a version that may get work.
 func (s *Snapshot) MayGetWork(id string) bool {
 	e, ok := s.Endpoint(id)
-	return ok && s.mayGetWork(e)
+	return ok && s.stays(e) && !s.barred[id]
 }
 
 // All returns all endpoints, in no order.
--- /dev/null
+++ b/pkg/fleet/versions_test.go
@@ -0,0 +1,159 @@
+package fleet_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+var _ = Describe("the versions of a service", func() {
+	const order = 5
+	var s *fleet.Snapshot
+
+	endpoint := func(id, version string) fleet.Endpoint {
+		return fleet.Endpoint{ID: id, Service: "s", FailureDomain: "d", Version: version}
+	}
+	ready := func() []string {
+		var ids []string
+		for _, e := range s.Ready("s") {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+	ordered := func(revision uint64, orders ...fleet.Rollout) fleet.Rollouts {
+		return fleet.Rollouts{Revision: revision, Orders: orders}
+	}
+	toV2 := fleet.Rollout{Service: "s", Version: "v2", OverMs: 1000, Revision: order}
+	stand := func(exposure fleet.Exposure, share float64) {
+		s = s.Stand(fleet.Standings{order: {Exposure: exposure, Share: share}})
+	}
+
+	BeforeEach(func() {
+		s = fleet.New(1, []fleet.Endpoint{endpoint("a", "v1"), endpoint("b", "v1")}).Roll(ordered(4))
+		s = s.With(7, []fleet.Change{{Endpoint: endpoint("x", "v2")}, {Endpoint: endpoint("y", "v2")}})
+	})
+
+	It("that turn up get nothing until the orders are known up to then", func() {
+		Expect(ready()).To(HaveExactElements("a", "b"))
+		Expect(s.Barred("x")).To(BeTrue())
+		Expect(s.MayGetWork("x")).To(BeFalse())
+		s = s.Roll(ordered(6))
+		Expect(ready()).To(HaveExactElements("a", "b"))
+		s = s.Roll(ordered(7))
+		Expect(ready()).To(HaveExactElements("a", "b", "x", "y"))
+	})
+
+	It("are all used by an instance that starts and knows of no order", func() {
+		s = fleet.New(9, []fleet.Endpoint{endpoint("a", "v1"), endpoint("x", "v2")}).Roll(ordered(8))
+		Expect(ready()).To(HaveExactElements("a", "x"))
+	})
+
+	DescribeTable("of an order get what it stands at",
+		func(exposure fleet.Exposure, used, trial, barred []string) {
+			s = s.Roll(ordered(8, toV2))
+			stand(exposure, 0.5)
+			Expect(ready()).To(Equal(used))
+			var tried []string
+			for _, e := range s.Trial("s").Endpoints {
+				tried = append(tried, e.ID)
+			}
+			Expect(tried).To(HaveLen(len(trial)))
+			for _, id := range barred {
+				Expect(s.MayGetWork(id)).To(BeFalse())
+			}
+			for _, id := range append(used, tried...) {
+				Expect(s.MayGetWork(id)).To(BeTrue())
+			}
+		},
+		Entry("nothing is known", fleet.Withheld, []string{"a", "b"}, nil, []string{"x", "y"}),
+		Entry("tried, at the load of the others", fleet.Tried, []string{"a", "b"}, []string{"one"}, nil),
+		Entry("proven", fleet.Proven, []string{"x", "y"}, nil, []string{"a", "b"}),
+		Entry("refuted", fleet.Refuted, []string{"a", "b"}, nil, []string{"x", "y"}),
+	)
+
+	It("get nothing that are refuted though no other is left, and get all that had it before the order", func() {
+		gone := []fleet.Change{{Endpoint: endpoint("a", ""), Gone: true}, {Endpoint: endpoint("b", ""), Gone: true}}
+		s = s.Roll(ordered(8, toV2)).With(9, gone)
+		Expect(ready()).To(BeEmpty())
+		stand(fleet.Refuted, 0)
+		Expect(ready()).To(BeEmpty())
+		s = fleet.New(1, []fleet.Endpoint{endpoint("a", "v2")}).Roll(ordered(8, toV2))
+		Expect(ready()).To(HaveExactElements("a"))
+	})
+
+	It("that are proven fall back to the others when none is left", func() {
+		s = s.Roll(ordered(8, toV2))
+		stand(fleet.Proven, 0)
+		s = s.With(9, []fleet.Change{{Endpoint: endpoint("x", ""), Gone: true}, {Endpoint: endpoint("y", ""), Gone: true}})
+		Expect(ready()).To(HaveExactElements("a", "b"))
+	})
+
+	It("whose order is taken back or replaced before they are proven get nothing while others are there", func() {
+		s = s.Roll(ordered(8, toV2)).Roll(ordered(9))
+		Expect(ready()).To(HaveExactElements("a", "b"))
+		s = s.Roll(ordered(10, fleet.Rollout{Service: "s", Version: "v3", Revision: 10}))
+		Expect(ready()).To(HaveExactElements("a", "b"))
+		s = s.With(11, []fleet.Change{{Endpoint: endpoint("a", ""), Gone: true}, {Endpoint: endpoint("b", ""), Gone: true}})
+		Expect(ready()).To(HaveExactElements("x", "y"), "there is nothing else")
+	})
+
+	It("whose order is taken back after they were proven are used", func() {
+		s = s.Roll(ordered(8, toV2))
+		stand(fleet.Proven, 0)
+		s = s.Roll(ordered(9))
+		Expect(ready()).To(HaveExactElements("a", "b", "x", "y"))
+	})
+
+	It("share out requests alike at all instances, and about as they should", func() {
+		trial := fleet.Trial{Order: order, Share: 0.06, Endpoints: []fleet.Endpoint{endpoint("x", "v2")}}
+		taken := 0
+		for n := range 20_000 {
+			if trial.Takes(fmt.Sprint("request-", n)) {
+				taken++
+			}
+		}
+		Expect(taken).To(BeNumerically("~", 1200, 150))
+		Expect(fleet.Trial{Share: 1}.Takes("request")).To(BeFalse(), "nobody is there to take it")
+	})
+
+	It("of an order that is not proven are never ready, in whatever order entries, orders and standings come", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := fleet.New(1, []fleet.Endpoint{endpoint("a", "v1")}).Roll(ordered(1))
+			revision := uint64(1)
+			t.Repeat(map[string]func(*rapid.T){
+				"an entry": func(t *rapid.T) {
+					revision++
+					e := endpoint(rapid.SampledFrom([]string{"b", "x", "y"}).Draw(t, "id"), rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"))
+					all = all.With(revision, []fleet.Change{{Endpoint: e, Gone: rapid.Bool().Draw(t, "gone")}})
+				},
+				"all entries": func(*rapid.T) {
+					revision++
+					all = all.Replace(revision, []fleet.Endpoint{endpoint("a", "v1"), endpoint("x", "v2")})
+				},
+				"an order": func(*rapid.T) {
+					revision++
+					all = all.Roll(ordered(revision, fleet.Rollout{Service: "s", Version: "v2", Revision: revision}))
+				},
+				"its end": func(*rapid.T) { revision++; all = all.Roll(ordered(revision)) },
+				"a standing": func(t *rapid.T) {
+					if o, found := all.Rollouts().Of("s"); found {
+						exposure := rapid.SampledFrom([]fleet.Exposure{fleet.Withheld, fleet.Tried, fleet.Refuted}).Draw(t, "exposure")
+						all = all.Stand(fleet.Standings{o.Revision: {Exposure: exposure, Share: 0.1}})
+					}
+				},
+				"": func(t *rapid.T) {
+					_, found := all.Rollouts().Of("s")
+					for _, e := range all.Ready("s") {
+						if found && e.Version == "v2" {
+							t.Fatalf("%s gets work", e.ID)
+						}
+					}
+				},
+			})
+		})
+	})
+})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -152,6 +152,9 @@
 		need.Domain = pipeline.HeaviestDomain(u.inputs)
 		need.DomainCost = time.Duration(u.inputBytes()) * bytesCost
 	}
+	if call := u.pickOnTrial(need); call != nil {
+		return call
+	}
 	return u.Balancer.Pick(u.View().Fleet.Ready(u.service.Name), need)
 }
 
@@ -216,6 +219,7 @@
 	}
 	begin := u.Clock.Now()
 	u.survival = survival{}
+	u.observed = u.observe(call, begin)
 	answer, err := u.Conns.Do(ctx, httpconn.Call{
 		Target:   u.target(call),
 		Method:   u.request.Method,
@@ -228,12 +232,15 @@
 		MaxRest:  u.maxRest(),
 	})
 	if err != nil {
-		return u.sendFailed(ctx, call, begin, err)
+		outcome := u.sendFailed(ctx, call, begin, err)
+		u.tellObserved(ctx, outcome, 0)
+		return outcome
 	}
 	u.attempts++
 	defer answer.Body.Close()
 	verdict := u.Dialect.Verdict(answer.Status, answer.Header)
 	outcome := u.take(ctx, call, answer, verdict)
+	u.tellObserved(ctx, outcome, answer.Status)
 	u.logAttempt(call, begin, answer.Status, outcome, nil)
 	return outcome
 }
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -17,6 +17,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
+	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -56,6 +57,8 @@
 	Sponsors func(endpoint string) bool
 	// Quarantine has the requests that end their endpoints.
 	Quarantine *quarantine.Keeper
+	// Rollouts are told what endpoints of which version answer.
+	Rollouts *rollout.Participant
 }
 
 // Executor runs requests. Safe for concurrent use.
@@ -135,6 +138,8 @@
 	lastEvent string
 	events    int
 	begun     bool
+	// observed is what the last attempt tells of its endpoint's version.
+	observed observation
 	// survival is what the last attempt has shown of its endpoint.
 	survival survival
 	// firstAfter is how long after the request the first event came; 0 if none has.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -56,7 +56,9 @@
 			return false
 		}
 	}
-	u.events += bytes.Count(data, eventEnd)
+	n := bytes.Count(data, eventEnd)
+	u.events += n
+	u.observed.came(u.Clock.Now(), n)
 	if lastID != "" {
 		u.lastEvent = lastID
 	}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -29,8 +29,9 @@
 	// MemoryMB is what the process may use, in units of a million bytes.
 	MemoryMB int `json:"memory_mb"`
 	// StopGraceSeconds bounds a planned stop.
-	StopGraceSeconds float64        `json:"stop_grace_seconds"`
-	Retries          GatewayRetries `json:"retries"`
+	StopGraceSeconds float64         `json:"stop_grace_seconds"`
+	Retries          GatewayRetries  `json:"retries"`
+	Rollouts         GatewayRollouts `json:"rollouts"`
 	// Log gives a level by layer; "default" applies to all others.
 	Log map[string]string `json:"log"`
 }
@@ -66,6 +67,12 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
+// GatewayRollouts bounds how traffic is moved between versions.
+type GatewayRollouts struct {
+	// Share is the part of a service's requests that a version may get which turns out to be bad; over 0, up to 1.
+	Share float64 `json:"share"`
+}
+
 // Window is the time over which repeats are counted.
 func (r GatewayRetries) Window() time.Duration { return seconds(r.WindowSeconds) }
 
@@ -81,6 +88,7 @@
 		MemoryMB:         256,
 		StopGraceSeconds: 8,
 		Retries:          GatewayRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
+		Rollouts:         GatewayRollouts{Share: 0.1},
 	}
 }
 
@@ -119,6 +127,8 @@
 	// in other units.
 	maxProcessors = 1024
 	maxLinkMbps   = 1e6
+	// minRolloutShare is the least share of a version that is tried by which it can be judged.
+	minRolloutShare = 0.001
 )
 
 // Faults returns every fault, each with field, value and remedy.
@@ -146,5 +156,6 @@
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
 		c.add("retries", fmt.Sprintf("ratio %g, slack %g", g.Retries.Ratio, g.Retries.Slack), "use numbers of 0 or more")
 	}
+	c.between("rollouts.share", g.Rollouts.Share, minRolloutShare, 1)
 	return c.faults
 }
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -31,6 +31,9 @@
 	MethodProgress = "pipeline.progress"
 	// MethodTake hands a part over to its next owner.
 	MethodTake = "pipeline.take"
+	// MethodRollout reports a rollout (rollout.Report) to its conductor; the answer is a rollout.Instruction. A
+	// version before it knows no rollouts, and answers that it does not know the method.
+	MethodRollout = "rollout.report"
 )
 
 // Hello presents the peers' token.
@@ -123,6 +126,8 @@
 	// Evacuations are those that the asker knows of; a version that does not tell them is not woken
 	// for them.
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
+	// Rollouts are told as evacuations are.
+	Rollouts fleet.Rollouts `json:"rollouts,omitzero"`
 	// WaitMs is how long to wait, in milliseconds.
 	WaitMs int64 `json:"wait_ms"`
 	// Packs says that the asker reads packed changes.
--- /dev/null
+++ b/service/handover/conducting.go
@@ -0,0 +1,51 @@
+package handover
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
+)
+
+// Conducting reports rollouts to the instances that conduct them.
+type Conducting struct {
+	Client   *peers.Client
+	Instance membership.Self
+	Live     func() []membership.Member
+}
+
+var _ rollout.Peers = (*Conducting)(nil)
+
+// Self implements rollout.Peers.
+func (c *Conducting) Self() rollout.Peer {
+	return rollout.Peer{Name: c.Instance.Name, Address: c.Instance.PeerAddress}
+}
+
+// Incarnation implements rollout.Peers.
+func (c *Conducting) Incarnation() uint64 { return c.Instance.Incarnation }
+
+// Conductors implements rollout.Peers: those that are able come first, by rendezvous hashing.
+func (c *Conducting) Conductors(service string) []rollout.Peer {
+	weight := func(s membership.Self) uint64 { return xxhash.Sum64String("rollout/" + service + "/" + s.Name) }
+	list := []owner{{Self: c.Instance, weight: weight(c.Instance)}}
+	for _, m := range c.Live() {
+		list = append(list, owner{Self: m.Self, weight: weight(m.Self)})
+	}
+	rank(list)
+	conductors := make([]rollout.Peer, len(list))
+	for i, o := range list {
+		conductors[i] = rollout.Peer{Name: o.Name, Address: o.PeerAddress}
+	}
+	return conductors
+}
+
+// Report implements rollout.Peers.
+func (c *Conducting) Report(ctx context.Context, to rollout.Peer, r rollout.Report) (rollout.Instruction, error) {
+	var i rollout.Instruction
+	err := c.Client.Call(ctx, to.Address, api.MethodRollout, r, &i)
+	return i, err
+}
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -12,6 +12,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -22,6 +23,7 @@
 	planner  *pipeline.Planner
 	makers   makers
 	follower *discovery.Follower
+	rollouts Rollouts
 	clock    clockwork.Clock
 	packing  packing
 
@@ -31,9 +33,15 @@
 
 var _ peers.Handler = (*Handler)(nil)
 
+// Rollouts are conducted here.
+type Rollouts interface {
+	// Answer answers the report of an instance.
+	Answer(r rollout.Report) rollout.Instruction
+}
+
 // NewHandler returns a handler that has stages made as a router says.
-func NewHandler(router *Router, follower *discovery.Follower) *Handler {
-	return &Handler{router: router, planner: router.planner, makers: router.makers, follower: follower, clock: router.clock, calls: map[string]context.CancelFunc{}}
+func NewHandler(router *Router, follower *discovery.Follower, rollouts Rollouts) *Handler {
+	return &Handler{router: router, planner: router.planner, makers: router.makers, follower: follower, rollouts: rollouts, clock: router.clock, calls: map[string]context.CancelFunc{}}
 }
 
 // UnderWay is the number of plans of other instances that are being made.
@@ -95,7 +103,7 @@
 			return nil, err
 		}
 		wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
-		told := h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Evacuations: call.Evacuations, Wait: wait})
+		told := h.follower.Relay(discovery.RelaySelect{Since: call.Since, Document: call.Document, Evacuations: call.Evacuations, Rollouts: call.Rollouts, Wait: wait})
 		return h.packing.changes(call.Since, told, call.Packs), nil
 	case api.MethodPiece:
 		call, err := peers.Params[discovery.PieceSelect](method, raw)
@@ -103,6 +111,12 @@
 			return nil, err
 		}
 		return h.follower.Piece(call)
+	case api.MethodRollout:
+		call, err := peers.Params[rollout.Report](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		return h.rollouts.Answer(call), nil
 	case api.MethodState:
 		call, err := peers.Params[api.StateSelect](method, raw)
 		if err != nil {
