gateway, route, batch: a request that is limited to some regions goes to no other

Cause: AllowedRegions of routes and organisations was read nowhere, and no instance knew the region of a failure domain. Ruled out: a check at each choice (endpoints, stages, repeats, readers of plans, versions on trial are chosen in eight places): one filter gives all of them the endpoints. Plans handed to an owner in the region: which parts have one there would have to be agreed on; a limited plan is made by the instance that has the request, with calls of its own, and told to nobody. Change: the settings name each failure domain's region; an organisation's limit narrows the route's; pieces carry where they may be made; with no endpoint left a request is refused at once, as not run.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -232,6 +232,7 @@
 		Log:       g.logs.For("request"),
 		Metrics:   g.metrics,
 		Domain:    s.FailureDomain,
+		Regions:   s.Regions,
 		Instances: g.instances,
 		Sponsors:  g.sponsors,
 
--- a/cmd/cobaltcroftd/gateway/suite_test.go
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -52,6 +52,7 @@
 	s := settings.GatewayDefaults()
 	s.Instance = fmt.Sprintf("instance-%d", time.Now().UnixNano())
 	s.FailureDomain = "zone-a"
+	s.Regions = map[string]string{"zone-a": "region-a", "zone-b": "region-b"}
 	s.Listen = settings.GatewayListen{Requests: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
 	s.StopGraceSeconds = 4
 	s.Peers, s.PeerToken, s.Store = peers, "a shared token", store
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -35,6 +36,13 @@
 	Priority int `json:"priority"`
 	// Domain is the failure domain where the piece is best made; empty: any.
 	Domain string `json:"domain,omitempty"`
+	// Within are the failure domains where it may be made; none: any.
+	Within []string `json:"within,omitempty"`
+}
+
+// mayBeMadeIn tells whether the piece may be made in a failure domain.
+func (p *Piece) mayBeMadeIn(domain string) bool {
+	return len(p.Within) == 0 || slices.Contains(p.Within, domain)
 }
 
 // movedBytes is what has to be moved to or from an endpoint in another failure domain.
--- a/pkg/batch/choice.go
+++ b/pkg/batch/choice.go
@@ -51,6 +51,9 @@
 	}
 	ahead := map[string]int{}
 	return func(i *item) bool {
+		if !i.piece.mayBeMadeIn(w.endpoint.FailureDomain) {
+			return false
+		}
 		domain := i.domain()
 		if domain == "" || domain == w.endpoint.FailureDomain {
 			return true
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -155,7 +155,7 @@
 	if call := u.pickOnTrial(need); call != nil {
 		return call
 	}
-	return u.Balancer.Pick(u.View().Fleet.Ready(u.service.Name), need)
+	return u.Balancer.Pick(u.ready(u.service.Name), need)
 }
 
 // need is what the request needs of its endpoint.
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -50,6 +50,8 @@
 	Metrics  *metrics.Set
 	// Domain is this instance's failure domain.
 	Domain string
+	// Regions has the region of each failure domain.
+	Regions map[string]string
 	// Instances returns how many instances there are, this one included.
 	Instances func() int
 	// Sponsors tells whether this instance alone sends to an endpoint while all of its service are
@@ -121,6 +123,8 @@
 	route        *route.Route
 	service      *route.Service
 	organisation *route.Organisation
+	// within are the failure domains where the request may be served; nil: any.
+	within []string
 	// digest is the same for all tries of the request; zero until its caller is known.
 	digest quarantine.Digest
 	// deadline is when the client leaves or the route's time is over.
@@ -216,6 +220,7 @@
 		}
 	}
 	u.digest = u.sum()
+	u.within = u.allowedDomains()
 	u.service = table.Service(u.route.Target(xxhash.Sum64String(u.request.ID)))
 	u.deadline = u.request.Arrived.Add(u.limit())
 	return nil
@@ -225,7 +230,7 @@
 // failure domains are evacuated or all endpoints want rest: it would wait for its deadline, or its stages be
 // made for nothing.
 func (u *run) servable() *Refusal {
-	ready := u.view.Fleet.Ready(u.service.Name)
+	ready := u.ready(u.service.Name)
 	if len(ready) == 0 {
 		return refuseNoEndpoint(u.comeBack())
 	}
@@ -233,7 +238,7 @@
 		return u.refuseAway()
 	}
 	for i, stage := range u.route.Stages {
-		if i < len(u.request.Pieces) && u.request.Pieces[i] > 0 && len(u.view.Fleet.Ready(stage.Service)) == 0 {
+		if i < len(u.request.Pieces) && u.request.Pieces[i] > 0 && len(u.ready(stage.Service)) == 0 {
 			return refuseNoEndpoint(u.comeBack())
 		}
 	}
--- a/pkg/gateway/resting.go
+++ b/pkg/gateway/resting.go
@@ -22,7 +22,7 @@
 // whether one may be chosen then.
 func (u *run) awaitRest(ctx context.Context) bool {
 	var untried []fleet.Endpoint
-	for _, e := range u.View().Fleet.Ready(u.service.Name) {
+	for _, e := range u.ready(u.service.Name) {
 		if !u.tried[e.ID] {
 			untried = append(untried, e)
 		}
@@ -44,7 +44,7 @@
 // refuseAway refuses a request for which no endpoint can be chosen. If all want rest its client may come back
 // when one has had it, and not before.
 func (u *run) refuseAway() *Refusal {
-	if rest := u.Balancer.Return(u.View().Fleet.Ready(u.service.Name), u.comeBack()); rest > 0 {
+	if rest := u.Balancer.Return(u.ready(u.service.Name), u.comeBack()); rest > 0 {
 		return refuseResting(max(u.comeBack(), rest))
 	}
 	return refuseNoEndpoint(u.comeBack())
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -70,7 +70,7 @@
 
 // plan is the work of the route's stages.
 func (u *run) plan() pipeline.Plan {
-	candidates := u.View().Fleet.Ready(u.service.Name)
+	candidates := u.ready(u.service.Name)
 	call, domain := u.Balancer.Expect(candidates, u.need())
 	plan := pipeline.Plan{
 		Request:  u.request.ID,
@@ -80,6 +80,7 @@
 		Deadline: u.deadline,
 		Priority: u.rank(),
 		Domain:   domain,
+		Within:   u.within,
 		Readers:  u.readers(candidates),
 	}
 	for i, stage := range u.route.Stages {
--- a/pkg/gateway/trial.go
+++ b/pkg/gateway/trial.go
@@ -17,7 +17,7 @@
 	if u.attempts > 0 || !trial.Takes(u.request.ID) {
 		return nil
 	}
-	return u.Balancer.Pick(trial.Endpoints, need)
+	return u.Balancer.Pick(u.inside(trial.Endpoints), need)
 }
 
 // observation is what one attempt tells of its endpoint's version.
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -36,6 +36,9 @@
 	Priority int       `json:"priority"`
 	// Domain is the failure domain where the request will run; empty: any.
 	Domain string `json:"domain,omitempty"`
+	// Within are the failure domains where its pieces may be made; none: any. A plan that has some is made by
+	// the instance that has the request, and told to no other.
+	Within []string `json:"-"`
 	// Readers are endpoints where the request may run; none: the planner does not choose.
 	Readers []Reader `json:"readers,omitempty"`
 	// Made has, by stage and piece, the results that another planner had made before the part
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -314,6 +314,7 @@
 			Deadline:    w.plan.Deadline,
 			Priority:    w.plan.Priority,
 			Domain:      domain,
+			Within:      w.plan.Within,
 		}
 		if len(stage.After) == 0 {
 			pieces[n].Key = w.plan.Key
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -55,6 +55,8 @@
 	// MaxAttempts bounds the endpoints that one client attempt is sent to.
 	MaxAttempts int
 	Stages      []Stage
+	// Regions are those in which its requests may be served, and kept; none: any.
+	Regions []string
 	// Public routes need no key.
 	Public bool
 	// Affinity says that requests name the parts of their prompts.
@@ -116,6 +118,8 @@
 type Organisation struct {
 	Name string
 	Keys []string
+	// Regions are those in which its requests may be served, and kept, of those that their route allows; none: any.
+	Regions []string
 	// Priority goes before the route's, if set.
 	Priority *int
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -16,6 +16,9 @@
 type Gateway struct {
 	Instance      string `json:"instance"`
 	FailureDomain string `json:"failure_domain"`
+	// Regions has the region of each failure domain. Requests that are limited to some regions go to no failure domain that
+	// it lacks.
+	Regions map[string]string `json:"regions"`
 	// Listen has the address of each face.
 	Listen GatewayListen `json:"listen"`
 	// Peers are peer addresses (IP:port) of some instances, to begin with.
