platform, balance: the fourth figure of the load header is read, and how long work takes there now enters the choice

Cause: a header with four figures was taken for no load at all, so that on two deployments nothing that endpoints tell was known. The load of a stream was taken for that of its end, seconds after its head. Ruled out: the figure as it is, for as long as the load holds (300 ms): it changes many times a second. Change: three figures or more are read; the fourth multiplies the expected time, half forgotten in 150 ms; a stream's load counts from its head.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -118,13 +118,6 @@
 	cold    coldness
 }
 
-// Load is what an endpoint tells of itself in an answer.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // New returns a balancer that has seen nothing.
 func New(clock clockwork.Clock, rests *notice.Rests) *Balancer {
 	return &Balancer{clock: clock, rests: rests, endpoints: map[string]*seen{}, silent: map[string]time.Time{}}
@@ -257,7 +250,7 @@
 	var d time.Duration
 	smoothed, slowness := s.at(now, u)
 	if need.Engine {
-		d = s.engineCost(need, slowness, home)
+		d = s.engineCost(need, slowness*s.toldSlowness(now), home)
 	} else {
 		d = s.simpleCost(now, smoothed, max(need.Slots, e.Slots, 1))
 	}
@@ -274,16 +267,13 @@
 	return cost
 }
 
-// loadLife is how long the load that an endpoint told is taken to hold.
-const loadLife = 300 * time.Millisecond
-
 func (s *seen) simpleCost(now time.Time, smoothed time.Duration, slots int) time.Duration {
 	ahead := len(s.calls)
 	if now.Sub(s.loadAt) < loadLife {
 		ahead = max(ahead, s.load.Running+s.load.Waiting)
 	}
 	turns := 1 + float64(ahead)/float64(slots)
-	return time.Duration(float64(smoothed) * turns)
+	return time.Duration(float64(smoothed) * turns * s.toldSlowness(now))
 }
 
 // engineCost is the time to the first event at an engine. Shared parts that have to be read
@@ -406,7 +396,7 @@
 	Canceled
 )
 
-// End counts the call out. The load is what the endpoint told, or nil.
+// End counts the call out. The load is what the endpoint told just now, or nil.
 func (c *Call) End(outcome Outcome, load *Load) {
 	b := c.balancer
 	b.mu.Lock()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -297,7 +297,8 @@
 		call.End(balance.Bad, verdict.Load)
 		return again
 	case answer.Status < http.StatusMultipleChoices && u.route.Kind == route.Stream:
-		return u.relayStream(ctx, call, answer, verdict)
+		call.Told(verdict.Load)
+		return u.relayStream(ctx, call, answer)
 	}
 	return u.relayWhole(ctx, call, answer, verdict)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -17,7 +17,7 @@
 )
 
 // relayStream sends the events of a stream on, each as soon as it is whole.
-func (u *run) relayStream(ctx context.Context, call *balance.Call, answer *httpconn.Answer, verdict Verdict) next {
+func (u *run) relayStream(ctx context.Context, call *balance.Call, answer *httpconn.Answer) next {
 	events := &eventReader{body: answer.Body}
 	for {
 		data, err := events.next()
@@ -25,7 +25,7 @@
 			call.Begun()
 			u.wentOn()
 			if !u.forwardEvents(answer, data, events.lastID) {
-				call.End(balance.Canceled, verdict.Load)
+				call.End(balance.Canceled, nil)
 				return finished
 			}
 		}
@@ -33,7 +33,7 @@
 			continue
 		}
 		if err == io.EOF && events.clean() && u.begun {
-			call.End(balance.Well, verdict.Load)
+			call.End(balance.Well, nil)
 			u.survived()
 			u.logEnd(answer.Status, "answered")
 			return finished
