ownership, handover, batch: where there are several regions, each has parts of the stage endpoints of its own

Cause: parts are cut so that each has endpoints of every failure domain. Where regions are 20 ms apart a plan is handed over, each of three stages called and its inputs read across 20 ms each way, and an endpoint with one slot stands idle for the 40 ms until its next call comes: 9 of 100 of its time. Results between regions are priced twice. Ruled out: a larger distance in the choice of makers alone (the next call would still come from a planner far away); a field in the division (a build before it would cut otherwise by the same number of parts: a multiple of the regions' number says it by itself). Change: settings name regions; if the least service has five endpoints in each, the division has as many parts for each region; a request falls to a part of the region that it came to, whose owner is of that region where one there is able. With one region nothing changes.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,13 +63,15 @@
 type Gateway struct {
 	path     string
 	settings settings.Gateway
-	clock    clockwork.Clock
-	started  time.Time
-	logs     *logging.Logs
-	output   *logging.Async
-	log      *logrus.Entry
-	metrics  *metrics.Set
-	tomb     tomb.Tomb
+	// counted is how many endpoints there were last.
+	counted atomic.Pointer[counted]
+	clock   clockwork.Clock
+	started time.Time
+	logs    *logging.Logs
+	output  *logging.Async
+	log     *logrus.Entry
+	metrics *metrics.Set
+	tomb    tomb.Tomb
 
 	store    *platform.Store
 	client   *peers.Client
@@ -205,19 +208,21 @@
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower, g.rests}, g.pieces, g.clock, g.metrics, g.logs.For("batch"))
+	g.batcher.ByRegion(s.Regions)
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
 	g.router = handover.NewRouter(handover.Options{
-		Self:      self,
-		Live:      g.group.Live,
-		Leaving:   g.group.Leaving,
-		Tell:      g.group.TellAll,
-		Contacts:  s.Peers,
-		Client:    g.client,
-		Planner:   planner,
-		Batcher:   g.batcher,
-		Endpoints: g.leastEndpoints,
-		Clock:     g.clock,
-		Log:       g.logs.For("handover"),
+		Self:     self,
+		Live:     g.group.Live,
+		Leaving:  g.group.Leaving,
+		Tell:     g.group.TellAll,
+		Contacts: s.Peers,
+		Client:   g.client,
+		Planner:  planner,
+		Batcher:  g.batcher,
+		Supply:   g.supply,
+		Regions:  s.Regions,
+		Clock:    g.clock,
+		Log:      g.logs.For("handover"),
 	})
 	conducting := &handover.Conducting{Client: g.client, Instance: self, Live: g.group.Live}
 	g.rollouts = rollout.NewKeeper(rolling{g.follower}, conducting, g.store, s.Rollouts.Share, g.clock, g.logs.For("rollout"))
@@ -281,22 +286,6 @@
 	return balance.Sponsors(g.settings.Instance, others, endpoint)
 }
 
-// leastEndpoints is how many endpoints the least service that takes pieces has.
-func (g *Gateway) leastEndpoints() int {
-	view := g.follower.View()
-	if view.Table == nil {
-		return 0
-	}
-	least := 0
-	for name, service := range view.Table.Services() {
-		n := len(view.Fleet.Ready(name))
-		if service.Batching != nil && n > 0 && (least == 0 || n < least) {
-			least = n
-		}
-	}
-	return least
-}
-
 func (g *Gateway) limits() (route.Limits, bool) {
 	table := g.follower.View().Table
 	if table == nil {
--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/supply.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+// counted is how many endpoints there were as of a view.
+type counted struct {
+	fleet  *fleet.Snapshot
+	table  *route.Table
+	supply ownership.Supply
+}
+
+// supply is how many endpoints the least service has that takes pieces. Every plan asks for it, so it is
+// counted once for each view.
+func (g *Gateway) supply() ownership.Supply {
+	view := g.follower.View()
+	if last := g.counted.Load(); last != nil && last.fleet == view.Fleet && last.table == view.Table {
+		return last.supply
+	}
+	supply := count(view, g.settings.Regions)
+	g.counted.Store(&counted{fleet: view.Fleet, table: view.Table, supply: supply})
+	return supply
+}
+
+func count(view *discovery.View, regions ownership.Regions) ownership.Supply {
+	supply := ownership.Supply{Regions: map[string]int{}}
+	if view.Table == nil {
+		return supply
+	}
+	for _, region := range regions {
+		supply.Regions[region] = 0
+	}
+	first := true
+	for name, service := range view.Table.Services() {
+		ready := view.Fleet.Ready(name)
+		if service.Batching == nil || len(ready) == 0 {
+			continue
+		}
+		inside := map[string]int{}
+		for _, e := range ready {
+			inside[regions[e.FailureDomain]]++
+		}
+		for region, n := range supply.Regions {
+			if first || inside[region] < n {
+				supply.Regions[region] = inside[region]
+			}
+		}
+		if first || len(ready) < supply.All {
+			supply.All = len(ready)
+		}
+		first = false
+	}
+	return supply
+}
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -44,6 +45,8 @@
 	budget Budget
 	clock  clockwork.Clock
 	log    *logrus.Entry
+	// regions has the region of each failure domain.
+	regions ownership.Regions
 
 	calls  *metrics.Counter
 	pieces *metrics.Counter
@@ -59,6 +62,7 @@
 // service is the state of one service's pieces.
 type service struct {
 	at      Queue
+	regions ownership.Regions
 	queue   queue
 	workers map[string]*worker
 	// current are the workers of the part's endpoints.
@@ -93,6 +97,9 @@
 	}
 }
 
+// ByRegion has parts cut by region where their number says so. It is called before any work comes.
+func (b *Batcher) ByRegion(regions ownership.Regions) { b.regions = regions }
+
 // Make has pieces of one service made, and returns their results in the same order
 // when all are settled. If ctx ends before, pieces that wait are dropped, and results
 // that come after are freed. If read is not nil, it is called, once at most, when the
@@ -137,7 +144,7 @@
 func (b *Batcher) service(at Queue) *service {
 	s := b.services[at]
 	if s == nil {
-		s = &service{at: at, workers: map[string]*worker{}}
+		s = &service{at: at, regions: b.regions, workers: map[string]*worker{}}
 		b.services[at] = s
 	}
 	return s
@@ -200,7 +207,7 @@
 	if !s.current.stale && sameSlice(ready, s.current.of) {
 		return s.current.workers
 	}
-	s.current = current{of: ready, workers: s.workersOf(s.at.endpoints(ready))}
+	s.current = current{of: ready, workers: s.workersOf(s.at.endpoints(ready, s.regions))}
 	for id, w := range s.workers {
 		if slices.Contains(s.current.workers, w) {
 			continue
--- a/pkg/batch/dividing.go
+++ b/pkg/batch/dividing.go
@@ -41,7 +41,7 @@
 	return func(service, endpoint string) (Queue, bool) {
 		if found[service] == nil {
 			found[service] = map[string]int{}
-			eachPart(b.known.Ready(service), parts, func(e fleet.Endpoint, part int) { found[service][e.ID] = part })
+			eachPart(b.known.Ready(service), parts, b.regions, func(e fleet.Endpoint, part int) { found[service][e.ID] = part })
 		}
 		part, ok := found[service][endpoint]
 		return Queue{Service: service, Part: part, Parts: parts}, ok
--- a/pkg/batch/part.go
+++ b/pkg/batch/part.go
@@ -8,15 +8,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 )
 
 // endpoints returns those of the queue's part.
-func (q Queue) endpoints(ready []fleet.Endpoint) []fleet.Endpoint {
+func (q Queue) endpoints(ready []fleet.Endpoint, regions ownership.Regions) []fleet.Endpoint {
 	if q.Parts <= 1 {
 		return ready
 	}
 	var own []fleet.Endpoint
-	eachPart(ready, q.Parts, func(e fleet.Endpoint, part int) {
+	eachPart(ready, q.Parts, regions, func(e fleet.Endpoint, part int) {
 		if part == q.Part {
 			own = append(own, e)
 		}
@@ -24,10 +25,29 @@
 	return own
 }
 
-// eachPart cuts endpoints into parts: by rendezvous hashing, but at most an equal share for each
-// part, of all endpoints and of each failure domain's, so that results can be read where they
+// eachPart cuts endpoints into parts, those of each region by themselves if the parts are cut by region.
+func eachPart(ready []fleet.Endpoint, parts int, regions ownership.Regions, do func(e fleet.Endpoint, part int)) {
+	if !regions.Cut(parts) {
+		eachEqualPart(ready, parts, do)
+		return
+	}
+	inside := map[string][]fleet.Endpoint{}
+	for _, e := range ready {
+		// One whose region is not known falls to any.
+		region := regions.Of(regions.Part(regions[e.FailureDomain], xxhash.Sum64String(e.ID), parts))
+		inside[region] = append(inside[region], e)
+	}
+	for region, endpoints := range inside {
+		eachEqualPart(endpoints, regions.Each(parts), func(e fleet.Endpoint, number int) {
+			do(e, regions.Part(region, uint64(number), parts).Number)
+		})
+	}
+}
+
+// eachEqualPart cuts endpoints into equal parts: by rendezvous hashing, but at most an equal share for
+// each part, of all endpoints and of each failure domain's, so that results can be read where they
 // were made; and few endpoints change their part when one comes or goes.
-func eachPart(ready []fleet.Endpoint, parts int, do func(e fleet.Endpoint, part int)) {
+func eachEqualPart(ready []fleet.Endpoint, parts int, do func(e fleet.Endpoint, part int)) {
 	domains := map[string]int{}
 	for _, e := range ready {
 		domains[e.FailureDomain]++
--- a/pkg/batch/part_test.go
+++ b/pkg/batch/part_test.go
@@ -11,6 +11,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -48,6 +49,29 @@
 		}
 	})
 
+	It("has endpoints of its region alone, where parts are cut by region, and each endpoint is in one", func() {
+		regions := ownership.Regions{"zone-0": "north", "zone-1": "north", "zone-2": "south"}
+		var all []fleet.Endpoint
+		for n := range 19 {
+			all = append(all, fleet.Endpoint{ID: fmt.Sprint("e", n), FailureDomain: fmt.Sprint("zone-", n%4)})
+		}
+		seen := map[string]int{}
+		for part := range 4 {
+			q := batch.Queue{Service: "s", Part: part, Parts: 4}
+			for _, id := range batch.PartIDsIn(q, all, regions) {
+				seen[id]++
+				for _, endpoint := range all {
+					region, known := regions[endpoint.FailureDomain]
+					if endpoint.ID == id && known {
+						Expect(region).To(Equal(regions.Of(ownership.Part{Number: part, Of: 4})))
+					}
+				}
+			}
+		}
+		Expect(seen).To(HaveLen(len(all)))
+		Expect(seen).To(HaveEach(1))
+	})
+
 	It("keeps most of its endpoints when one goes", func() {
 		var all []fleet.Endpoint
 		for n := range 20 {
--- a/pkg/ownership/division.go
+++ b/pkg/ownership/division.go
@@ -55,13 +55,12 @@
 // Agreed returns the division that is agreed on, as far as is known; the zero one if none is.
 func (d *Divider) Agreed() Division { return d.agreed }
 
-// Parts returns how many parts there are: those agreed on, or else those that so many endpoints
-// of the least service make.
-func (d *Divider) Parts(endpoints int) int {
+// Parts returns how many parts there are: those agreed on, or else those that the endpoints make.
+func (d *Divider) Parts(supply Supply) int {
 	if d.agreed.Term > 0 {
 		return d.agreed.Parts
 	}
-	return partsFor(endpoints)
+	return partsFor(supply)
 }
 
 // Hear takes in a division that another instance told, and returns whether it holds now.
@@ -74,18 +73,18 @@
 	return true
 }
 
-// Look is called now and then by the instance that decides, with the endpoints that the least
-// service has. It returns whether the division has changed: the first is made at once, later ones
-// when the endpoints have asked for them for settledFor.
-func (d *Divider) Look(now time.Time, endpoints int) bool {
-	if endpoints == 0 {
+// Look is called now and then by the instance that decides, with the endpoints that there are.
+// It returns whether the division has changed: the first is made at once, later ones when the
+// endpoints have asked for them for settledFor.
+func (d *Divider) Look(now time.Time, supply Supply) bool {
+	if supply.All == 0 {
 		return false
 	}
 	if d.agreed.Term == 0 {
-		d.change(partsFor(endpoints))
+		d.change(partsFor(supply))
 		return true
 	}
-	asked := d.partsAsked(endpoints)
+	asked := d.partsAsked(supply)
 	if asked == d.agreed.Parts {
 		d.asked = 0
 		return false
@@ -106,21 +105,39 @@
 	d.asked = 0
 }
 
-// partsAsked returns the parts that so many endpoints ask for: the agreed ones unless those
-// are far too few or far too many.
-func (d *Divider) partsAsked(endpoints int) int {
-	if float64(endpoints) >= growFrom*endpointsPerPart*float64(2*d.agreed.Parts) {
-		return partsFor(endpoints)
+// partsAsked returns the parts that the endpoints ask for: the agreed ones unless those are far too few or
+// far too many.
+func (d *Divider) partsAsked(supply Supply) int {
+	regions := max(1, len(supply.Regions))
+	byRegion := regions > 1 && d.agreed.Parts%regions == 0
+	endpoints, parts := supply.All, d.agreed.Parts
+	if byRegion {
+		endpoints, parts = supply.least(), d.agreed.Parts/regions
 	}
-	if float64(endpoints) < shrinkBelow*endpointsPerPart*float64(d.agreed.Parts) {
-		return partsFor(endpoints)
+	tooFew := float64(endpoints) >= growFrom*endpointsPerPart*float64(2*parts)
+	tooMany := float64(endpoints) < shrinkBelow*endpointsPerPart*float64(parts)
+	if tooFew || tooMany || !byRegion && supply.least() >= endpointsPerPart {
+		return partsFor(supply)
 	}
 	return d.agreed.Parts
 }
 
-// partsFor returns into how many parts so many endpoints are cut at first: a power of two, so
-// that instances which count a few more or less agree.
-func partsFor(endpoints int) int {
+// partsFor returns into how many parts the endpoints are cut at first: each region's for itself, if all have enough.
+func partsFor(supply Supply) int {
+	if least := supply.least(); least >= endpointsPerPart {
+		return len(supply.Regions) * powerFor(least)
+	}
+	parts := powerFor(supply.All)
+	if len(supply.Regions) > 1 && parts%len(supply.Regions) == 0 {
+		// So many would be cut by region, of which one has too few.
+		return 1
+	}
+	return parts
+}
+
+// powerFor returns into how many parts so many endpoints are cut: a power of two, so that instances which count a
+// few more or less agree.
+func powerFor(endpoints int) int {
 	parts := 1
 	for 2*parts*endpointsPerPart <= endpoints && parts < maxParts {
 		parts *= 2
--- a/pkg/ownership/division_test.go
+++ b/pkg/ownership/division_test.go
@@ -30,7 +30,7 @@
 		changes := 0
 		for range int(lasts / time.Second) {
 			now = now.Add(time.Second)
-			if d.Look(now, endpoints) {
+			if d.Look(now, ownership.Supply{All: endpoints}) {
 				changes++
 			}
 		}
@@ -40,7 +40,7 @@
 	It("makes parts of at least five endpoints at first, whose number seldom changes", func() {
 		counts := map[int]int{}
 		for endpoints := range 100 {
-			parts := (&ownership.Divider{}).Parts(endpoints)
+			parts := (&ownership.Divider{}).Parts(ownership.Supply{All: endpoints})
 			counts[parts]++
 			Expect(parts == 1 || endpoints/parts >= 5).To(BeTrue())
 		}
@@ -48,10 +48,10 @@
 	})
 
 	It("goes by what is agreed on, whatever the endpoints are", func() {
-		Expect(d.Look(now, 35)).To(BeTrue())
+		Expect(d.Look(now, ownership.Supply{All: 35})).To(BeTrue())
 		Expect(d.Agreed()).To(Equal(ownership.Division{Parts: 4, Term: 1}))
-		Expect(d.Parts(100)).To(Equal(4))
-		Expect(d.Parts(0)).To(Equal(4))
+		Expect(d.Parts(ownership.Supply{All: 100})).To(Equal(4))
+		Expect(d.Parts(ownership.Supply{All: 0})).To(Equal(4))
 	})
 
 	It("agrees on nothing while no endpoint is known", func() {
@@ -60,7 +60,7 @@
 	})
 
 	It("stays while a third of the endpoints is replaced, however long that takes", func() {
-		d.Look(now, 35)
+		d.Look(now, ownership.Supply{All: 35})
 		for range 5 {
 			Expect(looks(d, 42, time.Minute)).To(BeZero())
 			Expect(looks(d, 47, time.Minute)).To(BeZero())
@@ -69,7 +69,7 @@
 	})
 
 	It("changes once when the endpoints have asked for it for a while, and back", func() {
-		d.Look(now, 35)
+		d.Look(now, ownership.Supply{All: 35})
 		Expect(looks(d, 80, 29*time.Second)).To(BeZero())
 		Expect(looks(d, 35, 2*time.Second)).To(BeZero())
 		Expect(looks(d, 80, 29*time.Second)).To(BeZero(), "it begins anew")
@@ -80,12 +80,12 @@
 	})
 
 	It("yields to a later term, and to more parts of one term", func() {
-		d.Look(now, 35)
+		d.Look(now, ownership.Supply{All: 35})
 		Expect(d.Hear(ownership.Division{Parts: 2, Term: 1})).To(BeFalse())
 		Expect(d.Hear(ownership.Division{Parts: 8, Term: 1})).To(BeTrue())
 		Expect(d.Hear(ownership.Division{Parts: 2, Term: 2})).To(BeTrue())
 		Expect(d.Hear(ownership.Division{Parts: 2, Term: 2})).To(BeFalse())
-		Expect(d.Parts(35)).To(Equal(2))
+		Expect(d.Parts(ownership.Supply{All: 35})).To(Equal(2))
 	})
 
 	DescribeTable("ignores divisions that say nothing, or would use the terms up",
@@ -117,7 +117,7 @@
 	t.Repeat(map[string]func(*rapid.T){
 		"look": func(t *rapid.T) {
 			now = now.Add(settled / 2)
-			dividers[one(t)].Look(now, rapid.IntRange(0, 200).Draw(t, "endpoints"))
+			dividers[one(t)].Look(now, ownership.Supply{All: rapid.IntRange(0, 200).Draw(t, "endpoints")})
 		},
 		"tell": func(t *rapid.T) { dividers[one(t)].Hear(dividers[one(t)].Agreed()) },
 		"restart": func(t *rapid.T) {
--- /dev/null
+++ b/pkg/ownership/regions_test.go
@@ -0,0 +1,69 @@
+package ownership_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+)
+
+var _ = Describe("parts by region", func() {
+	regions := ownership.Regions{"a1": "north", "a2": "north", "b1": "south", "c1": "west"}
+	supply := func(all, north, south, west int) ownership.Supply {
+		return ownership.Supply{All: all, Regions: map[string]int{"north": north, "south": south, "west": west}}
+	}
+
+	It("are known alike from their number alone", func() {
+		Expect(regions.Cut(3)).To(BeTrue())
+		Expect(regions.Cut(6)).To(BeTrue())
+		Expect(regions.Cut(4)).To(BeFalse())
+		Expect(ownership.Regions{"a1": "north", "a2": "north"}.Cut(3)).To(BeFalse())
+		Expect(ownership.Regions(nil).Cut(4)).To(BeFalse())
+		Expect(regions.Of(ownership.Part{Number: 4, Of: 6})).To(Equal("south"))
+		Expect(regions.Of(ownership.Part{Number: 1, Of: 2})).To(BeEmpty())
+	})
+
+	It("each have all numbers of their region", func() {
+		seen := map[ownership.Part]bool{}
+		for number := range uint64(20) {
+			part := regions.Part("west", number, 6)
+			Expect(regions.Of(part)).To(Equal("west"))
+			seen[part] = true
+		}
+		Expect(seen).To(HaveLen(2))
+	})
+
+	DescribeTable("are made where each region has endpoints enough",
+		func(s ownership.Supply, parts int) {
+			Expect((&ownership.Divider{}).Parts(s)).To(Equal(parts))
+		},
+		Entry("enough for one each", supply(15, 5, 5, 5), 3),
+		Entry("enough for two each", supply(40, 12, 14, 14), 6),
+		Entry("one has too few", supply(15, 7, 6, 2), 2),
+		Entry("one has none", supply(12, 6, 6, 0), 2),
+		Entry("two regions, one with too few: their number would say that they are cut by region",
+			ownership.Supply{All: 14, Regions: map[string]int{"north": 12, "south": 2}}, 1),
+		Entry("one region", ownership.Supply{All: 40, Regions: map[string]int{"north": 40}}, 8),
+	)
+
+	It("stay while a region lacks some endpoints for a while, and go when it has far too few", func() {
+		var d ownership.Divider
+		now := time.Now()
+		Expect(d.Look(now, supply(15, 5, 5, 5))).To(BeTrue())
+		for _, s := range []ownership.Supply{supply(14, 4, 5, 5), supply(20, 8, 6, 6)} {
+			d.Look(now, s)
+			now = now.Add(40 * time.Second)
+			Expect(d.Look(now, s)).To(BeFalse())
+		}
+		d.Look(now, supply(11, 1, 5, 5))
+		now = now.Add(40 * time.Second)
+		Expect(d.Look(now, supply(11, 1, 5, 5))).To(BeTrue())
+		Expect(d.Agreed().Parts).To(Equal(2))
+		d.Look(now, supply(15, 5, 5, 5))
+		now = now.Add(40 * time.Second)
+		Expect(d.Look(now, supply(15, 5, 5, 5))).To(BeTrue())
+		Expect(d.Agreed().Parts).To(Equal(3))
+	})
+})
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -36,6 +36,8 @@
 	Priority int       `json:"priority"`
 	// Domain is the failure domain where the request will run; empty: any.
 	Domain string `json:"domain,omitempty"`
+	// Region is the one whose endpoints make its pieces; empty: any, if parts are not cut by region.
+	Region string `json:"region,omitempty"`
 	// Within are the failure domains where its pieces may be made; none: any. A plan that has some is made by
 	// the instance that has the request, and told to no other.
 	Within []string `json:"-"`
--- a/service/handover/divisions.go
+++ b/service/handover/divisions.go
@@ -1,6 +1,10 @@
 package handover
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,8 +20,11 @@
 type divisions struct {
 	clock clockwork.Clock
 	log   *logrus.Entry
-	// endpoints returns how many endpoints the least service that takes pieces has.
-	endpoints func() int
+	// supply returns how many endpoints there are, of this instance's view.
+	supply func() ownership.Supply
+	// regions has the region of each failure domain, and home is this instance's.
+	regions ownership.Regions
+	home    string
 	// changed is called when another division holds, decided when this instance decided on it.
 	// Neither may block.
 	changed func(ownership.Division)
@@ -27,10 +34,33 @@
 	divider ownership.Divider
 }
 
-// partOf returns the part that a request falls to.
-func (d *divisions) partOf(request string) pipeline.Part {
-	parts := d.inForce().Parts
-	return pipeline.Part{Number: int(xxhash.Sum64String(request) % uint64(parts)), Of: parts}
+// partOf returns the part that a request falls to; if parts are cut by region one of a region.
+func (d *divisions) partOf(request, region string) pipeline.Part {
+	parts, number := d.inForce().Parts, xxhash.Sum64String(request)
+	if d.regions.Cut(parts) {
+		return d.regions.Part(region, number, parts)
+	}
+	return pipeline.Part{Number: int(number % uint64(parts)), Of: parts}
+}
+
+// regionsFor returns the regions whose parts may make a request's stages, the best first: this instance's own, and others
+// by turns. Those that lack endpoints of a stage come last. It is one, of no name, if parts are not cut by region.
+func (d *divisions) regionsFor(request string) []string {
+	if !d.regions.Cut(d.inForce().Parts) {
+		return []string{""}
+	}
+	supply := d.supply().Regions
+	weight := func(region string) uint64 {
+		if region == d.home {
+			return math.MaxUint64
+		}
+		return xxhash.Sum64String(request + "/" + region)
+	}
+	regions := slices.Sorted(maps.Keys(supply))
+	slices.SortFunc(regions, func(a, b string) int {
+		return cmp.Or(compareBool(supply[a] == 0, supply[b] == 0), cmp.Compare(weight(b), weight(a)))
+	})
+	return regions
 }
 
 // inForce returns the division that is gone by here; its term is 0 if it is not agreed on.
@@ -39,7 +69,7 @@
 	defer d.mu.Unlock()
 	agreed := d.divider.Agreed()
 	if agreed.Term == 0 {
-		agreed.Parts = d.divider.Parts(d.endpoints())
+		agreed.Parts = d.divider.Parts(d.supply())
 	}
 	return agreed
 }
@@ -66,7 +96,7 @@
 func (d *divisions) look() {
 	d.mu.Lock()
 	before := d.divider.Agreed()
-	holds := d.divider.Look(d.clock.Now(), d.endpoints())
+	holds := d.divider.Look(d.clock.Now(), d.supply())
 	after := d.divider.Agreed()
 	d.mu.Unlock()
 	if holds {
@@ -112,5 +142,5 @@
 
 // outdated tells whether a plan of a part falls to another part now, since the division changed.
 func (r *Router) outdated(part pipeline.Part, plan *pipeline.Plan) bool {
-	return r.divisions.partOf(plan.Request) != part
+	return r.divisions.partOf(plan.Request, plan.Region) != part
 }
--- a/service/handover/failures_test.go
+++ b/service/handover/failures_test.go
@@ -13,6 +13,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
@@ -59,7 +60,7 @@
 
 // routerOf is the router of an instance that knows no other.
 func routerOf(planner *pipeline.Planner, clock clockwork.Clock) *Router {
-	return NewRouter(Options{Self: self(0), Planner: planner, Clock: clock, Log: logging.Discard().For("handover"), Live: func() []membership.Member { return nil }, Endpoints: func() int { return 1 }})
+	return NewRouter(Options{Self: self(0), Planner: planner, Clock: clock, Log: logging.Discard().For("handover"), Live: func() []membership.Member { return nil }, Supply: func() ownership.Supply { return ownership.Supply{All: 1} }})
 }
 
 var _ = Describe("plans of other instances", func() {
--- a/service/handover/instance_test.go
+++ b/service/handover/instance_test.go
@@ -18,6 +18,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
@@ -452,14 +453,14 @@
 	i.endpoints.Store(1)
 	i.client = peers.NewClient(i.self.Name, testToken, nil)
 	i.router = NewRouter(Options{
-		Self:      i.self,
-		Live:      func() []membership.Member { return i.with(membership.Live) },
-		Leaving:   func() []membership.Member { return i.with(membership.Leaving) },
-		Client:    cuttable{i},
-		Planner:   pipeline.NewPlanner(i.pieces, clock, metrics.NewSet(), logging.Discard().For("pipeline")),
-		Endpoints: func() int { return int(i.endpoints.Load()) },
-		Clock:     clock,
-		Log:       logging.Discard().For("handover"),
+		Self:    i.self,
+		Live:    func() []membership.Member { return i.with(membership.Live) },
+		Leaving: func() []membership.Member { return i.with(membership.Leaving) },
+		Client:  cuttable{i},
+		Planner: pipeline.NewPlanner(i.pieces, clock, metrics.NewSet(), logging.Discard().For("pipeline")),
+		Supply:  func() ownership.Supply { return ownership.Supply{All: int(i.endpoints.Load())} },
+		Clock:   clock,
+		Log:     logging.Discard().For("handover"),
 	})
 	i.server = peers.NewServer(answerer{NewHandler(i.router, nil, nil)}, testToken, nil, logging.Discard().For("peers"))
 	go i.server.Serve(listener)
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -57,6 +57,8 @@
 	clock clockwork.Clock
 	self  membership.Self
 	live  func() []membership.Member
+	// regions has the region of each failure domain.
+	regions ownership.Regions
 	// contacts own the first parts, one each while it lives, and until joined all parts.
 	contacts []string
 	joined   time.Time
@@ -116,7 +118,7 @@
 		}
 		return chosen
 	}
-	if part.Number < len(o.contacts) && ranks(list, o.contacts[part.Number]) {
+	if part.Number < len(o.contacts) && o.regions.Of(part) == "" && ranks(list, o.contacts[part.Number]) {
 		chosen = append(chosen, o.contacts[part.Number])
 	}
 	return chosen
@@ -160,9 +162,28 @@
 		}
 	}
 	rank(list)
+	o.preferRegion(part, list)
 	return list
 }
 
+// preferRegion sorts those of the part's region before others that are as able.
+func (o *owners) preferRegion(part pipeline.Part, list []owner) {
+	region := o.regions.Of(part)
+	if region == "" {
+		return
+	}
+	here := func(candidate owner) bool { return o.regions[candidate.FailureDomain] == region }
+	slices.SortStableFunc(list, func(a, b owner) int {
+		return cmp.Or(compareBool(b.able, a.able), compareBool(here(b), here(a)))
+	})
+}
+
+// elsewhere tells whether an instance stands in another region than a part that is cut by region.
+func (o *owners) elsewhere(part pipeline.Part, candidate owner) bool {
+	region := o.regions.Of(part)
+	return region != "" && o.regions[candidate.FailureDomain] != region
+}
+
 // rank sorts instances: those that are able first, by their weight.
 func rank(list []owner) {
 	machines := make([]membership.Machine, len(list))
--- a/service/handover/relief.go
+++ b/service/handover/relief.go
@@ -64,20 +64,21 @@
 }
 
 // relief returns the members that should own a part rather than this instance, which owns so many:
-// those that are able and own none. There are none if this instance is able itself and owns one.
+// those that are able and own none. There are none if this instance is able itself, of the part's
+// region, and owns one; if it is not of the region, those that are.
 func (o *owners) relief(part pipeline.Part, owned int, holders map[string]bool) []ownership.Owner {
 	var free []ownership.Owner
-	able := false
+	able, displaced := false, o.elsewhere(part, owner{Self: o.self})
 	for _, candidate := range o.ranked(part) {
 		if candidate.Name == o.self.Name {
 			able = candidate.able
 			continue
 		}
-		if candidate.able && !holders[candidate.Name] {
+		if candidate.able && !holders[candidate.Name] && !(displaced && o.elsewhere(part, candidate)) {
 			free = append(free, candidate.Owner())
 		}
 	}
-	if able && owned <= 1 {
+	if able && owned <= 1 && !displaced {
 		return nil
 	}
 	return free
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -42,6 +42,8 @@
 	progress  *progress
 	// giving says that a part is being handed over.
 	giving atomic.Bool
+	// busy are the regions that refused a plan lately.
+	busy busyRegions
 }
 
 var _ gateway.Stages = (*Router)(nil)
@@ -77,8 +79,9 @@
 	Client   caller
 	Planner  *pipeline.Planner
 	Batcher  *batch.Batcher
-	// Endpoints returns how many endpoints the least service that takes pieces has.
-	Endpoints func() int
+	// Supply returns how many endpoints there are; Regions has the region of each failure domain.
+	Supply  func() ownership.Supply
+	Regions ownership.Regions
 	// Tell has all others told at once of an owner or a division that was decided on here; nil: with
 	// the next heartbeat.
 	Tell  func()
@@ -96,13 +99,14 @@
 		clock:    o.Clock,
 		log:      o.Log,
 		progress: newProgress(),
+		busy:     busyRegions{until: map[string]time.Time{}},
 	}
-	r.owners.leaving = o.Leaving
+	r.owners.leaving, r.owners.regions = o.Leaving, o.Regions
 	tell := o.Tell
 	if tell == nil {
 		tell = func() {}
 	}
-	r.divisions = &divisions{clock: o.Clock, log: o.Log, endpoints: o.Endpoints, decided: tell, changed: func(d ownership.Division) { go r.divided(d) }}
+	r.divisions = &divisions{clock: o.Clock, log: o.Log, supply: o.Supply, regions: o.Regions, home: o.Regions[o.Self.FailureDomain], decided: tell, changed: func(d ownership.Division) { go r.divided(d) }}
 	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner())
 	r.claims.changed, r.claims.lost, r.claims.staysWith = tell, r.superseded, r.owners.staysWith
 	r.claims.won = func(won ownership.Claim) { r.planner.Resume(won.Part) }
@@ -132,8 +136,26 @@
 		r.planner.Resume(whole)
 		return r.planner.Run(ctx, whole, plan)
 	}
+	var refused pipeline.Outcome
+	for at, region := range r.divisions.regionsFor(plan.Request) {
+		if at > 0 && !r.spills(region) {
+			continue
+		}
+		plan.Region = region
+		outcome := r.runPlan(ctx, plan)
+		if outcome.Reason != pipeline.Busy {
+			return outcome
+		}
+		r.noteBusy(region)
+		refused = outcome
+	}
+	return refused
+}
+
+// runPlan has the stages of a plan made in its region.
+func (r *Router) runPlan(ctx context.Context, plan pipeline.Plan) pipeline.Outcome {
 	for range maxTurns {
-		outcome := r.runIn(ctx, r.divisions.partOf(plan.Request), plan)
+		outcome := r.runIn(ctx, r.divisions.partOf(plan.Request, plan.Region), plan)
 		if outcome.Reason != batch.Moved {
 			return outcome
 		}
