--- a/cmd/cobaltcroftd/gateway/operators.go
+++ b/cmd/cobaltcroftd/gateway/operators.go
@@ -12,13 +12,14 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 )
 
-// operatorsFace is what the metrics address serves: figures, what endpoints said in their answers, and the
-// requests that are refused since they end their endpoints, of which an operator may let one go at all instances.
+// operatorsFace is what the metrics address serves: figures, what endpoints said in their answers, how rollouts
+// stand, and the requests that are refused since they end their endpoints, of which an operator may let one go at all instances.
 func (g *Gateway) operatorsFace() http.Handler {
 	router := bunrouter.New()
 	router.GET("/quarantine", g.listQuarantine)
 	router.DELETE("/quarantine/:digest", g.clearQuarantine)
 	router.GET("/notices", g.listNotices)
+	router.GET("/rollouts", g.listRollouts)
 	router.GET("/*path", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		g.writeMetrics(w)
 		return nil
--- a/cmd/cobaltcroftd/gateway/rollout_test.go
+++ b/cmd/cobaltcroftd/gateway/rollout_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,16 @@
 	clientsEach = 6
 )
 
+// listed is what an instance lists for operators.
+func (i *instance) listed(what string) string {
+	response, err := http.Get("http://" + i.Metrics + "/" + what)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
 // rolled is a deployment in which versions are replaced under traffic.
 type rolled struct {
 	*platformtest.Deployment
@@ -150,6 +161,7 @@
 		Eventually(d.told).Should(Equal(told{"running", "v2"}))
 		Consistently(func() float64 { of, all := d.arrivals("v2"); return float64(of) / float64(all) }).
 			WithTimeout(2 * time.Second).Should(BeNumerically("<", canaryShare))
+		Expect(d.instances[0].listed("rollouts")).To(SatisfyAll(ContainSubstring(`"exposure":"tried","share":0.06`), ContainSubstring(`"version":"v2"`)))
 		Eventually(d.told).WithPolling(5 * time.Millisecond).Should(Equal(told{"completed", "v2"}))
 		Expect(d.working("v1")).To(BeZero())
 		Expect(time.Since(begin).Seconds()).To(BeNumerically("<", rolloutOver))
--- a/cmd/cobaltcroftd/gateway/rollouts.go
+++ b/cmd/cobaltcroftd/gateway/rollouts.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -21,6 +25,12 @@
 	return r.follower.View().Fleet.Versions(order)
 }
 
+// listRollouts tells how the rollouts in force stand here.
+func (g *Gateway) listRollouts(w http.ResponseWriter, _ bunrouter.Request) error {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(g.rollouts.List())
+}
+
 // Stand implements rollout.View.
 func (r rolling) Stand(ctx context.Context, standings fleet.Standings) {
 	r.follower.Stand(ctx, standings)
--- a/pkg/fleet/rollouts.go
+++ b/pkg/fleet/rollouts.go
@@ -99,6 +99,15 @@
 	Refuted
 )
 
+// String is the exposure in a word.
+func (e Exposure) String() string {
+	words := [...]string{"withheld", "tried", "proven", "refuted"}
+	if e < 0 || int(e) >= len(words) {
+		return "unknown"
+	}
+	return words[e]
+}
+
 // Standing is how a rollout stands.
 type Standing struct {
 	Exposure Exposure
--- a/pkg/rollout/keeper.go
+++ b/pkg/rollout/keeper.go
@@ -318,7 +318,7 @@
 	weight, of := c.Against()
 	k.log.WithFields(logrus.Fields{
 		"event": "rollout_step", "service": c.Order().Service, "version": c.Order().Version, "order": c.Order().Revision,
-		"exposure": int(i.Exposure), "share": i.Share, "decided": string(c.decided), "answers": c.Answers(),
+		"exposure": i.Exposure.String(), "share": i.Share, "decided": string(c.decided), "answers": c.Answers(),
 		"against": weight, "measure": of, "new": seen.New, "old": seen.Old, "age_ms": now.Sub(c.begun).Milliseconds(),
 	}).Info()
 }
