held, ingress, gateway: bodies and answers that are held are counted, and what has no place is refused at once

Cause: a body was read whole whatever else was held: forty clients that send 4 MB each took more than the smallest machine has, and the process would end. What clients read slowly was counted nowhere. Ruled out: a bound for each connection (one request at a time on each, and bodies are bounded already); unreadiness (requests with small bodies can be served). Change: one account of a quarter of the memory for bodies and answers; a length that is told is counted at once, a body without one as it comes; an answer until its client has read it. Streams are not held: an event goes on before the next is read. Who finds no room is refused as not run, at once.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	pkggateway "github.com/cobaltcroft/cobaltcroft/pkg/gateway"
 	"github.com/cobaltcroft/cobaltcroft/pkg/group"
+	"github.com/cobaltcroft/cobaltcroft/pkg/held"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/limits"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
@@ -56,6 +57,9 @@
 	settingsPeriod = 2 * time.Second
 	// heapPart is the part of the memory limit that the runtime keeps to.
 	heapPart = 0.7
+	// heldPart is the part of the memory limit that bodies and answers may take which are held: each is copied once
+	// while it is read, and again while it goes out, and the rest is for what is known.
+	heldPart = 0.25
 	megabyte = 1e6
 )
 
@@ -92,6 +96,8 @@
 	quarantine *quarantine.Keeper
 	// rollouts move traffic between versions.
 	rollouts *rollout.Keeper
+	// held counts the bodies and answers that are held.
+	held *held.Account
 
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
@@ -191,6 +197,8 @@
 		Machine:       membership.Machine{Cores: s.Machine.Cores(), LinkMbps: s.Machine.LinkMbps},
 	}
 	g.store = platform.NewStore(s.Store)
+	g.held = held.NewAccount(heldLimit(s))
+	g.metrics.NewGauge("cobaltcroft_held_bytes", func() float64 { return float64(g.held.Held()) })
 	table := quarantine.New(g.clock, g.logs.For("quarantine"))
 	// The group is put together below; no request comes before.
 	tellAll := func() { g.group.TellAll() }
@@ -243,16 +251,20 @@
 
 		Quarantine: g.quarantine,
 		Rollouts:   g.rollouts.Participant,
+		Held:       g.held,
 	})
 	g.metrics.NewGauge("cobaltcroft_endpoints_resting", func() float64 { return float64(g.rests.Count()) })
 	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
-	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Clock: g.clock, Log: g.logs.For("ingress")})
+	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts)
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
+// heldLimit is how many bytes of bodies and answers may be held.
+func heldLimit(s settings.Gateway) int64 { return int64(heldPart * megabyte * float64(s.MemoryMB)) }
+
 func budgetBounds(s settings.Gateway) retry.Bounds {
 	return retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window()}
 }
@@ -428,6 +440,7 @@
 	g.budget.SetBounds(budgetBounds(s))
 	g.pieces.SetBounds(budgetBounds(s))
 	debug.SetMemoryLimit(int64(heapPart * megabyte * float64(s.MemoryMB)))
+	g.held.SetLimit(heldLimit(s))
 	g.settings.Retries, g.settings.MemoryMB, g.settings.StopGraceSeconds = s.Retries, s.MemoryMB, s.StopGraceSeconds
 	g.log.WithFields(logrus.Fields{"event": "settings_reloaded", "cause": cause}).Info()
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -312,6 +312,9 @@
 // relayWhole reads an answer whole and sends it on.
 func (u *run) relayWhole(ctx context.Context, call *balance.Call, answer *httpconn.Answer, verdict Verdict) next {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
+	// It is held until its client has read it, which may take seconds.
+	u.Held.Add(int64(len(body)))
+	defer u.Held.Free(int64(len(body)))
 	if err != nil || len(body) > maxAnswer {
 		call.End(choose(ctx.Err() == nil, balance.Bad, balance.Canceled), nil)
 		return choose(err != nil, brokenUnless(ctx), again)
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -14,6 +14,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/held"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
@@ -61,6 +62,8 @@
 	Quarantine *quarantine.Keeper
 	// Rollouts are told what endpoints of which version answer.
 	Rollouts *rollout.Participant
+	// Held counts the answers that are held for clients; nil: nobody wants to know.
+	Held *held.Account
 }
 
 // Executor runs requests. Safe for concurrent use.
@@ -77,6 +80,9 @@
 
 // New returns an executor.
 func New(o Options) *Executor {
+	if o.Held == nil {
+		o.Held = held.NewAccount(0)
+	}
 	return &Executor{
 		Options:           o,
 		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
--- /dev/null
+++ b/service/ingress/holding_test.go
@@ -0,0 +1,94 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/gateway"
+	"github.com/cobaltcroft/cobaltcroft/pkg/held"
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+var _ = Describe("bodies that are held", func() {
+	const limit, body = 100_000, 40_000
+	var (
+		account *held.Account
+		l       net.Listener
+		running chan chan struct{}
+	)
+
+	BeforeEach(func() {
+		account = held.NewAccount(limit)
+		running = make(chan chan struct{}, 8)
+		f := New(Options{
+			Run: func(ctx context.Context, _ *gateway.Request, responder gateway.Responder) {
+				end := make(chan struct{})
+				running <- end
+				select {
+				case <-end:
+				case <-ctx.Done():
+				}
+				responder.Whole(http.StatusOK, http.Header{}, []byte("ran"))
+			},
+			Dialect: plain{},
+			Limits:  func() (route.Limits, bool) { return route.Limits{}, true },
+			Held:    account,
+			Clock:   clockwork.NewRealClock(),
+			Log:     logging.Discard().For("ingress"),
+		})
+		var err error
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = f.Serve(l) }()
+		DeferCleanup(f.Close)
+	})
+
+	// send sends a request, and returns its connection.
+	send := func(head, rest string) net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		_, err = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n%s", head, rest)
+		Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	answer := func(c net.Conn) *http.Response {
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		return response
+	}
+	length := fmt.Sprint("Content-Length: ", body)
+
+	It("take no more memory than there is for them, whether they have come or were told, and others are refused at once as not run", func() {
+		send(length, strings.Repeat("x", body))
+		var end chan struct{}
+		Eventually(running).Should(Receive(&end))
+		slow := send(length, "a client that sends slowly")
+		Eventually(account.Held).Should(Equal(int64(2 * body)))
+
+		refused := answer(send(length, strings.Repeat("x", body)))
+		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
+		chunks := strings.Repeat("4000\r\n"+strings.Repeat("x", 0x4000)+"\r\n", 4) + "0\r\n\r\n"
+		Expect(answer(send("Transfer-Encoding: chunked", chunks)).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(running).NotTo(Receive())
+
+		close(end)
+		Expect(slow.Close()).To(Succeed())
+		Eventually(account.Held).Should(BeZero())
+		again := send(length, strings.Repeat("x", body))
+		Eventually(running).Should(Receive(&end))
+		close(end)
+		Expect(answer(again).StatusCode).To(Equal(http.StatusOK))
+		Eventually(account.Held).Should(BeZero())
+	})
+})
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/gateway"
+	"github.com/cobaltcroft/cobaltcroft/pkg/held"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
@@ -59,8 +60,10 @@
 	Dialect gateway.Dialect
 	// Limits returns what the configuration in force allows clients.
 	Limits func() (route.Limits, bool)
-	Clock  clockwork.Clock
-	Log    *logrus.Entry
+	// Held counts the bodies that are held for clients; nil: any number may be.
+	Held  *held.Account
+	Clock clockwork.Clock
+	Log   *logrus.Entry
 }
 
 // Face serves clients.
@@ -83,6 +86,9 @@
 
 // New returns a face.
 func New(o Options) *Face {
+	if o.Held == nil {
+		o.Held = held.NewAccount(0)
+	}
 	f := &Face{Options: o, idle: map[net.Conn]time.Time{}, reading: map[net.Conn]time.Time{}}
 	f.server = &http.Server{
 		Handler:           f,
@@ -164,7 +170,9 @@
 		}
 		f.refuse(writer, request, failInternal())
 	}()
-	if refusal := f.read(writer, r, request); refusal != nil {
+	body := &heldBody{account: f.Held}
+	defer body.free()
+	if refusal := f.read(writer, r, request, body); refusal != nil {
 		f.refuse(writer, request, refusal)
 		return
 	}
@@ -185,7 +193,7 @@
 }
 
 // read takes the request's headers and body in.
-func (f *Face) read(writer *responder, r *http.Request, request *gateway.Request) *gateway.Refusal {
+func (f *Face) read(writer *responder, r *http.Request, request *gateway.Request, held *heldBody) *gateway.Refusal {
 	if f.refusing.Load() {
 		return &gateway.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: comeBack, Reason: "stopping", Message: "this instance stops; the request has not run; send it to another"}
 	}
@@ -203,7 +211,7 @@
 		drain(writer, r)
 		return refuseBody(limit)
 	}
-	if refusal := readBody(writer, r, request, limit); refusal != nil {
+	if refusal := readBody(writer, r, request, limit, held); refusal != nil {
 		return refusal
 	}
 	wait := request.Wait
@@ -221,14 +229,21 @@
 	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)
 }
 
-func readBody(writer *responder, r *http.Request, request *gateway.Request, limit int64) *gateway.Refusal {
+func readBody(writer *responder, r *http.Request, request *gateway.Request, limit int64, held *heldBody) *gateway.Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	if !held.take(r.ContentLength) {
+		drain(writer, r)
+		return refuseMemory()
+	}
 	_ = writer.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	body, err := io.ReadAll(held.counted(http.MaxBytesReader(nil, r.Body, limit)))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		drain(writer, r)
+		return refuseMemory()
 	case errors.As(err, &tooLarge):
 		drain(writer, r)
 		return refuseBody(limit)
