--- a/pkg/balance/apart.go
+++ b/pkg/balance/apart.go
@@ -21,7 +21,7 @@
 	var most uint64
 	for i := range candidates {
 		e := &candidates[i]
-		s := b.seen(e.ID)
+		s := b.look(e.ID)
 		if need.Exclude[e.ID] || now.Before(s.outUntil) {
 			continue
 		}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -187,8 +187,8 @@
 	var n time.Duration
 	var smoothed time.Duration
 	slowness := 0.0
-	for _, e := range candidates {
-		s := b.seen(e.ID)
+	for i := range candidates {
+		s := b.look(candidates[i].ID)
 		if !s.sampled.IsZero() {
 			n++
 			smoothed += s.smoothed
@@ -234,19 +234,35 @@
 func (b *Balancer) seen(id string) *seen {
 	s := b.endpoints[id]
 	if s == nil {
-		s = &seen{calls: map[*Call]struct{}{}, smoothed: firstTime, slowness: 1, kept: newKeptParts()}
+		s = newSeen()
 		b.endpoints[id] = s
 	}
 	return s
 }
 
+func newSeen() *seen {
+	return &seen{calls: map[*Call]struct{}{}, smoothed: firstTime, slowness: 1, kept: newKeptParts()}
+}
+
+// unseen is what is seen of an endpoint that was never called. It must not be changed.
+var unseen = newSeen()
+
+// look returns what is seen of an endpoint, for reading alone: of thousands of candidates an instance calls few, and
+// keeps nothing of the others.
+func (b *Balancer) look(id string) *seen {
+	if s := b.endpoints[id]; s != nil {
+		return s
+	}
+	return unseen
+}
+
 // outCost is added for an endpoint that is left out: it is chosen only if all are.
 const outCost = 1e9
 
 // cost is the expected time of the call at an endpoint, in milliseconds, with what
 // speaks against it added.
 func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, need Need, u usual, home bool) float64 {
-	s := b.seen(e.ID)
+	s := b.look(e.ID)
 	var d time.Duration
 	smoothed, slowness := s.at(now, u)
 	if need.Engine {
@@ -313,19 +329,23 @@
 	if !need.Engine || len(need.Parts) < 2 {
 		return ""
 	}
-	shared := need.Parts[len(need.Parts)-2].ID
+	text := append(make([]byte, 0, hashedText), need.Parts[len(need.Parts)-2].ID+"/"...)
 	home, most := "", uint64(0)
-	for _, e := range candidates {
-		if now.Before(b.seen(e.ID).outUntil) {
+	for i := range candidates {
+		id := candidates[i].ID
+		if now.Before(b.look(id).outUntil) {
 			continue
 		}
-		if weight := xxhash.Sum64String(shared + "/" + e.ID); home == "" || weight > most {
-			home, most = e.ID, weight
+		if weight := xxhash.Sum64(append(text, id...)); home == "" || weight > most {
+			home, most = id, weight
 		}
 	}
 	return home
 }
 
+// hashedText is room for the texts that are hashed, in bytes, so that none is allocated for each endpoint.
+const hashedText = 128
+
 // Expect returns the time to the first event, and the failure domain of the endpoint, that
 // a call which is made some time later is likely to have.
 func (b *Balancer) Expect(candidates []fleet.Endpoint, need Need) (time.Duration, string) {
@@ -336,7 +356,7 @@
 	if best == nil {
 		return 0, need.Domain
 	}
-	s := b.seen(best.ID)
+	s := b.look(best.ID)
 	if !need.Engine {
 		return s.smoothed, best.FailureDomain
 	}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -91,7 +91,7 @@
 	left := false
 	warm := make([]fleet.Endpoint, 0, len(candidates))
 	for _, e := range candidates {
-		if !b.seen(e.ID).cold.cold(now) {
+		if !b.look(e.ID).cold.cold(now) {
 			warm = append(warm, e)
 			left = left || !need.Exclude[e.ID]
 		}
@@ -106,8 +106,13 @@
 func (b *Balancer) learnCold(now time.Time, candidates []fleet.Endpoint) bool {
 	cold := false
 	for i := range candidates {
-		s := b.seen(candidates[i].ID)
-		s.cold.learn(now, &candidates[i])
+		e := &candidates[i]
+		if b.endpoints[e.ID] == nil && e.ColdRevision == 0 && e.Returned == 0 {
+			// It is warm, and there is nothing to learn of it.
+			continue
+		}
+		s := b.seen(e.ID)
+		s.cold.learn(now, e)
 		cold = cold || s.cold.cold(now)
 	}
 	return cold
@@ -120,7 +125,7 @@
 	}
 	var sponsored []fleet.Endpoint
 	for _, e := range candidates {
-		c := &b.seen(e.ID).cold
+		c := &b.look(e.ID).cold
 		if c.cold(now) && now.Sub(c.sentAt) >= need.Cold.pause() && need.Cold.Sponsors(e.ID) {
 			sponsored = append(sponsored, e)
 		}
--- a/pkg/balance/parts.go
+++ b/pkg/balance/parts.go
@@ -18,6 +18,9 @@
 
 // match returns the tokens of the leading parts that are kept.
 func (k *keptParts) match(parts []Part) int {
+	if k == unseen.kept {
+		return 0
+	}
 	tokens := 0
 	for _, p := range parts {
 		kept, ok := k.parts.Get(p.ID)
