rollout, gateway: an instance that starts after a rollout is ready when it knows so; a crash of all old endpoints proves nothing

Cause: one that started while an order stands had the proven version withheld until its first report was answered, called itself ready and refused everything of that service (503 no_endpoint, the new spec; some 0.1 to 0.5 s after each start). With no old endpoint in sight at one moment a rollout went on at once, as if there were nothing to move. A conductor that had just started told everyone that it knew no step, which others then forgot. Ruled out: to call itself unready until all orders are settled: a rollout that the silent store pauses would keep an instance from its other services. Change: unready while a service has endpoints of a withheld version alone, five seconds after the order was heard of at most; two seconds without others before there is nothing to move; the step that is known stays.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -388,13 +388,18 @@
 	switch {
 	case r.URL.Path != platform.ReadyPath:
 		http.NotFound(w, r)
-	case g.stopping.begun() || !view.Complete() || len(view.Fleet.All()) == 0 || view.Behind(g.clock.Now()):
+	case g.stopping.begun() || !g.knowsEnough(view):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
+// knowsEnough tells whether requests can be served by what is known.
+func (g *Gateway) knowsEnough(view *discovery.View) bool {
+	return view.Complete() && view.Fleet.Any() && !view.Behind(g.clock.Now()) && !g.lacksVersions(view)
+}
+
 // obey waits for signals and changed settings until the instance has stopped.
 func (g *Gateway) obey(signals <-chan os.Signal) error {
 	ticker := g.clock.NewTicker(settingsPeriod)
--- a/cmd/cobaltcroftd/gateway/rollout_test.go
+++ b/cmd/cobaltcroftd/gateway/rollout_test.go
@@ -227,6 +227,21 @@
 		Eventually(d.told).WithTimeout(20 * time.Second).Should(Equal(told{"completed", "v2"}))
 	})
 
+	It("that was completed leaves an instance that starts later ready only when it knows so", func() {
+		d := roll(1)
+		d.order("v2", 3, well)
+		Eventually(d.told).Should(Equal(told{"completed", "v2"}))
+		for _, e := range d.Of("simple")[:3] {
+			d.Store.Remove("servers/" + e.ID)
+			e.Close()
+		}
+		newcomer := start(d.Address(), d.instances[0].Peers)
+		for range 10 {
+			_, got := newcomer.ask("once")
+			Expect(got.Status).To(Equal(http.StatusOK))
+		}
+	})
+
 	It("of a version that fails is passed over by instances of which the first request comes later", func() {
 		d := roll(1)
 		d.order("v2", 1, func(e *platformtest.Engine) { e.Always(platformtest.Fail) })
--- a/cmd/cobaltcroftd/gateway/rollouts.go
+++ b/cmd/cobaltcroftd/gateway/rollouts.go
@@ -25,6 +25,19 @@
 	return r.follower.View().Fleet.Versions(order)
 }
 
+// lacksVersions tells whether a service has endpoints of none but a version that is withheld, since this instance has
+// not heard yet that it is proven: it would refuse what others serve.
+func (g *Gateway) lacksVersions(view *discovery.View) bool {
+	for _, order := range view.Rollouts().Orders {
+		of, others := view.Fleet.Versions(order)
+		withheld := view.Fleet.Standing(order.Revision).Exposure == fleet.Withheld
+		if withheld && of > 0 && others == 0 && g.rollouts.Awaits(order) {
+			return true
+		}
+	}
+	return false
+}
+
 // listRollouts tells how the rollouts in force stand here.
 func (g *Gateway) listRollouts(w http.ResponseWriter, _ bunrouter.Request) error {
 	w.Header().Set("Content-Type", "application/json")
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -34,6 +34,8 @@
 	Endpoints []fleet.Endpoint
 	// Evacuated are sorted.
 	Evacuated []string
+	// Rollouts are sorted by service.
+	Rollouts []fleet.Rollout
 }
 
 // source is a source, or the peers, whose state the test sets.
@@ -56,6 +58,8 @@
 	orders []fleet.Evacuation
 	// silentOnOrders has peers tell of no evacuations, as an older version of the program does.
 	silentOnOrders bool
+	// silentOnRollouts has them tell of evacuations alone, as a later one does.
+	silentOnRollouts bool
 }
 
 func (s *source) set(change func(*source)) {
@@ -89,7 +93,7 @@
 		return discovery.Newest{}, errOut
 	}
 	s.tell(state)
-	return discovery.Newest{At: state.Revision, Document: state.Document, Evacuations: commonTo(nil, state.Evacuated)}, nil
+	return discovery.Newest{At: state.Revision, Document: state.Document, Evacuations: commonTo(nil, state.Evacuated), Rollouts: ordersOf(state.Rollouts)}, nil
 }
 
 // tell notes what was told as of a revision.
@@ -119,6 +123,7 @@
 		newest.Document = state.Document
 	}
 	newest.Evacuations = s.given(since, state)
+	newest.Rollouts = ordersOf(state.Rollouts)
 	s.tell(state)
 	return newest, err
 }
@@ -178,9 +183,12 @@
 
 func (p peersOf) mark(state held) discovery.Mark {
 	mark := discovery.Mark{Revision: state.Document.Revision, At: state.Revision, Age: p.oldness(), Newest: state.Document.Revision}
-	if p.mu.Lock(); !p.silentOnOrders {
+	p.mu.Lock()
+	if !p.silentOnOrders {
 		mark.Evacuations = fleet.Evacuations{Revision: state.Revision, Domains: state.Evacuated}
-		mark.Rollouts = fleet.Rollouts{Revision: state.Revision}
+	}
+	if !p.silentOnOrders && !p.silentOnRollouts {
+		mark.Rollouts = fleet.Rollouts{Revision: state.Revision, Orders: state.Rollouts}
 	}
 	p.mu.Unlock()
 	return mark
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -205,6 +205,9 @@
 	return ok && s.stays(e) && !s.barred[e.Service][id]
 }
 
+// Any tells whether there are endpoints.
+func (s *Snapshot) Any() bool { return s.endpoints.size > 0 }
+
 // All returns all endpoints, in no order.
 func (s *Snapshot) All() []Endpoint {
 	list := make([]Endpoint, 0, s.endpoints.size)
--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -63,6 +63,9 @@
 	// confirmedFor is how long the record of the rollout may go unread: another instance may have written, on
 	// the other side of a cut, that the version is bad.
 	confirmedFor = 3 * time.Second
+	// aloneFor is how long no endpoint of another version must have been there until there is nothing to move: all
+	// may have crashed, and be back soon.
+	aloneFor = 2 * time.Second
 	// allFor is how long all traffic goes to the new version at least before the old endpoints may stop.
 	allFor = 500 * time.Millisecond
 )
@@ -108,8 +111,10 @@
 	// stepAt is when the step began, answersAt when the first answer of the version came.
 	stepAt    time.Time
 	answersAt time.Time
-	decided   State
-	recorded  State
+	// othersAt is when endpoints of other versions were last there.
+	othersAt time.Time
+	decided  State
+	recorded State
 	// confirmed is as of when the record was read last; the zero time: it never was.
 	confirmed time.Time
 }
@@ -117,7 +122,7 @@
 // NewConductor returns the conductor of an order that was heard of at a time. A bad version may get a share
 // of all requests.
 func NewConductor(order fleet.Rollout, share float64, now time.Time) *Conductor {
-	return &Conductor{order: order, schedule: NewSchedule(order, share), begun: now, reports: map[string]told{}, past: NewTally(), stepAt: now}
+	return &Conductor{order: order, schedule: NewSchedule(order, share), begun: now, reports: map[string]told{}, past: NewTally(), stepAt: now, othersAt: now}
 }
 
 // Order is the order that it conducts.
@@ -191,6 +196,9 @@
 	if c.recorded.Final() || c.decided.Final() {
 		return false
 	}
+	if seen.Old > 0 {
+		c.othersAt = now
+	}
 	c.evidence.Weigh(c.Tally())
 	if c.evidence.Bad() {
 		c.decide(Reverted)
@@ -217,7 +225,7 @@
 	age := now.Sub(c.begun)
 	switch {
 	case c.step == waiting && seen.Old == 0:
-		return all, true
+		return all, now.Sub(c.othersAt) >= aloneFor
 	case c.step == waiting:
 		return trying, true
 	case c.step == trying:
--- a/pkg/rollout/model_test.go
+++ b/pkg/rollout/model_test.go
@@ -325,6 +325,34 @@
 		}
 	})
 
+	It("give a version on trial nothing while the record can't be read, which another may have written", func() {
+		m := newModel(3, 6)
+		m.bad = behaviour{only: -1}
+		m.order()
+		m.play(2*time.Second, 20)
+		Expect(m.arrived).NotTo(BeZero())
+		m.silent = true
+		m.play(3500*time.Millisecond, 20)
+		before := m.arrived
+		m.play(3*time.Second, 20)
+		Expect(m.arrived).To(Equal(before))
+	})
+
+	It("complete an order for the version that has all of the traffic, and serve on meanwhile", func() {
+		m := newModel(1, 4)
+		m.bad = behaviour{only: -1}
+		for _, i := range m.instances {
+			i.snapshot = fleet.New(1, endpoints("v2", 6)).Roll(fleet.Rollouts{Revision: 4})
+		}
+		m.ordered = fleet.Rollouts{Revision: orderAt, Orders: []fleet.Rollout{{Service: "s", Version: "v2", OverMs: over.Milliseconds(), Revision: orderAt}}}
+		for _, i := range m.instances {
+			i.snapshot = i.snapshot.Roll(m.ordered)
+		}
+		m.play(5*time.Second, 20)
+		Expect(m.record.State).To(Equal(rollout.Completed))
+		Expect(m.arrived).To(Equal(m.all))
+	})
+
 	It("send nothing to a version that is on trial when they have just started", func() {
 		m := newModel(1, 6)
 		m.bad = badVersions[0]
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -150,9 +150,23 @@
 		// What is decided stays; only the record goes before a decision.
 		return
 	}
+	// A conductor that has just started knows of no step.
+	i.Step = max(i.Step, known.told.Step)
 	known.told, known.until = i, until
 }
 
+// awaitedFor is how long after an order was heard of word of it is waited for.
+const awaitedFor = 5 * time.Second
+
+// Awaits tells whether word of an order may come soon: it was heard of not long ago. An instance that has just
+// started has a version withheld that was proven long ago.
+func (p *Participant) Awaits(order fleet.Rollout) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.part[order.Revision]
+	return known == nil || p.clock.Since(known.since) < awaitedFor
+}
+
 // standing is how the rollout stands here. What was told holds for a while only: the next word may not get
 // through, and say that the version is bad.
 func (k *part) standing(now time.Time) fleet.Standing {
