--- a/pkg/rollout/model_test.go
+++ b/pkg/rollout/model_test.go
@@ -55,6 +55,8 @@
 	// oldAfter counts the requests that came to the old version after it was completed, from instances that were not
 	// cut off.
 	oldAfter int
+	// cutOff counts the requests under way at the old version when it was completed, of those that can't go on elsewhere.
+	cutOff int
 }
 
 // node is one instance.
@@ -73,6 +75,8 @@
 	call   *rollout.Call
 	sample rollout.Sample
 	end    time.Time
+	// fixed says that it is at the old version and can't go on elsewhere.
+	fixed bool
 }
 
 func newModel(seed uint64, n int) *model {
@@ -157,6 +161,7 @@
 	i.model.record = rollout.Record{State: state, Version: version, Revision: i.model.revision}
 	if state == rollout.Completed {
 		i.model.completedAt = i.clock.Now()
+		i.model.countCutOff()
 	}
 	return i.model.revision, nil
 }
@@ -199,7 +204,22 @@
 			i.wrongAt = now
 		}
 	}
-	i.underWay = append(i.underWay, underWay{call: i.keeper.Begin(e, route == 2), sample: sample, end: now.Add(sample.Took)})
+	if i.random.IntN(100) == 0 {
+		// Whichever version runs it, it is a long one.
+		sample.Took += 1500 * time.Millisecond
+	}
+	i.underWay = append(i.underWay, underWay{call: i.keeper.Begin(e, route == 2), sample: sample, end: now.Add(sample.Took), fixed: e.Version == "v1" && route != 2})
+}
+
+// countCutOff counts what stops with the old endpoints.
+func (m *model) countCutOff() {
+	for _, i := range m.instances {
+		for _, u := range i.underWay {
+			if u.fixed && u.end.After(m.clock.Now()) {
+				m.cutOff++
+			}
+		}
+	}
 }
 
 // step plays one tick in which each instance gets requests.
@@ -267,6 +287,7 @@
 					late++
 				}
 				Expect(m.oldAfter).To(BeZero())
+				Expect(m.cutOff).To(BeZero())
 			}
 			Expect(late).To(BeZero(), "of 10")
 		},
