rollout: a decision that a version is completed holds on while the record can't be reached

What was found against the version after the decision was not weighed any more. Change: the decision is told and reported, so that another conductor holds it too, and stands until the record says otherwise or the version is found bad; answers are weighed until it is recorded.

--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -113,6 +113,7 @@
 	answersAt time.Time
 	// othersAt is when endpoints of other versions were last there.
 	othersAt time.Time
+	// decided is what is to be recorded, and recorded what the record says.
 	decided  State
 	recorded State
 	// confirmed is as of when the record was read last; the zero time: it never was.
@@ -140,8 +141,8 @@
 	if begun := now.Add(-time.Duration(r.AgeMs) * time.Millisecond); begun.Before(c.begun) {
 		c.begun = begun
 	}
-	if r.State == Reverted {
-		c.decide(Reverted)
+	if r.State.Final() {
+		c.decide(r.State)
 	}
 	if reached := min(all, step(r.Step)); reached > c.step {
 		// Another conductor, which has ended, had seen enough for it.
@@ -161,7 +162,8 @@
 }
 
 // decide takes in what is to be recorded. What is decided first stays, but for a version found bad before its
-// completion is recorded.
+// completion is recorded. That a rollout is completed holds on though the record can't be reached: a writing whose
+// answer was lost may have been done, or be done seconds later, and the old endpoints stop then.
 func (c *Conductor) decide(state State) {
 	if c.decided == "" || state == Reverted {
 		c.decided = state
@@ -193,7 +195,7 @@
 
 // Look decides the next step, and tells whether there is one.
 func (c *Conductor) Look(now time.Time, seen Seen) bool {
-	if c.recorded.Final() || c.decided.Final() {
+	if c.recorded.Final() || c.decided == Reverted {
 		return false
 	}
 	if seen.Old > 0 {
@@ -204,6 +206,9 @@
 		c.decide(Reverted)
 		return true
 	}
+	if c.decided == Completed {
+		return false
+	}
 	if c.answersAt.IsZero() && c.evidence.Answers() > 0 {
 		c.answersAt = now
 	}
@@ -275,6 +280,8 @@
 		return Instruction{Exposure: fleet.Proven, State: Completed, Recorded: true}
 	case c.recorded == Reverted || c.decided == Reverted:
 		return Instruction{Exposure: fleet.Refuted, State: Reverted, Recorded: c.recorded == Reverted}
+	case c.decided == Completed:
+		return Instruction{Exposure: fleet.Proven, State: Completed, Step: int(all)}
 	case !c.Confirmed(now) || c.step == waiting:
 		return Instruction{Exposure: fleet.Withheld, State: Running}
 	case c.step >= all:
--- a/pkg/rollout/model_test.go
+++ b/pkg/rollout/model_test.go
@@ -43,6 +43,9 @@
 	// silent says that the store answers nobody, silentTo whom it does not answer.
 	silent   bool
 	silentTo map[string]bool
+	// losing has writings be done some time later, and their answers lost; late are those.
+	losing   bool
+	late     []lateWrite
 	record   rollout.Record
 	revision uint64
 	ordered  fleet.Rollouts
@@ -59,6 +62,28 @@
 	cutOff int
 }
 
+// lateWrite is a writing that is done later, if its condition still holds.
+type lateWrite struct {
+	at     time.Time
+	after  uint64
+	record rollout.Record
+}
+
+// write does a writing.
+func (m *model) write(after uint64, record rollout.Record) error {
+	if m.record.Revision != after {
+		return rollout.ErrOvertaken
+	}
+	m.revision++
+	record.Revision = m.revision
+	m.record = record
+	if record.State == rollout.Completed {
+		m.completedAt = m.clock.Now()
+		m.countCutOff()
+	}
+	return nil
+}
+
 // node is one instance.
 type node struct {
 	*model
@@ -154,16 +179,13 @@
 	switch {
 	case i.silent || i.silentTo[i.name]:
 		return 0, errCut
-	case i.record.Revision != after:
-		return 0, rollout.ErrOvertaken
-	}
-	i.model.revision++
-	i.model.record = rollout.Record{State: state, Version: version, Revision: i.model.revision}
-	if state == rollout.Completed {
-		i.model.completedAt = i.clock.Now()
-		i.model.countCutOff()
+	case i.losing:
+		at := i.clock.Now().Add(time.Second + time.Duration(i.random.Int64N(int64(5*time.Second))))
+		i.model.late = append(i.late, lateWrite{at, after, rollout.Record{State: state, Version: version}})
+		return 0, errCut
 	}
-	return i.model.revision, nil
+	err := i.write(after, rollout.Record{State: state, Version: version})
+	return i.model.revision, err
 }
 
 func (i *node) Rollouts() fleet.Rollouts { return i.snapshot.Rollouts() }
@@ -225,6 +247,13 @@
 // step plays one tick in which each instance gets requests.
 func (m *model) step(perSecond float64) {
 	m.clock.Advance(tick)
+	m.late = slices.DeleteFunc(m.late, func(w lateWrite) bool {
+		if w.at.After(m.clock.Now()) {
+			return false
+		}
+		_ = m.write(w.after, w.record)
+		return true
+	})
 	for _, i := range m.instances {
 		if i.frozen {
 			continue
@@ -346,6 +375,33 @@
 		}
 	})
 
+	DescribeTable("complete a good version only when nothing goes to the old one, though the store fails just then",
+		func(fail func(*model)) {
+			for seed := range uint64(8) {
+				m := newModel(seed, 6)
+				m.bad = behaviour{only: -1}
+				m.play(time.Second, 20)
+				m.order()
+				proven := func() bool { return m.instances[3].snapshot.Standing(orderAt).Exposure == fleet.Proven }
+				for begin := m.clock.Now(); !proven() && m.clock.Since(begin) < over; {
+					m.step(20)
+				}
+				Expect(proven()).To(BeTrue())
+				m.play(time.Duration(seed)*150*time.Millisecond, 20)
+				fail(m)
+				m.play(time.Duration(1+seed)*1500*time.Millisecond, 20)
+				m.silent, m.losing = false, false
+				m.play(over+10*time.Second, 20)
+				Expect(m.record.State).To(Equal(rollout.Completed), "seed %d", seed)
+				Expect(m.cutOff).To(BeZero(), "seed %d", seed)
+				Expect(m.oldAfter).To(BeZero(), "seed %d", seed)
+			}
+		},
+		Entry("is silent", func(m *model) { m.silent = true }),
+		Entry("loses answers, and does what was asked later", func(m *model) { m.losing = true }),
+		Entry("does both", func(m *model) { m.losing = true; m.play(time.Second, 20); m.silent = true }),
+	)
+
 	It("give a version on trial nothing while the record can't be read, which another may have written", func() {
 		m := newModel(3, 6)
 		m.bad = behaviour{only: -1}
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -170,7 +170,8 @@
 // standing is how the rollout stands here. What was told holds for a while only: the next word may not get
 // through, and say that the version is bad.
 func (k *part) standing(now time.Time) fleet.Standing {
-	if !k.told.State.Final() && now.After(k.until) {
+	forGood := k.told.Recorded || k.told.State == Reverted
+	if !forGood && now.After(k.until) {
 		return fleet.Standing{}
 	}
 	return fleet.Standing{Exposure: k.told.Exposure, Share: k.told.Share}
