ownership: the regions are sorted once, not for each endpoint that is cut into a part

Cause: the names of the regions were sorted out of the failure domains at each question, four times for each endpoint. Change: Regions keeps them. Which endpoint falls to which part stays as it was, and the tests their assertions.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
@@ -67,6 +68,8 @@
 type Gateway struct {
 	path     string
 	settings settings.Gateway
+	// regions has the region of each failure domain.
+	regions ownership.Regions
 	// counted is how many endpoints there were last.
 	counted atomic.Pointer[counted]
 	clock   clockwork.Clock
@@ -189,6 +192,7 @@
 // assemble makes the parts, from those that need nothing to those that need most.
 func (g *Gateway) assemble() {
 	s := g.settings
+	g.regions = ownership.NewRegions(s.Regions)
 	self := membership.Self{
 		Name:          s.Instance,
 		Incarnation:   uint64(g.clock.Now().UnixNano()),
@@ -216,7 +220,7 @@
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.batcher = batch.New(&platform.Stages{Conns: g.conns, Clock: g.clock}, known{g.follower, g.rests}, g.pieces, g.clock, g.metrics, g.logs.For("batch"))
-	g.batcher.ByRegion(s.Regions)
+	g.batcher.ByRegion(g.regions)
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
 	g.router = handover.NewRouter(handover.Options{
 		Self:     self,
@@ -228,7 +232,7 @@
 		Planner:  planner,
 		Batcher:  g.batcher,
 		Supply:   g.supply,
-		Regions:  s.Regions,
+		Regions:  g.regions,
 		Clock:    g.clock,
 		Log:      g.logs.For("handover"),
 	})
--- a/cmd/cobaltcroftd/gateway/supply.go
+++ b/cmd/cobaltcroftd/gateway/supply.go
@@ -21,7 +21,7 @@
 	if last := g.counted.Load(); last != nil && last.fleet == view.Fleet && last.table == view.Table {
 		return last.supply
 	}
-	supply := count(view, g.settings.Regions)
+	supply := count(view, g.regions)
 	g.counted.Store(&counted{fleet: view.Fleet, table: view.Table, supply: supply})
 	return supply
 }
@@ -31,7 +31,7 @@
 	if view.Table == nil {
 		return supply
 	}
-	for _, region := range regions {
+	for _, region := range regions.Names() {
 		supply.Regions[region] = 0
 	}
 	first := true
@@ -42,7 +42,7 @@
 		}
 		inside := map[string]int{}
 		for _, e := range ready {
-			inside[regions[e.FailureDomain]]++
+			inside[regions.In(e.FailureDomain)]++
 		}
 		for region, n := range supply.Regions {
 			if first || inside[region] < n {
--- a/pkg/batch/export_test.go
+++ b/pkg/batch/export_test.go
@@ -6,7 +6,9 @@
 )
 
 // PartIDs returns the IDs of the endpoints of a queue's part.
-func PartIDs(q Queue, ready []fleet.Endpoint) []string { return PartIDsIn(q, ready, nil) }
+func PartIDs(q Queue, ready []fleet.Endpoint) []string {
+	return PartIDsIn(q, ready, ownership.Regions{})
+}
 
 // PartIDsIn returns the IDs of the endpoints of a queue's part, where failure domains stand in regions.
 func PartIDsIn(q Queue, ready []fleet.Endpoint, regions ownership.Regions) []string {
--- a/pkg/batch/part_test.go
+++ b/pkg/batch/part_test.go
@@ -50,7 +50,7 @@
 	})
 
 	It("has endpoints of its region alone, where parts are cut by region, and each endpoint is in one", func() {
-		regions := ownership.Regions{"zone-0": "north", "zone-1": "north", "zone-2": "south"}
+		regions := ownership.NewRegions(map[string]string{"zone-0": "north", "zone-1": "north", "zone-2": "south"})
 		var all []fleet.Endpoint
 		for n := range 19 {
 			all = append(all, fleet.Endpoint{ID: fmt.Sprint("e", n), FailureDomain: fmt.Sprint("zone-", n%4)})
@@ -61,8 +61,8 @@
 			for _, id := range batch.PartIDsIn(q, all, regions) {
 				seen[id]++
 				for _, endpoint := range all {
-					region, known := regions[endpoint.FailureDomain]
-					if endpoint.ID == id && known {
+					region := regions.In(endpoint.FailureDomain)
+					if endpoint.ID == id && region != "" {
 						Expect(region).To(Equal(regions.Of(ownership.Part{Number: part, Of: 4})))
 					}
 				}
--- a/pkg/ownership/regions_test.go
+++ b/pkg/ownership/regions_test.go
@@ -10,7 +10,7 @@
 )
 
 var _ = Describe("parts by region", func() {
-	regions := ownership.Regions{"a1": "north", "a2": "north", "b1": "south", "c1": "west"}
+	regions := ownership.NewRegions(map[string]string{"a1": "north", "a2": "north", "b1": "south", "c1": "west"})
 	supply := func(all, north, south, west int) ownership.Supply {
 		return ownership.Supply{All: all, Regions: map[string]int{"north": north, "south": south, "west": west}}
 	}
@@ -19,8 +19,8 @@
 		Expect(regions.Cut(3)).To(BeTrue())
 		Expect(regions.Cut(6)).To(BeTrue())
 		Expect(regions.Cut(4)).To(BeFalse())
-		Expect(ownership.Regions{"a1": "north", "a2": "north"}.Cut(3)).To(BeFalse())
-		Expect(ownership.Regions(nil).Cut(4)).To(BeFalse())
+		Expect(ownership.NewRegions(map[string]string{"a1": "north", "a2": "north"}).Cut(3)).To(BeFalse())
+		Expect(ownership.Regions{}.Cut(4)).To(BeFalse())
 		Expect(regions.Of(ownership.Part{Number: 4, Of: 6})).To(Equal("south"))
 		Expect(regions.Of(ownership.Part{Number: 1, Of: 2})).To(BeEmpty())
 	})
--- a/service/handover/owners.go
+++ b/service/handover/owners.go
@@ -172,7 +172,7 @@
 	if region == "" {
 		return
 	}
-	here := func(candidate owner) bool { return o.regions[candidate.FailureDomain] == region }
+	here := func(candidate owner) bool { return o.regions.In(candidate.FailureDomain) == region }
 	slices.SortStableFunc(list, func(a, b owner) int {
 		return cmp.Or(compareBool(b.able, a.able), compareBool(here(b), here(a)))
 	})
@@ -181,7 +181,7 @@
 // elsewhere tells whether an instance stands in another region than a part that is cut by region.
 func (o *owners) elsewhere(part pipeline.Part, candidate owner) bool {
 	region := o.regions.Of(part)
-	return region != "" && o.regions[candidate.FailureDomain] != region
+	return region != "" && o.regions.In(candidate.FailureDomain) != region
 }
 
 // rank sorts instances: those that are able first, by their weight.
--- a/service/handover/regions_test.go
+++ b/service/handover/regions_test.go
@@ -42,7 +42,7 @@
 func (r *refusing) Notify(context.Context, string, string, any) error { return nil }
 
 var _ = Describe("plans where there are regions", func() {
-	regions := ownership.Regions{"zone-0": "north", "zone-1": "south", "zone-2": "west"}
+	regions := ownership.NewRegions(map[string]string{"zone-0": "north", "zone-1": "south", "zone-2": "west"})
 	var (
 		clock  *clockwork.FakeClock
 		client *refusing
@@ -131,7 +131,7 @@
 	})
 
 	It("are cut as before where there is one region", func() {
-		router.divisions.regions, router.owners.regions = ownership.Regions{"zone-0": "north", "zone-1": "north"}, nil
+		router.divisions.regions, router.owners.regions = ownership.NewRegions(map[string]string{"zone-0": "north", "zone-1": "north"}), ownership.Regions{}
 		supply = ownership.Supply{All: 15, Regions: map[string]int{"north": 15}}
 		Expect(router.divisions.regionsFor("request")).To(Equal([]string{""}))
 		Expect(router.divisions.partOf("request", "").Of).To(Equal(2))
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -106,7 +106,7 @@
 	if tell == nil {
 		tell = func() {}
 	}
-	r.divisions = &divisions{clock: o.Clock, log: o.Log, supply: o.Supply, regions: o.Regions, home: o.Regions[o.Self.FailureDomain], decided: tell, changed: func(d ownership.Division) { go r.divided(d) }}
+	r.divisions = &divisions{clock: o.Clock, log: o.Log, supply: o.Supply, regions: o.Regions, home: o.Regions.In(o.Self.FailureDomain), decided: tell, changed: func(d ownership.Division) { go r.divided(d) }}
 	r.claims = newClaims(o.Clock, o.Log, o.Self.Owner())
 	r.claims.changed, r.claims.lost, r.claims.staysWith = tell, r.superseded, r.owners.staysWith
 	r.claims.won = func(won ownership.Claim) { r.planner.Resume(won.Part) }
