rollout: what all instances report is added to one tally

Cause: each step of a sum made a tally of its own, ten times a second at the conductor. Change: tallies are added in place; the two sums by copy go. Figures (BenchmarkConductorTally, 1,000 reports of four routes): 3.6 to 0.65 ms, 2.1 MB to 2 KB.

--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -136,7 +136,7 @@
 		return
 	}
 	if known && before.Incarnation < r.Incarnation {
-		c.past = c.past.plus(before.Tally)
+		c.past.include(before.Tally)
 	}
 	if begun := now.Add(-time.Duration(r.AgeMs) * time.Millisecond); begun.Before(c.begun) {
 		c.begun = begun
@@ -188,7 +188,7 @@
 func (c *Conductor) Tally() Tally {
 	sum := c.past.clone()
 	for _, r := range c.reports {
-		sum = sum.plus(r.Tally)
+		sum.include(r.Tally)
 	}
 	return sum
 }
--- a/pkg/rollout/tally.go
+++ b/pkg/rollout/tally.go
@@ -3,10 +3,7 @@
 // stop. It does no I/O but for the keeper, which asks and tells through narrow interfaces.
 package rollout
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // Bounds of the times that are told apart: the first, in milliseconds, and how much longer each next one is.
 const (
@@ -48,14 +45,6 @@
 	return n
 }
 
-// plus returns the sum of two sides.
-func (s Side) plus(other Side) Side {
-	var sum Side
-	sum.add(s)
-	sum.add(other)
-	return sum
-}
-
 func nth(times []int, at int) int {
 	if at < len(times) {
 		return times[at]
@@ -76,20 +65,22 @@
 // NewTally returns an empty tally.
 func NewTally() Tally { return Tally{} }
 
-// plus returns the sum of two tallies.
-func (t Tally) plus(other Tally) Tally {
-	sum := maps.Clone(t)
-	if sum == nil {
-		sum = Tally{}
-	}
+// include adds another tally to this one, which shares nothing with any other.
+func (t Tally) include(other Tally) {
 	for measure, pair := range other {
-		sum[measure] = Pair{New: sum[measure].New.plus(pair.New), Old: sum[measure].Old.plus(pair.Old)}
+		sum := t[measure]
+		sum.New.add(pair.New)
+		sum.Old.add(pair.Old)
+		t[measure] = sum
 	}
-	return sum
 }
 
 // clone returns a tally that shares nothing with this one.
-func (t Tally) clone() Tally { return Tally{}.plus(t) }
+func (t Tally) clone() Tally {
+	c := NewTally()
+	c.include(t)
+	return c
+}
 
 // answers is how many answers of the new version count, over all routes.
 func (t Tally) answers() int {
--- /dev/null
+++ b/pkg/rollout/tally_bench_test.go
@@ -0,0 +1,30 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
+)
+
+// BenchmarkConductorTally is one sum of what 1,000 instances have reported of four routes: 3.6 ms and 2.1 MB if each step
+// of the sum is a tally of its own, 0.65 ms and 2 KB if all are added to one.
+func BenchmarkConductorTally(b *testing.B) {
+	now := time.Now()
+	c := rollout.NewConductor(fleet.Rollout{Service: "s", Version: "v2", OverMs: 60_000, Revision: 1}, 0.1, now)
+	for n := range 1_000 {
+		tally := rollout.NewTally()
+		for route := range 4 {
+			sample := rollout.Sample{Route: fmt.Sprint("route-", route), Took: 20 * time.Millisecond}
+			tally.Add(sample, true)
+			tally.Add(sample, false)
+		}
+		c.Hear(now, rollout.Report{Instance: fmt.Sprint("i-", n), Tally: tally})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Tally()
+	}
+}
