--- a/pkg/discovery/departing.go
+++ b/pkg/discovery/departing.go
@@ -102,13 +102,7 @@
 		f.departures.heard[life] = now
 	}
 	all := f.departures.remember(now, view.listed)
-	same := view.Fleet == view.listed
-	view.listed = view.listed.Depart(all)
-	if same {
-		view.Fleet = view.listed
-		return nil
-	}
-	view.Fleet = view.Fleet.Depart(all)
+	view.change(func(s *fleet.Snapshot) *fleet.Snapshot { return s.Depart(all) })
 	return nil
 }
 
--- a/pkg/discovery/evacuating.go
+++ b/pkg/discovery/evacuating.go
@@ -39,7 +39,7 @@
 	if after.Same(before) {
 		return false
 	}
-	f.keepFleet(view)
+	view.Fleet = f.lapses.keep(f.clock.Now(), view.Fleet, view.listed)
 	evacuated, returned := after.Changed(before)
 	for _, domain := range evacuated {
 		f.logEvacuation("domain_evacuated", domain, view)
--- a/pkg/discovery/rolling.go
+++ b/pkg/discovery/rolling.go
@@ -25,13 +25,7 @@
 func (f *Follower) roll(view *View, r fleet.Rollouts) bool {
 	before := view.Rollouts()
 	// An endpoint may have waited for word of the orders, so that their revision alone may change something.
-	unchanged := view.Fleet == view.listed
-	view.listed = view.listed.Roll(r)
-	if unchanged {
-		view.Fleet = view.listed
-	} else {
-		view.Fleet = view.Fleet.Roll(r)
-	}
+	view.change(func(s *fleet.Snapshot) *fleet.Snapshot { return s.Roll(r) })
 	after := view.Rollouts()
 	if after.Same(before) {
 		return false
@@ -74,17 +68,6 @@
 type standNews fleet.Standings
 
 func (n standNews) apply(_ *Follower, view *View) func() {
-	same := view.Fleet == view.listed
-	view.listed = view.listed.Stand(fleet.Standings(n))
-	if same {
-		view.Fleet = view.listed
-		return nil
-	}
-	view.Fleet = view.Fleet.Stand(fleet.Standings(n))
+	view.change(func(s *fleet.Snapshot) *fleet.Snapshot { return s.Stand(fleet.Standings(n)) })
 	return nil
 }
-
-// keepFleet has the endpoints that are used follow those that are listed, and those that are kept.
-func (f *Follower) keepFleet(view *View) {
-	view.Fleet = f.lapses.keep(f.clock.Now(), view.Fleet, view.listed)
-}
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -59,6 +59,17 @@
 	told  time.Time
 }
 
+// change changes the endpoints that are listed and those that are used alike; they stay one snapshot if they were.
+func (v *View) change(do func(*fleet.Snapshot) *fleet.Snapshot) {
+	same := v.Fleet == v.listed
+	v.listed = do(v.listed)
+	if same {
+		v.Fleet = v.listed
+		return
+	}
+	v.Fleet = do(v.Fleet)
+}
+
 // Evacuations are the failure domains whose endpoints get no new work. They are at least as new as
 // what is known of documents.
 func (v *View) Evacuations() fleet.Evacuations { return v.listed.Evacuations() }
