fleet, notice, gateway: endpoints are left out of a list by one function; an edit of a service's list is one thing

Three loops that filtered endpoints call fleet.Except; the draw of a share and of its endpoints is one function; the IDs taken from a service's list and the endpoints put there stand together, so that each list is renewed in one loop.

--- a/pkg/batch/resting.go
+++ b/pkg/batch/resting.go
@@ -3,8 +3,7 @@
 import "time"
 
 // Endpoints may want rest from this machine, whichever call they told it. Their workers get no call until then,
-// whatever else speaks for one, and count in no forecast: one that was full rested 30 to 240 ms, however long it
-// had asked for, and a stage whose makers all rest was forecast at 4 s and not at the 1.8 s that were left.
+// whatever else speaks for one, and count in no forecast: a stage whose makers all rest takes what is left of the rest.
 
 // heed has workers rest for as long as their endpoints want, in whichever answer they said so.
 func (b *Batcher) heed(workers []*worker, now time.Time) {
--- a/pkg/fleet/departures.go
+++ b/pkg/fleet/departures.go
@@ -8,8 +8,7 @@
 // An endpoint that leaves says so in its entry and in its answers. The entry may come late, while the source
 // is silent or the store of it slow, or never; the answers are heard by whoever calls the endpoint. Both are
 // kept apart, so that an entry that is read anew and still calls the endpoint ready takes nothing back: a life
-// that has said that it leaves leaves. By its entry alone one that left got requests 6 and 12 s after an answer
-// had said so, while the source was silent for 13 s.
+// that has said that it leaves leaves, also while the source is silent.
 
 // Departures are the lives, by ID, that have said in answers that they leave.
 type Departures map[string]bool
--- a/pkg/fleet/editing.go
+++ b/pkg/fleet/editing.go
@@ -8,15 +8,20 @@
 
 // editing applies changes of entries to a copy of a snapshot. Of a fleet of many only a few endpoints change at a
 // time: what is looked up by name or ID is copied in small pieces, and of the lists those of the services that have
-// changed. Were all sorted anew, a change would cost each instance 17 ms at 10,000 endpoints, and the changes
-// grow with the endpoints too.
+// changed. Were all sorted anew, each change would cost in proportion to all endpoints, and the changes grow with
+// them too.
 type editing struct {
 	after     *Snapshot
 	endpoints *editor[Endpoint]
 	names     *editor[string]
-	// removed are the IDs of endpoints that are taken from their service's list, and added those that are put there.
-	removed map[string]map[string]bool
-	added   map[string][]Endpoint
+	// lists are the changes of the lists, by service.
+	lists map[string]*listEdit
+}
+
+// listEdit is a change of a service's list: the IDs of the endpoints that are taken from it, and those that are put there.
+type listEdit struct {
+	removed map[string]bool
+	added   []Endpoint
 }
 
 func newEditing(after *Snapshot) *editing {
@@ -24,9 +29,16 @@
 		after:     after,
 		endpoints: after.endpoints.edit(),
 		names:     after.names.edit(),
-		removed:   map[string]map[string]bool{},
-		added:     map[string][]Endpoint{},
+		lists:     map[string]*listEdit{},
+	}
+}
+
+// list is the change of a service's list.
+func (e *editing) list(service string) *listEdit {
+	if e.lists[service] == nil {
+		e.lists[service] = &listEdit{removed: map[string]bool{}}
 	}
+	return e.lists[service]
 }
 
 // apply applies a change.
@@ -46,11 +58,9 @@
 	if of, _ := e.names.get(before.ID); of == name {
 		e.names.remove(before.ID)
 	}
-	if e.removed[before.Service] == nil {
-		e.removed[before.Service] = map[string]bool{}
-	}
-	e.removed[before.Service][before.ID] = true
-	e.added[before.Service] = slices.DeleteFunc(e.added[before.Service], func(a Endpoint) bool { return a.ID == before.ID })
+	list := e.list(before.Service)
+	list.removed[before.ID] = true
+	list.added = slices.DeleteFunc(list.added, func(a Endpoint) bool { return a.ID == before.ID })
 }
 
 func (e *editing) putIn(name string, now Endpoint) {
@@ -59,7 +69,8 @@
 	e.after.versions = e.after.versions.with(e.after.Revision, now)
 	if marked := e.after.marked(now); e.after.stays(marked) {
 		marked.Returned = e.after.returned[now.FailureDomain]
-		e.added[now.Service] = append(e.added[now.Service], marked)
+		list := e.list(now.Service)
+		list.added = append(list.added, marked)
 	}
 }
 
@@ -68,20 +79,15 @@
 	s := e.after
 	s.endpoints, s.names = e.endpoints.table(), e.names.table()
 	s.staying, s.ready, s.trials, s.barred = maps.Clone(s.staying), maps.Clone(s.ready), maps.Clone(s.trials), maps.Clone(s.barred)
-	for service := range e.removed {
-		e.renew(service)
-	}
-	for service := range e.added {
-		if e.removed[service] == nil {
-			e.renew(service)
-		}
+	for service, change := range e.lists {
+		e.renew(service, change)
 	}
 }
 
 // renew makes the lists of a service anew.
-func (e *editing) renew(service string) {
+func (e *editing) renew(service string, change *listEdit) {
 	s := e.after
-	list := merged(s.staying[service], e.removed[service], e.added[service])
+	list := merged(s.staying[service], change.removed, change.added)
 	if len(list) == 0 {
 		delete(s.staying, service)
 		delete(s.ready, service)
--- a/pkg/fleet/rollouts.go
+++ b/pkg/fleet/rollouts.go
@@ -135,6 +135,10 @@
 	if len(t.Endpoints) == 0 {
 		return false
 	}
-	drawn := xxhash.Sum64String(strconv.FormatUint(t.Order, 10) + "/" + request)
-	return float64(drawn) < t.Share*math.MaxUint64
+	return float64(draw(t.Order, request)) < t.Share*math.MaxUint64
+}
+
+// draw is a random number that belongs to a text and an order: the same at all instances.
+func draw(order uint64, text string) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(order, 10) + "/" + text)
 }
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // buckets is into how many maps a table is cut. A change copies one of them: 40 entries of 10,000.
 const buckets = 256
@@ -55,9 +59,7 @@
 	at := bucketOf(key)
 	if !e.own[at] {
 		copied := make(map[string]V, len(e.buckets[at])+1)
-		for k, v := range e.buckets[at] {
-			copied[k] = v
-		}
+		maps.Copy(copied, e.buckets[at])
 		e.buckets[at], e.own[at] = copied, true
 	}
 	return e.buckets[at]
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -5,9 +5,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Endpoints of a version that an order concerns get what the order's standing allows. Entries and orders reach an
@@ -162,7 +159,7 @@
 }
 
 func (s *Snapshot) admittedOf(service string, all []Endpoint) []Endpoint {
-	kept := except(all, func(e Endpoint) bool { return s.withdrawn[service][e.Version] || s.unsure(e) })
+	kept := Except(all, func(e Endpoint) bool { return s.withdrawn[service][e.Version] || s.unsure(e) })
 	if len(kept) == 0 {
 		kept = all
 	}
@@ -171,8 +168,8 @@
 		return kept
 	}
 	isNew := func(e Endpoint) bool { return e.Version == order.Version }
-	others := except(kept, isNew)
-	target := except(all, func(e Endpoint) bool { return !isNew(e) })
+	others := Except(kept, isNew)
+	target := Except(all, func(e Endpoint) bool { return !isNew(e) })
 	switch standing := s.standings[order.Revision]; {
 	case standing.Exposure == Proven && len(target) > 0:
 		return target
@@ -185,8 +182,8 @@
 	return others
 }
 
-// except returns a list without the endpoints of which a function is true; the list itself if there is none.
-func except(list []Endpoint, leaves func(Endpoint) bool) []Endpoint {
+// Except returns a list without the endpoints of which a function is true; the list itself if there is none.
+func Except(list []Endpoint, leaves func(Endpoint) bool) []Endpoint {
 	if !slices.ContainsFunc(list, leaves) {
 		return list
 	}
@@ -197,12 +194,10 @@
 // instances that know the same endpoints.
 func sample(order Rollout, target []Endpoint, share float64, others int) []Endpoint {
 	n := max(1, int(math.Ceil(share*float64(others))))
-	weight := func(e Endpoint) uint64 {
-		return xxhash.Sum64String(strconv.FormatUint(order.Revision, 10) + "/" + e.ID)
-	}
+	weight := func(e Endpoint) uint64 { return draw(order.Revision, e.ID) }
 	chosen := slices.Clone(target)
 	slices.SortFunc(chosen, func(a, b Endpoint) int { return cmp.Compare(weight(a), weight(b)) })
 	chosen = chosen[:min(n, len(chosen))]
-	slices.SortFunc(chosen, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(chosen, byID)
 	return chosen
 }
--- a/pkg/gateway/regions.go
+++ b/pkg/gateway/regions.go
@@ -35,11 +35,5 @@
 	if u.within == nil {
 		return endpoints
 	}
-	allowed := make([]fleet.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
-		if slices.Contains(u.within, e.FailureDomain) {
-			allowed = append(allowed, e)
-		}
-	}
-	return allowed
+	return fleet.Except(endpoints, func(e fleet.Endpoint) bool { return !slices.Contains(u.within, e.FailureDomain) })
 }
--- a/pkg/gateway/resting.go
+++ b/pkg/gateway/resting.go
@@ -10,8 +10,7 @@
 // Where all endpoints of a service want rest, none gets a request: it would be turned away, and add to what they
 // rest from. It is refused at once, before its stages are made, and its caller told when the first endpoint has
 // had its rest. Only a rest that is over before a caller would come back anyway is waited for: that spares the
-// caller a try, and holds it no longer than the refusal would. A longer rest is not: a request that waited for one
-// was held for 1.0 s and turned away again (the test of refusals at once).
+// caller a try, and holds it no longer than the refusal would. A longer one would hold it, and turn it away after all.
 
 // outlasts tells whether a rest is too long to wait for.
 func (u *run) outlasts(rest time.Duration) bool {
@@ -21,12 +20,7 @@
 // awaitRest waits until the first endpoint that the request has not been sent to has had its rest, and tells
 // whether one may be chosen then.
 func (u *run) awaitRest(ctx context.Context) bool {
-	var untried []fleet.Endpoint
-	for _, e := range u.ready(u.service.Name) {
-		if !u.tried[e.ID] {
-			untried = append(untried, e)
-		}
-	}
+	untried := fleet.Except(u.ready(u.service.Name), func(e fleet.Endpoint) bool { return u.tried[e.ID] })
 	rest := u.Balancer.Rest(untried)
 	if rest == 0 || u.outlasts(rest) {
 		return false
--- a/pkg/notice/rests.go
+++ b/pkg/notice/rests.go
@@ -12,10 +12,9 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// Rests are the rests that endpoints want from this machine. Endpoints that were left out for a tenth of a second
-// instead of the three seconds that they asked for turned 67 attempts away, and 55 requests were refused for want
-// of another one that they might go to (logs of six instances, five of 18 endpoints at a time). Rests are not told
-// to other instances: an endpoint asks each machine by itself. Safe for concurrent use.
+// Rests are the rests that endpoints want from this machine. An endpoint that is called sooner turns the call away, and
+// the request loses a try. Rests are not told to other instances: an endpoint asks each machine by itself. Safe for
+// concurrent use.
 type Rests struct {
 	clock clockwork.Clock
 	log   *logrus.Entry
@@ -97,16 +96,7 @@
 	if r.resting.Load() == 0 {
 		return endpoints
 	}
-	awake := make([]fleet.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
-		if r.Left(e.ID) == 0 {
-			awake = append(awake, e)
-		}
-	}
-	if len(awake) == len(endpoints) {
-		return endpoints
-	}
-	return awake
+	return fleet.Except(endpoints, func(e fleet.Endpoint) bool { return r.Left(e.ID) > 0 })
 }
 
 // List returns how much longer each endpoint's life wants rest that wants any.
