throttle, platform, gateway: what endpoints say of a limit for all is seen and logged; terms that nothing reads are too

The logs could not tell whether anybody heard the word. Now: endpoint_limits at each change, a gauge, notice_unread for what is no number, and answer_term_unknown once for each header of an answer that is the platform's and that no line reads, so that the next new term shows on its first answer.

Nothing heeds the limit yet. An answer to work that names none lifts it; reports, frees and failures don't, since they may come from another place than the one that counts.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,6 +41,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 	"github.com/cobaltcroft/cobaltcroft/platform"
 	"github.com/cobaltcroft/cobaltcroft/service/handover"
@@ -88,10 +90,14 @@
 	follower *discovery.Follower
 	// rests are those that endpoints want from this machine.
 	rests *notice.Rests
-	// unread counts the rests that were asked for in words that can't be read.
-	unread   *metrics.Counter
-	conns    *httpconn.Pool
-	balancer *balance.Balancer
+	// limited has the limits that endpoints name for all instances.
+	limited *throttle.Table
+	// unread counts the rests and limits in words that can't be read.
+	unread *metrics.Counter
+	// unknownTerms are the terms of answers that were told once.
+	unknownTerms sync.Map
+	conns        *httpconn.Pool
+	balancer     *balance.Balancer
 	// budget is for requests sent again, pieces for pieces made again.
 	budget *retry.Budget
 	pieces *retry.Budget
@@ -215,6 +221,8 @@
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
 	g.unread = g.metrics.NewCounter("cobaltcroft_notices_unread_total")
 	g.rests = notice.NewRests(g.clock, g.logs.For("notice"))
+	g.limited = throttle.NewTable(g.clock, g.logs.For("throttle"))
+	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.limited.Count()) })
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.mayConnect, Send: g.maySend}, g.heardAnswer)
 	g.balancer = balance.New(g.clock, g.rests)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -382,6 +390,7 @@
 	g.balancer.Forget(exists)
 	g.quarantine.Sweep()
 	g.rests.Sweep()
+	g.limited.Sweep(exists)
 	g.router.Look()
 	g.tellUsage(g.clock.Now())
 }
--- a/cmd/cobaltcroftd/gateway/notices.go
+++ b/cmd/cobaltcroftd/gateway/notices.go
@@ -26,8 +26,9 @@
 }
 
 // heardAnswer takes in what the head of an answer says of its endpoint.
-func (g *Gateway) heardAnswer(target httpconn.Target, status int, h http.Header) {
-	n := platform.Notice(status, h)
+func (g *Gateway) heardAnswer(target httpconn.Target, uri string, status int, h http.Header) {
+	g.tellUnknown(target, h)
+	n := platform.Notice(uri, status, h)
 	if n.Leaving {
 		g.follower.Depart(discovery.Answer, target.ID)
 	}
@@ -36,7 +37,23 @@
 	}
 	if n.Unread != "" {
 		g.unread.Inc()
-		g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "status": status, "retry_after": n.Unread}).Warn("it is passed over; seconds are expected")
+		g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "status": status, "text": n.Unread}).Warn("it is passed over; a rest is in seconds, a limit in requests a second")
+	}
+	switch {
+	case n.Limited:
+		g.limited.Name(target.ID, n.Limit)
+	case n.Unlimited:
+		g.limited.Lift(target.ID)
+	}
+}
+
+// tellUnknown logs the terms of an answer that nothing here reads, each once: otherwise a new one on the platform's
+// pages is overlooked in silence.
+func (g *Gateway) tellUnknown(target httpconn.Target, h http.Header) {
+	for _, term := range platform.UnknownTerms(h) {
+		if _, told := g.unknownTerms.LoadOrStore(term, true); !told {
+			g.log.WithFields(logrus.Fields{"event": "answer_term_unknown", "endpoint": target.ID, "term": term}).Warn("nothing here reads it; see the platform's pages for what it asks")
+		}
 	}
 }
 
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -211,7 +211,7 @@
 			}
 			continue
 		}
-		x.pool.heard(x.call.Target, response.StatusCode, response.Header)
+		x.pool.heard(x.call.Target, x.call.URI, response.StatusCode, response.Header)
 		id := response.Header.Get(x.call.IDHeader)
 		if x.call.ID == "" || id == "" || id == x.call.ID {
 			return response, nil
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -147,7 +147,7 @@
 			return plain("another", "x") + plain(r.Header.Get("X-Id"), "y"), true
 		})
 		var heard []string
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open}, func(target httpconn.Target, status int, h http.Header) {
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open}, func(target httpconn.Target, _ string, status int, h http.Header) {
 			heard = append(heard, fmt.Sprint(target.ID, " ", status, " ", h.Get("X-Id")))
 		})
 		DeferCleanup(pool.Close)
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -50,14 +50,15 @@
 	Send    Gate
 }
 
-// Heard is told the head of each answer that an endpoint gave, whichever call it belongs to.
-type Heard func(target Target, status int, h http.Header)
+// Heard is told the head of each answer that an endpoint gave on the connection of a call, whichever call the answer
+// belongs to. The URI is that of the call.
+type Heard func(target Target, uri string, status int, h http.Header)
 
 // Open is the gate that lets all pass.
 func Open(Target) error { return nil }
 
 // Deaf takes in nothing of what endpoints answer.
-func Deaf(Target, int, http.Header) {}
+func Deaf(Target, string, int, http.Header) {}
 
 // Pool keeps connections to endpoints. Safe for concurrent use.
 type Pool struct {
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -1,5 +1,5 @@
 // Package notice holds what endpoints say of themselves in the heads of their answers, whatever they
-// answer to a call: that they leave, or that they want nothing from this machine for a while.
+// answer to a call: that they leave, that they want nothing from this machine for a while, or how much they take from all machines.
 package notice
 
 import "time"
@@ -10,6 +10,11 @@
 	Leaving bool
 	// Rest is how long the endpoint wants nothing from this machine; 0: it does not say.
 	Rest time.Duration
-	// Unread is what the answer says of a rest and can't be read; empty: nothing.
+	// Limited: the endpoint takes no more than Limit requests a second, from all machines together.
+	Limited bool
+	Limit   float64
+	// Unlimited: it answered work and names no limit, so that one it named before is over.
+	Unlimited bool
+	// Unread is what the answer says of a rest or a limit and can't be read; empty: nothing.
 	Unread string
 }
--- /dev/null
+++ b/pkg/throttle/table.go
@@ -0,0 +1,117 @@
+// Package throttle keeps the limits that endpoints in need name in their answers: the requests a second that one
+// takes from all instances together, for as long as it says so.
+package throttle
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+)
+
+// Table has the limits that endpoints name. Safe for concurrent use.
+type Table struct {
+	clock clockwork.Clock
+	log   *logrus.Entry
+	// inForce is how many limits hold, so that it costs nothing to ask while there are none.
+	inForce atomic.Int64
+
+	mu sync.Mutex
+	// standings are by the ID of an endpoint's life.
+	standings map[string]standing
+}
+
+// standing is what an endpoint's life said last of its limit.
+type standing struct {
+	limited bool
+	// perSecond is the limit, in requests a second.
+	perSecond float64
+	// said is when an instance heard it.
+	said time.Time
+}
+
+// NewTable returns a table without limits.
+func NewTable(clock clockwork.Clock, log *logrus.Entry) *Table {
+	return &Table{clock: clock, log: log, standings: map[string]standing{}}
+}
+
+// Name takes in that an endpoint's life has just named a limit, in requests a second.
+func (t *Table) Name(life string, perSecond float64) {
+	t.take(life, standing{limited: true, perSecond: perSecond, said: t.clock.Now()})
+}
+
+// Lift takes in that an endpoint's life has just answered without naming a limit.
+func (t *Table) Lift(life string) {
+	if t.inForce.Load() > 0 {
+		t.take(life, standing{said: t.clock.Now()})
+	}
+}
+
+// take keeps a standing that is newer than what is known, and tells whether it is.
+func (t *Table) take(life string, s standing) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, known := t.standings[life]
+	if known && !s.said.After(before.said) || !known && !s.limited {
+		return false
+	}
+	t.standings[life] = s
+	if s.limited && !before.limited {
+		t.inForce.Add(1)
+	}
+	if !s.limited && before.limited {
+		t.inForce.Add(-1)
+	}
+	if s.limited != before.limited || s.perSecond != before.perSecond {
+		t.log.WithFields(logrus.Fields{"event": "endpoint_limits", "endpoint": life, "limited": s.limited, "per_second": s.perSecond}).Info()
+	}
+	return true
+}
+
+// PerSecond is the limit of an endpoint's life, in requests a second, and whether it names one.
+func (t *Table) PerSecond(life string) (float64, bool) {
+	if t.inForce.Load() == 0 {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.standings[life]
+	return s.perSecond, s.limited
+}
+
+// Count is how many limits hold.
+func (t *Table) Count() int { return int(t.inForce.Load()) }
+
+// List returns the limits that hold, in requests a second.
+func (t *Table) List() map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := map[string]float64{}
+	for life, s := range t.standings {
+		if s.limited {
+			list[life] = s.perSecond
+		}
+	}
+	return list
+}
+
+// liftedKept is how long it is remembered that a limit was lifted, so that older news of it is known to be old.
+const liftedKept = time.Minute
+
+// Sweep forgets limits that were lifted, and those of endpoints that are gone.
+func (t *Table) Sweep(exists func(life string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for life, s := range t.standings {
+		old := t.clock.Since(s.said) > liftedKept
+		if s.limited && exists(life) || !old {
+			continue
+		}
+		if s.limited {
+			t.inForce.Add(-1)
+		}
+		delete(t.standings, life)
+	}
+}
--- /dev/null
+++ b/pkg/throttle/table_test.go
@@ -0,0 +1,60 @@
+package throttle_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
+)
+
+func TestThrottle(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "throttle")
+}
+
+var _ = Describe("a table of limits", func() {
+	var (
+		clock *clockwork.FakeClock
+		table *throttle.Table
+	)
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		table = throttle.NewTable(clock, logging.Discard().For("throttle"))
+	})
+
+	It("has what an endpoint named last, until it names none", func() {
+		_, limited := table.PerSecond("a")
+		Expect(limited).To(BeFalse())
+		table.Name("a", 2)
+		clock.Advance(time.Second)
+		table.Name("a", 0.5)
+		perSecond, limited := table.PerSecond("a")
+		Expect(limited).To(BeTrue())
+		Expect(perSecond).To(Equal(0.5))
+		Expect(table.List()).To(Equal(map[string]float64{"a": 0.5}))
+		clock.Advance(time.Second)
+		table.Lift("a")
+		_, limited = table.PerSecond("a")
+		Expect(limited).To(BeFalse())
+		Expect(table.Count()).To(BeZero())
+	})
+
+	It("forgets limits with their endpoints, and what was lifted after a time", func() {
+		table.Name("a", 1)
+		table.Name("b", 1)
+		clock.Advance(2 * time.Minute)
+		table.Sweep(func(life string) bool { return life == "a" })
+		Expect(table.List()).To(HaveLen(1))
+		Expect(table.Count()).To(Equal(1))
+		table.Lift("a")
+		clock.Advance(2 * time.Minute)
+		table.Sweep(func(string) bool { return true })
+		Expect(table.Count()).To(BeZero())
+	})
+})
