--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/limits_test.go
@@ -0,0 +1,114 @@
+package gateway_test
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+var _ = Describe("limits that endpoints name for all instances together", func() {
+	const (
+		// limit is what endpoints take here, in requests a second.
+		limit = 1
+		// span is over how long the users count, and most what they allow in it.
+		span = 4 * time.Second
+		most = 1.5*limit*4 + 5
+		// heard is how long after the first answer that names it a limit is to be heeded.
+		heard = 2 * time.Second
+	)
+	kinds := []string{"once", "repeat", "stream", "fixed", "staged", "staged"}
+	var (
+		d         *platformtest.Deployment
+		instances []*instance
+	)
+
+	BeforeEach(func() {
+		d = deploy(2)
+		first := start(d.Address())
+		instances = []*instance{first, start(d.Address(), first.Peers), start(d.Address(), first.Peers)}
+	})
+
+	// ask sends requests of some kinds to all instances again and again until a time, and returns how they were answered.
+	ask := func(until time.Time, kinds ...string) (statuses []int) {
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for _, i := range instances {
+			group.Go(func() {
+				defer GinkgoRecover()
+				for time.Now().Before(until) {
+					got := traffic(i, kinds...)
+					mu.Lock()
+					statuses = append(statuses, got...)
+					mu.Unlock()
+				}
+			})
+		}
+		group.Wait()
+		return statuses
+	}
+
+	// limitAll gives engines their limit, and returns when it is to be heeded.
+	limitAll := func(engines []*platformtest.Engine) time.Time {
+		for _, e := range engines {
+			e.LimitTo(limit)
+		}
+		return time.Now().Add(heard)
+	}
+
+	It("are heeded by calls of all kinds, and the others serve what comes", func() {
+		var limited []*platformtest.Engine
+		for _, service := range []string{"simple", "model", "first", "second", "third"} {
+			limited = append(limited, d.Of(service)[0])
+		}
+		from := limitAll(limited)
+		Expect(ask(from.Add(span+time.Second), kinds...)).To(HaveEach(http.StatusOK))
+		for _, e := range limited {
+			Expect(e.LimitsTold()).NotTo(BeZero(), e.Service)
+			Expect(e.MostCalls(span, from)).To(BeNumerically("<=", most), e.Service)
+		}
+	})
+
+	It("are heeded where all of a service name one: so many are served, the others refused at once", func() {
+		from := limitAll(d.Of("simple"))
+		ask(from, "once")
+		statuses := ask(from.Add(span+time.Second), "once")
+		for _, e := range d.Of("simple") {
+			Expect(e.MostCalls(span, from)).To(BeNumerically("<=", most))
+		}
+		served := len(slices.DeleteFunc(slices.Clone(statuses), func(status int) bool { return status != http.StatusOK }))
+		Expect(served).To(BeNumerically(">=", 2*limit*int(span.Seconds())/2), "half of what the limits allow")
+		Expect(slices.Compact(slices.Sorted(slices.Values(statuses)))).To(Equal([]int{http.StatusOK, http.StatusServiceUnavailable}))
+		began := time.Now()
+		Eventually(func() int {
+			began = time.Now()
+			_, refused := instances[0].ask("once")
+			if refused.Status == http.StatusServiceUnavailable {
+				seconds, err := strconv.ParseFloat(refused.Header.Get("Retry-After"), 64)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(seconds).To(And(BeNumerically(">", 0), BeNumerically("<", 10)))
+			}
+			return refused.Status
+		}).Should(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
+	It("are over for all when an answer names none", func() {
+		limited := d.Of("simple")[0]
+		from := limitAll([]*platformtest.Engine{limited})
+		ask(from.Add(time.Second), "once")
+		Expect(limited.LimitsTold()).NotTo(BeZero())
+		limited.LimitTo(-1)
+		before := limited.Arrived()
+		Eventually(func() int {
+			ask(time.Now().Add(100*time.Millisecond), "once")
+			return limited.Arrived() - before
+		}).Should(BeNumerically(">", 50))
+	})
+})
