throttle, gateway, httpconn: what an endpoint takes from all instances together is heeded by all together

Now one instance grants the calls to each such endpoint, of the endpoint's failure domain if any is seen there; the others ask it for a few at a time, which must begin within a second (throttle.permits). A call is counted once, at the last gate before its first byte, whatever chose or planned it. An endpoint that may not be called now is one that wants rest, so that balancer, batcher, frees and refusals pass it by as they do those, with no last resort. Sides of a cut each grant the part that they see of the instances. Heartbeats tell limits, as never newer than they are.

Why it works: the limit is one count.

Found beside it: a piece whose call was barred counted as one to an endpoint that is not reached, which was then tried again and rested for longer each time; now it says nothing of the endpoint. A request's waits for rests to end are bounded together by the time after which it would be told to come back: with a limit each end of a rest may be another request's.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -92,6 +92,8 @@
 	rests *notice.Rests
 	// limited has the limits that endpoints name for all instances.
 	limited *throttle.Table
+	// permits have all instances together heed them.
+	permits *throttle.Keeper
 	// unread counts the rests and limits in words that can't be read.
 	unread *metrics.Counter
 	// unknownTerms are the terms of answers that were told once.
@@ -220,10 +222,12 @@
 	g.group = group.New(g.groupSettings(self), g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.Knowledge{Client: g.client, Self: self, Live: g.group.Live, Contacts: s.Peers, Tell: g.group.Tell}, g.clock, g.logs.For("discovery"))
 	g.unread = g.metrics.NewCounter("cobaltcroft_notices_unread_total")
-	g.rests = notice.NewRests(g.clock, g.logs.For("notice"))
 	g.limited = throttle.NewTable(g.clock, g.logs.For("throttle"))
+	granting := &handover.Permits{Client: g.client, Instance: self, Members: g.group.Live, Departing: g.group.Leaving}
+	g.permits = throttle.NewKeeper(g.limited, granting, g.domainOf, g.clock, g.logs.For("throttle"))
+	g.rests = notice.NewRests(g.clock, g.permits, g.logs.For("notice"))
 	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.limited.Count()) })
-	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.mayConnect, Send: g.maySend}, g.heardAnswer)
+	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.mayConnect, Send: g.maySend, Spend: g.spend}, g.heardAnswer)
 	g.balancer = balance.New(g.clock, g.rests)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieces = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -270,7 +274,7 @@
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.face = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts)
+	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts, g.permits)
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
@@ -391,6 +395,7 @@
 	g.quarantine.Sweep()
 	g.rests.Sweep()
 	g.limited.Sweep(exists)
+	g.permits.Look()
 	g.router.Look()
 	g.tellUsage(g.clock.Now())
 }
--- a/cmd/cobaltcroftd/gateway/limits_test.go
+++ b/cmd/cobaltcroftd/gateway/limits_test.go
@@ -99,6 +99,20 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 
+	It("are heeded by an instance that no answer has told", func() {
+		limited := d.Of("simple")[0]
+		limited.LimitTo(limit)
+		Eventually(func() int { instances[0].ask("once"); return limited.LimitsTold() }).ShouldNot(BeZero())
+		Eventually(func() string { return instances[1].get("/metrics") }).Should(ContainSubstring("cobaltcroft_endpoints_limited 1"))
+		before := limited.Arrived()
+		for range 50 {
+			_, got := instances[1].ask("once")
+			Expect(got.Status).To(Equal(http.StatusOK))
+		}
+		Expect(limited.Arrived()-before).To(BeNumerically("<=", 2), "of 25")
+		Expect(instances[1].get("/notices")).To(ContainSubstring(`"limit":1`))
+	})
+
 	It("are over for all when an answer names none", func() {
 		limited := d.Of("simple")[0]
 		from := limitAll([]*platformtest.Engine{limited})
--- a/cmd/cobaltcroftd/gateway/notices.go
+++ b/cmd/cobaltcroftd/gateway/notices.go
@@ -25,6 +25,20 @@
 	return problem.New(problem.Overloaded, "use another endpoint, or this one after that time", "endpoint %s wants %v of rest from this machine", target.ID, left)
 }
 
+// spend counts a call to an endpoint that takes only so much from all instances together.
+func (g *Gateway) spend(target httpconn.Target) error {
+	if g.permits.Spend(target.ID) {
+		return nil
+	}
+	return problem.New(problem.Overloaded, "use another endpoint", "endpoint %s takes only so much from all instances together, and another call was faster", target.ID)
+}
+
+// domainOf returns the failure domain of an endpoint's life; empty: it is not known.
+func (g *Gateway) domainOf(life string) string {
+	e, _ := g.follower.View().Fleet.Endpoint(life)
+	return e.FailureDomain
+}
+
 // heardAnswer takes in what the head of an answer says of its endpoint.
 func (g *Gateway) heardAnswer(target httpconn.Target, uri string, status int, h http.Header) {
 	g.tellUnknown(target, h)
@@ -62,6 +76,8 @@
 	Endpoint string `json:"endpoint"`
 	// Leaving: it gets no new work for as long as it lives.
 	Leaving bool `json:"leaving,omitempty"`
+	// Limit is how many requests a second it takes from all instances together; nil: it names no limit.
+	Limit *float64 `json:"limit,omitempty"`
 	// RestMs is how much longer it wants nothing from this machine, in milliseconds.
 	RestMs int64 `json:"rest_ms,omitempty"`
 }
@@ -72,6 +88,11 @@
 	for _, life := range view.Fleet.Departed() {
 		list = append(list, heeded{Endpoint: life, Leaving: true})
 	}
+	limits := g.limited.List()
+	for _, life := range slices.Sorted(maps.Keys(limits)) {
+		perSecond := limits[life]
+		list = append(list, heeded{Endpoint: life, Limit: &perSecond})
+	}
 	rests := g.rests.List()
 	for _, life := range slices.Sorted(maps.Keys(rests)) {
 		list = append(list, heeded{Endpoint: life, RestMs: rests[life].Milliseconds()})
--- a/cmd/cobaltcroftd/gateway/notices_test.go
+++ b/cmd/cobaltcroftd/gateway/notices_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -161,28 +160,20 @@
 		leave(i, leaving)
 		resting.AskRest(time.Minute)
 		Eventually(func() int { traffic(i, kinds...); return resting.RestsAsked() }).ShouldNot(BeZero())
-		get := func(path string) string {
-			response, err := http.Get("http://" + i.Metrics + path)
-			Expect(err).NotTo(HaveOccurred())
-			defer response.Body.Close()
-			body, err := io.ReadAll(response.Body)
-			Expect(err).NotTo(HaveOccurred())
-			return string(body)
-		}
 		var list []struct {
 			Endpoint string
 			Leaving  bool
 			RestMs   int64 `json:"rest_ms"`
 		}
-		Expect(json.Unmarshal([]byte(get("/notices")), &list)).To(Succeed())
+		Expect(json.Unmarshal([]byte(i.get("/notices")), &list)).To(Succeed())
 		Expect(list).To(HaveLen(2))
 		Expect(list[0].Endpoint).To(HavePrefix(leaving.ID))
 		Expect(list[0].Leaving).To(BeTrue())
 		Expect(list[1].Endpoint).To(HavePrefix(resting.ID))
 		Expect(list[1].RestMs).To(BeNumerically("~", 55_000, 5_000))
-		Expect(get("/metrics")).To(SatisfyAll(ContainSubstring("cobaltcroft_endpoints_departing 1"), ContainSubstring("cobaltcroft_endpoints_resting 1"), ContainSubstring("cobaltcroft_notices_unread_total 0")))
+		Expect(i.get("/metrics")).To(SatisfyAll(ContainSubstring("cobaltcroft_endpoints_departing 1"), ContainSubstring("cobaltcroft_endpoints_resting 1"), ContainSubstring("cobaltcroft_notices_unread_total 0")))
 		d.Of("simple")[1].AskRestIn("a while")
-		Eventually(func() string { i.ask("once"); return get("/metrics") }).Should(MatchRegexp("cobaltcroft_notices_unread_total [1-9]"))
+		Eventually(func() string { i.ask("once"); return i.get("/metrics") }).Should(MatchRegexp("cobaltcroft_notices_unread_total [1-9]"))
 	})
 
 	It("that all the readers of a request want rest has it refused before its stages are made", func() {
--- a/cmd/cobaltcroftd/gateway/suite_test.go
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -119,6 +119,16 @@
 	return r
 }
 
+// get returns what the operators' face of the instance serves at a path.
+func (i *instance) get(path string) string {
+	response, err := http.Get("http://" + i.Metrics + path)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
 // staged returns a client's request with pieces in a chain of three stages and one beside it.
 func (i *instance) staged(id string) *http.Request {
 	r := i.request(http.MethodPost, "staged", id, "")
--- a/cmd/cobaltcroftd/gateway/telling.go
+++ b/cmd/cobaltcroftd/gateway/telling.go
@@ -5,6 +5,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/group"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 )
 
 // groupSettings say what this instance tells the others with its heartbeats, and what becomes of what they
@@ -25,6 +26,8 @@
 		HeardEnds:      g.quarantine.Hear,
 		Departing:      g.departing,
 		HeardDeparting: g.hearDeparting,
+		Limits:         g.tellLimits,
+		HeardLimits:    g.hearLimits,
 	}
 }
 
@@ -44,3 +47,7 @@
 // departing and hearDeparting tell and hear which endpoints have said that they leave.
 func (g *Gateway) departing(n int) []string     { return g.follower.Departing(n) }
 func (g *Gateway) hearDeparting(lives []string) { g.follower.Depart(discovery.Peer, lives...) }
+
+// tellLimits and hearLimits tell and hear which endpoints take only so much from all instances together.
+func (g *Gateway) tellLimits(n int) []throttle.Limit  { return g.limited.Tell(n) }
+func (g *Gateway) hearLimits(limits []throttle.Limit) { g.limited.Hear(limits) }
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -16,7 +16,7 @@
 
 // restless are the rests of endpoints that want none.
 func restless(clock clockwork.Clock) *notice.Rests {
-	return notice.NewRests(clock, logging.Discard().For("balance"))
+	return notice.NewRests(clock, notice.Unlimited{}, logging.Discard().For("balance"))
 }
 
 func TestBalance(t *testing.T) {
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -473,6 +473,9 @@
 	return b.rests.Return(endpoints, soon)
 }
 
+// Limited tells whether limits for all keep this instance from calling any of the endpoints now.
+func (b *Balancer) Limited(endpoints []fleet.Endpoint) bool { return b.rests.Limited(endpoints) }
+
 // InFlight returns this instance's calls in flight at an endpoint.
 func (b *Balancer) InFlight(id string) int {
 	b.mu.Lock()
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -142,6 +142,8 @@
 	Wrong
 	// Lost: the call may be at work, and nothing will come of it.
 	Lost
+	// Barred: nothing was sent, since the endpoint may not be called now.
+	Barred
 )
 
 // Caller calls endpoints.
--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -125,6 +125,7 @@
 		Entry("a call that was not run", batch.NotRun),
 		Entry("a call that was lost", batch.Lost),
 		Entry("a call to an address that another has", batch.Wrong),
+		Entry("a call that may not be made now", batch.Barred),
 	)
 
 	// pass lets time pass, with looks at what waits, until a call comes.
@@ -149,9 +150,19 @@
 			Expect(handles(<-done)).To(Equal([]string{"a/r-0-0", "a/r-0-1"}))
 		},
 		Entry("a call that the endpoint did not take", reply{nil, batch.NotRun}),
+		Entry("a call that may not be made now", reply{nil, batch.Barred}),
 		Entry("a call for which it had no room", reply{[]batch.Result{{Reason: batch.NoRoom}, {Reason: batch.NoRoom}}, batch.Made}),
 	)
 
+	It("does not try to reach an endpoint that may not be called now", func() {
+		done := have(pieces("r", 1, time.Hour), nil)
+		next().answer <- reply{nil, batch.Barred}
+		pass()
+		Expect(e.Reaches()).To(BeZero())
+		next().made()
+		Expect(handles(<-done)).To(HaveLen(1))
+	})
+
 	It("has no pieces wait for an endpoint that can't be reached, until it can", func() {
 		e.setCut("a", true)
 		done := have(pieces("r", 1, time.Hour), nil)
--- a/pkg/batch/settling.go
+++ b/pkg/batch/settling.go
@@ -26,6 +26,9 @@
 	return ""
 }
 
+// barredRest is how long an endpoint gets no call after one that it may not get: until it is known why.
+const barredRest = 20 * time.Millisecond
+
 // settle hands results out, puts pieces back that may be tried again, and returns the
 // results that nobody waits for.
 func (b *Batcher) settle(s *service, w *worker, items []*item, results []Result, outcome CallOutcome, batching *route.Batching, now time.Time) []Result {
@@ -64,9 +67,13 @@
 }
 
 func (b *Batcher) callFailed(s *service, w *worker, items []*item, outcome CallOutcome, now time.Time) {
-	if outcome == NotRun {
+	switch outcome {
+	case Barred:
+		// It says nothing of the endpoint.
+		w.restUntil = now.Add(barredRest)
+	case NotRun:
 		w.full(now)
-	} else {
+	default:
 		w.failed(now)
 	}
 	for _, it := range items {
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -154,6 +154,8 @@
 	survival survival
 	// firstAfter is how long after the request the first event came; 0 if none has.
 	firstAfter time.Duration
+	// rested is how long the request has waited for endpoints' rests to end.
+	rested time.Duration
 	// mayHaveRun says that some endpoint may have run the request.
 	mayHaveRun bool
 	// redone says that the stages were made a second time, restarted since when.
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -43,6 +43,10 @@
 	return &Refusal{http.StatusServiceUnavailable, after, "endpoints_rest", "all endpoints of the service want rest; the request has not run; come back after the time told"}
 }
 
+func refuseLimited(after time.Duration) *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, after, "endpoints_limited", "the endpoints of the service take no more for now, from all instances together; the request has not run; come back after the time told"}
+}
+
 func refuseBusy(after time.Duration) *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, after, "busy", "the request would not be done in time; it has not run; come back after the time told"}
 }
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -15,6 +15,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 )
 
 const (
@@ -54,6 +55,10 @@
 	// sent something to an endpoint hears it from its own answers.
 	Departing      func(n int) []string
 	HeardDeparting func(lives []string)
+	// Limits returns up to n limits that endpoints name for all instances, which are told; HeardLimits takes in those of
+	// another member, and must not block. Both may be nil.
+	Limits      func(n int) []throttle.Limit
+	HeardLimits func([]throttle.Limit)
 }
 
 const (
@@ -65,6 +70,9 @@
 	// departingTold is how many lives a heartbeat names that leave: 30 bytes each (BenchmarkDepartingSize), and
 	// only until the source says so.
 	departingTold = 8
+	// limitsTold is how many limits a heartbeat names: 39 bytes each (BenchmarkLimitSize), and only while some hold
+	// or were lifted lately.
+	limitsTold = 8
 )
 
 // Transport sends heartbeats. Its method must not block.
@@ -207,6 +215,9 @@
 	if g.settings.HeardEnds != nil && len(h.Ends) > 0 {
 		g.settings.HeardEnds(h.Ends)
 	}
+	if g.settings.HeardLimits != nil && len(h.Limits) > 0 {
+		g.settings.HeardLimits(h.Limits)
+	}
 	if g.settings.HeardDeparting != nil && len(h.departing) > 0 {
 		lives := make([]string, len(h.departing))
 		for i, e := range h.departing {
@@ -255,6 +266,9 @@
 	if g.settings.Ends != nil {
 		h.Ends = g.settings.Ends(ends)
 	}
+	if g.settings.Limits != nil {
+		h.Limits = g.settings.Limits(limitsTold)
+	}
 	g.transport.Broadcast(h, g.departing(), message.To)
 }
 
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -96,10 +96,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.pass(p.gates.Send, call.Target); err != nil {
-		// The endpoint said so to another call while this one waited for its connection.
-		p.keep(c, 0)
-		return nil, err
+	for _, gate := range []Gate{p.gates.Send, p.gates.Spend} {
+		if err := p.pass(gate, call.Target); err != nil {
+			// The endpoint said so to another call while this one waited for its connection.
+			p.keep(c, 0)
+			return nil, err
+		}
 	}
 	x := &exchange{pool: p, conn: c, call: call, written: make(chan error, 1)}
 	x.unhook = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -87,7 +87,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open}, httpconn.Deaf)
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Spend: httpconn.Open, Send: httpconn.Open}, httpconn.Deaf)
 		DeferCleanup(pool.Close)
 	})
 
@@ -116,7 +116,7 @@
 	It("sends nothing to an endpoint to which only connections may be made, and makes those", func() {
 		s := serve(echo)
 		errBarred := errors.New("barred")
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: func(httpconn.Target) error { return errBarred }}, httpconn.Deaf)
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Spend: httpconn.Open, Send: func(httpconn.Target) error { return errBarred }}, httpconn.Deaf)
 		DeferCleanup(pool.Close)
 		_, err := do(call(s, "1"))
 		Expect(err).To(MatchError(errBarred))
@@ -128,7 +128,7 @@
 	It("asks once more when a call has its connection, and keeps that for others", func() {
 		s := serve(echo)
 		asked := 0
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: func(httpconn.Target) error {
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Spend: httpconn.Open, Send: func(httpconn.Target) error {
 			if asked++; asked == 2 {
 				return errors.New("said so meanwhile")
 			}
@@ -142,12 +142,35 @@
 		Expect(s.conns.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("counts each call once, right before it is sent, and sends none that may not be spent", func() {
+		s := serve(echo)
+		left, asked := 2, 0
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open, Spend: func(httpconn.Target) error {
+			asked++
+			if left == 0 {
+				return errors.New("spent")
+			}
+			left--
+			return nil
+		}}, httpconn.Deaf)
+		DeferCleanup(pool.Close)
+		Expect(do(call(s, "1"))).To(Equal("for 1"))
+		Expect(do(call(s, "2"))).To(Equal("for 2"))
+		_, err := do(call(s, "3"))
+		Expect(httpconn.NotSent(err)).To(BeTrue())
+		Expect(httpconn.Barred(err)).To(BeTrue())
+		Expect(asked).To(Equal(3))
+		left = 1
+		Expect(do(call(s, "4"))).To(Equal("for 4"))
+		Expect(s.conns.Load()).To(BeEquivalentTo(1), "the connection was kept")
+	})
+
 	It("tells of the heads of all answers, of those to other calls too", func() {
 		s := serve(func(_ int, r *http.Request) (string, bool) {
 			return plain("another", "x") + plain(r.Header.Get("X-Id"), "y"), true
 		})
 		var heard []string
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Send: httpconn.Open}, func(target httpconn.Target, _ string, status int, h http.Header) {
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.Open, Spend: httpconn.Open, Send: httpconn.Open}, func(target httpconn.Target, _ string, status int, h http.Header) {
 			heard = append(heard, fmt.Sprint(target.ID, " ", status, " ", h.Get("X-Id")))
 		})
 		DeferCleanup(pool.Close)
@@ -159,7 +182,7 @@
 		s := serve(echo)
 		errBarred := errors.New("barred")
 		barred := true
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Send: httpconn.Open, Connect: func(target httpconn.Target) error {
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Send: httpconn.Open, Spend: httpconn.Open, Connect: func(target httpconn.Target) error {
 			if barred && target.FailureDomain == "a" {
 				return errBarred
 			}
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -48,6 +48,8 @@
 	// closed again asks nothing of an endpoint.
 	Connect Gate
 	Send    Gate
+	// Spend is passed once by each call, right before it is sent: what it lets pass is counted.
+	Spend Gate
 }
 
 // Heard is told the head of each answer that an endpoint gave on the connection of a call, whichever call the answer
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 )
 
 // State of a member.
@@ -81,6 +82,8 @@
 	Division ownership.Division
 	// Ends are endpoints that ended under requests which may be why.
 	Ends []quarantine.End
+	// Limits are what endpoints said last of how much they take from all instances together.
+	Limits []throttle.Limit
 }
 
 // Member is what is known of one other instance.
--- a/pkg/notice/rests.go
+++ b/pkg/notice/rests.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,12 +13,30 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// Rests are the rests that endpoints want from this machine. An endpoint that is called sooner turns the call away, and
-// the request loses a try. Rests are not told to other instances: an endpoint asks each machine by itself. Safe for
-// concurrent use.
+// Limits tell when this machine may next call an endpoint that takes only so much from all.
+type Limits interface {
+	// Any tells whether any limit holds.
+	Any() bool
+	// Left is how long it takes until this machine may next call an endpoint's life; 0: it may now.
+	Left(life string) time.Duration
+}
+
+// Unlimited are no limits.
+type Unlimited struct{}
+
+// Any implements Limits.
+func (Unlimited) Any() bool { return false }
+
+// Left implements Limits.
+func (Unlimited) Left(string) time.Duration { return 0 }
+
+// Rests are the rests that endpoints want from this machine: those that they asked it for, and those until it may call them
+// again by a limit for all. An endpoint that is called sooner turns the call away, and the request loses a try. What an
+// endpoint asked one machine for is not told to other instances: it asks each by itself. Safe for concurrent use.
 type Rests struct {
-	clock clockwork.Clock
-	log   *logrus.Entry
+	clock  clockwork.Clock
+	limits Limits
+	log    *logrus.Entry
 	// resting is how many rests are kept, so that it costs nothing to ask while there are none.
 	resting atomic.Int64
 
@@ -26,9 +45,9 @@
 	until map[string]time.Time
 }
 
-// NewRests returns rests of no endpoint.
-func NewRests(clock clockwork.Clock, log *logrus.Entry) *Rests {
-	return &Rests{clock: clock, log: log, until: map[string]time.Time{}}
+// NewRests returns rests of no endpoint but by limits.
+func NewRests(clock clockwork.Clock, limits Limits, log *logrus.Entry) *Rests {
+	return &Rests{clock: clock, limits: limits, log: log, until: map[string]time.Time{}}
 }
 
 // Ask takes in that an endpoint's life wants rest from now on. Of two rests the one that ends later holds:
@@ -46,6 +65,11 @@
 
 // Left is how much longer an endpoint's life wants rest; 0: it wants none.
 func (r *Rests) Left(endpoint string) time.Duration {
+	return max(r.asked(endpoint), r.limits.Left(endpoint))
+}
+
+// asked is how much longer an endpoint's life wants the rest that it asked this machine for.
+func (r *Rests) asked(endpoint string) time.Duration {
 	if r.resting.Load() == 0 {
 		return 0
 	}
@@ -74,6 +98,11 @@
 	return least
 }
 
+// Limited tells whether limits for all keep this machine from calling any of several endpoints now.
+func (r *Rests) Limited(endpoints []fleet.Endpoint) bool {
+	return r.limits.Any() && slices.ContainsFunc(endpoints, func(e fleet.Endpoint) bool { return r.limits.Left(e.ID) > 0 })
+}
+
 // Return is when a caller may come back whom all endpoints' rests have turned away: when one of them, drawn at
 // random, has had its rest. It is the first or one that ends soon after that, so that not all callers come to the
 // first endpoint at one moment.
@@ -93,13 +122,13 @@
 
 // Awake returns the endpoints that want no rest: the same slice if that is all of them.
 func (r *Rests) Awake(endpoints []fleet.Endpoint) []fleet.Endpoint {
-	if r.resting.Load() == 0 {
+	if r.resting.Load() == 0 && !r.limits.Any() {
 		return endpoints
 	}
 	return fleet.Except(endpoints, func(e fleet.Endpoint) bool { return r.Left(e.ID) > 0 })
 }
 
-// List returns how much longer each endpoint's life wants rest that wants any.
+// List returns how much longer each endpoint's life wants the rest that it asked this machine for.
 func (r *Rests) List() map[string]time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,7 +142,7 @@
 	return list
 }
 
-// Count is how many endpoints want rest.
+// Count is how many endpoints asked this machine for rest.
 func (r *Rests) Count() int { return int(r.resting.Load()) }
 
 // Sweep drops the rests that are over.
--- a/pkg/notice/rests_test.go
+++ b/pkg/notice/rests_test.go
@@ -18,6 +18,13 @@
 	RunSpecs(t, "notice")
 }
 
+// held are limits for all, with how long each holds this machine up.
+type held map[string]time.Duration
+
+func (h held) Any() bool { return len(h) > 0 }
+
+func (h held) Left(life string) time.Duration { return h[life] }
+
 var _ = Describe("rests that endpoints want", func() {
 	var (
 		clock *clockwork.FakeClock
@@ -27,7 +34,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		rests = notice.NewRests(clock, logging.Discard().For("notice"))
+		rests = notice.NewRests(clock, notice.Unlimited{}, logging.Discard().For("notice"))
 	})
 
 	ids := func(endpoints []fleet.Endpoint) []string {
@@ -92,6 +99,21 @@
 		Expect(rests.List()).To(HaveLen(3))
 	})
 
+	It("are those by limits for all as well, and the longer of both", func() {
+		limits := held{"a": time.Second, "b": 3 * time.Second}
+		rests = notice.NewRests(clock, limits, logging.Discard().For("notice"))
+		rests.Ask("b", 2*time.Second)
+		rests.Ask("c", 2*time.Second)
+		Expect(rests.Left("a")).To(Equal(time.Second))
+		Expect(rests.Left("b")).To(Equal(3 * time.Second))
+		Expect(rests.Left("c")).To(Equal(2 * time.Second))
+		Expect(rests.Awake(endpoints)).To(BeEmpty())
+		Expect(rests.Limited(endpoints)).To(BeTrue())
+		Expect(rests.Limited(endpoints[2:])).To(BeFalse())
+		delete(limits, "a")
+		Expect(ids(rests.Awake(endpoints))).To(HaveExactElements("a"))
+	})
+
 	It("are dropped when they are over", func() {
 		rests.Ask("a", time.Second)
 		rests.Ask("b", 2*time.Second)
--- a/pkg/throttle/table.go
+++ b/pkg/throttle/table.go
@@ -3,6 +3,8 @@
 package throttle
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,8 @@
 	mu sync.Mutex
 	// standings are by the ID of an endpoint's life.
 	standings map[string]standing
+	// turn is how many limits were told, so that the next are others.
+	turn int
 }
 
 // standing is what an endpoint's life said last of its limit.
@@ -81,6 +85,44 @@
 	return s.perSecond, s.limited
 }
 
+// age is how long ago an endpoint's life said what is known of its limit.
+func (t *Table) age(life string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clock.Since(t.standings[life].said)
+}
+
+// onTheWay is added to the age of what is told, for the time until it is heard: otherwise old news would become newer with each
+// instance that passes it on, and win over what an endpoint has said since.
+const onTheWay = 250 * time.Millisecond
+
+// Tell returns up to n limits, and others the next time if there are more.
+func (t *Table) Tell(n int) []Limit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.standings) == 0 {
+		return nil
+	}
+	lives := slices.Sorted(maps.Keys(t.standings))
+	n = min(n, len(lives))
+	told := make([]Limit, 0, n)
+	for i := range n {
+		life := lives[(t.turn+i)%len(lives)]
+		s := t.standings[life]
+		told = append(told, Limit{Life: life, Limited: s.limited, PerSecond: s.perSecond, Age: t.clock.Since(s.said) + onTheWay})
+	}
+	t.turn = (t.turn + n) % len(lives)
+	return told
+}
+
+// Hear takes in what another instance tells.
+func (t *Table) Hear(limits []Limit) {
+	now := t.clock.Now()
+	for _, l := range limits {
+		t.take(l.Life, standing{limited: l.Limited, perSecond: l.PerSecond, said: now.Add(-l.Age)})
+	}
+}
+
 // Count is how many limits hold.
 func (t *Table) Count() int { return int(t.inForce.Load()) }
 
--- a/pkg/throttle/table_test.go
+++ b/pkg/throttle/table_test.go
@@ -45,6 +45,43 @@
 		Expect(table.Count()).To(BeZero())
 	})
 
+	It("takes in what others tell, unless it knows something newer", func() {
+		table.Name("a", 2)
+		clock.Advance(5 * time.Second)
+		table.Hear([]throttle.Limit{{Life: "a", Age: 6 * time.Second}})
+		Expect(table.Count()).To(Equal(1), "it named its limit later")
+		table.Hear([]throttle.Limit{{Life: "a", Age: 4 * time.Second}, {Life: "b", Limited: true, PerSecond: 3, Age: time.Second}, {Life: "c", Age: time.Second}})
+		Expect(table.List()).To(Equal(map[string]float64{"b": 3}))
+	})
+
+	It("tells what it knows, and never as newer than it is, whoever passes it on", func() {
+		other := throttle.NewTable(clock, logging.Discard().For("throttle"))
+		table.Name("a", 2)
+		for range 50 {
+			// Each hears the other's news after a time of which nothing is known.
+			told := table.Tell(8)
+			clock.Advance(200 * time.Millisecond)
+			other.Hear(told)
+			told = other.Tell(8)
+			clock.Advance(200 * time.Millisecond)
+			table.Hear(told)
+		}
+		Expect(table.Tell(8)[0].Age).To(BeNumerically(">=", 20*time.Second))
+	})
+
+	It("tells many in turn", func() {
+		for _, life := range []string{"a", "b", "c", "d", "e"} {
+			table.Name(life, 1)
+		}
+		told := map[string]bool{}
+		for range 3 {
+			for _, l := range table.Tell(2) {
+				told[l.Life] = true
+			}
+		}
+		Expect(told).To(HaveLen(5))
+	})
+
 	It("forgets limits with their endpoints, and what was lifted after a time", func() {
 		table.Name("a", 1)
 		table.Name("b", 1)
--- a/service/handover/failures_test.go
+++ b/service/handover/failures_test.go
@@ -68,7 +68,7 @@
 		clock := clockwork.NewFakeClock()
 		slow := slowPieces{begin: make(chan struct{})}
 		planner := pipeline.NewPlanner(slow, clock, metrics.NewSet(), logging.Discard().For("pipeline"))
-		h := NewHandler(routerOf(planner, clock), nil, nil)
+		h := NewHandler(routerOf(planner, clock), nil, nil, nil)
 		call := api.Run{Call: "c", Part: pipeline.Part{Of: 1}, DueMs: 10_000, DeadlineMs: 10_000}
 		call.Plan.Stages = []pipeline.Stage{{Service: "s", Pieces: 1}}
 		done := make(chan struct{})
@@ -109,7 +109,7 @@
 		Expect(chosen()).To(Equal("best"))
 		raw, err := json.Marshal(api.ReaderFailed{Endpoint: "best"})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = NewHandler(routerOf(planner, clock), nil, nil).Answer(context.Background(), api.MethodReaderFailed, raw)
+		_, err = NewHandler(routerOf(planner, clock), nil, nil, nil).Answer(context.Background(), api.MethodReaderFailed, raw)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(chosen()).To(Equal("second"))
 	})
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -24,6 +25,7 @@
 	makers   makers
 	follower *discovery.Follower
 	rollouts Rollouts
+	permits  Permitting
 	clock    clockwork.Clock
 	packing  packing
 
@@ -39,9 +41,15 @@
 	Answer(r rollout.Report) rollout.Instruction
 }
 
+// Permitting grants calls to endpoints that name a limit for all instances.
+type Permitting interface {
+	// Answer answers the question of an instance.
+	Answer(a throttle.Ask) throttle.Grant
+}
+
 // NewHandler returns a handler that has stages made as a router says.
-func NewHandler(router *Router, follower *discovery.Follower, rollouts Rollouts) *Handler {
-	return &Handler{router: router, planner: router.planner, makers: router.makers, follower: follower, rollouts: rollouts, clock: router.clock, calls: map[string]context.CancelFunc{}}
+func NewHandler(router *Router, follower *discovery.Follower, rollouts Rollouts, permits Permitting) *Handler {
+	return &Handler{router: router, planner: router.planner, makers: router.makers, follower: follower, rollouts: rollouts, permits: permits, clock: router.clock, calls: map[string]context.CancelFunc{}}
 }
 
 // UnderWay is the number of plans of other instances that are being made.
@@ -117,6 +125,12 @@
 			return nil, err
 		}
 		return h.rollouts.Answer(call), nil
+	case api.MethodPermits:
+		call, err := peers.Params[throttle.Ask](method, raw)
+		if err != nil {
+			return nil, err
+		}
+		return h.permits.Answer(call), nil
 	case api.MethodState:
 		call, err := peers.Params[api.StateSelect](method, raw)
 		if err != nil {
--- /dev/null
+++ b/service/handover/permits.go
@@ -0,0 +1,49 @@
+package handover
+
+import (
+	"context"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
+	"github.com/cobaltcroft/cobaltcroft/service/api"
+	"github.com/cobaltcroft/cobaltcroft/service/peers"
+)
+
+// Permits asks other instances for calls to endpoints that name a limit for all.
+type Permits struct {
+	Client   *peers.Client
+	Instance membership.Self
+	// Members returns the others that live and do not leave, Departing those that live and leave.
+	Members   func() []membership.Member
+	Departing func() []membership.Member
+}
+
+var _ throttle.Peers = (*Permits)(nil)
+
+func throttlePeer(s membership.Self) throttle.Peer {
+	return throttle.Peer{Name: s.Name, Address: s.PeerAddress, FailureDomain: s.FailureDomain}
+}
+
+func throttlePeers(members []membership.Member) []throttle.Peer {
+	list := make([]throttle.Peer, len(members))
+	for i, m := range members {
+		list[i] = throttlePeer(m.Self)
+	}
+	return list
+}
+
+// Self implements throttle.Peers.
+func (p *Permits) Self() throttle.Peer { return throttlePeer(p.Instance) }
+
+// Live implements throttle.Peers.
+func (p *Permits) Live() []throttle.Peer { return throttlePeers(p.Members()) }
+
+// Leaving implements throttle.Peers.
+func (p *Permits) Leaving() []throttle.Peer { return throttlePeers(p.Departing()) }
+
+// Ask implements throttle.Peers.
+func (p *Permits) Ask(ctx context.Context, to throttle.Peer, ask throttle.Ask) (throttle.Grant, error) {
+	var grant throttle.Grant
+	err := p.Client.Call(ctx, to.Address, api.MethodPermits, ask, &grant)
+	return grant, err
+}
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -15,6 +15,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
+	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
 
@@ -69,6 +70,9 @@
 	for _, e := range h.Ends {
 		wire.Ends = append(wire.Ends, encodeEnd(e))
 	}
+	for _, l := range h.Limits {
+		wire.Limits = append(wire.Limits, encodeLimit(l))
+	}
 	if m := h.From.Machine; m != (membership.Machine{}) {
 		wire.Machine = &pb.Machine{Cores: float32(m.Cores), LinkMbps: float32(m.LinkMbps)}
 	}
@@ -135,6 +139,11 @@
 			b.heartbeat.Ends = append(b.heartbeat.Ends, end)
 		}
 	}
+	for _, l := range wire.Limits {
+		if limit, ok := decodeLimit(l); ok {
+			b.heartbeat.Limits = append(b.heartbeat.Limits, limit)
+		}
+	}
 	for _, k := range wire.Known {
 		b.heartbeat.Known = append(b.heartbeat.Known, membership.Self{Name: k.Instance, PeerAddress: k.PeerAddress, FailureDomain: k.FailureDomain})
 	}
@@ -159,20 +168,34 @@
 }
 
 func encodeEnd(e quarantine.End) *pb.EndpointEnd {
-	return &pb.EndpointEnd{Digest: e.Digest[:], Life: e.Life, AgeMs: uint64(max(0, e.Age.Milliseconds())), Cleared: e.Cleared}
+	return &pb.EndpointEnd{Digest: e.Digest[:], Life: e.Life, AgeMs: ageMs(e.Age), Cleared: e.Cleared}
 }
 
 // decodeEnd tells whether the end names a request and an endpoint.
 func decodeEnd(wire *pb.EndpointEnd) (quarantine.End, bool) {
 	e := quarantine.End{
 		Life:    wire.GetLife(),
-		Age:     time.Duration(min(wire.GetAgeMs(), math.MaxInt32)) * time.Millisecond,
+		Age:     age(wire.GetAgeMs()),
 		Cleared: wire.GetCleared(),
 	}
 	named := copy(e.Digest[:], wire.GetDigest()) == len(e.Digest) && len(wire.GetDigest()) == len(e.Digest)
 	return e, named && e.Life != ""
 }
 
+func encodeLimit(l throttle.Limit) *pb.EndpointLimit {
+	return &pb.EndpointLimit{Life: l.Life, Limited: l.Limited, PerSecond: float32(l.PerSecond), AgeMs: ageMs(l.Age)}
+}
+
+// decodeLimit tells whether the limit names an endpoint, and is one.
+func decodeLimit(wire *pb.EndpointLimit) (throttle.Limit, bool) {
+	l := throttle.Limit{Life: wire.GetLife(), Limited: wire.GetLimited(), PerSecond: float64(wire.GetPerSecond()), Age: age(wire.GetAgeMs())}
+	return l, l.Life != "" && l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 0)
+}
+
+func ageMs(age time.Duration) uint64 { return uint64(max(0, age.Milliseconds())) }
+
+func age(ms uint64) time.Duration { return time.Duration(min(ms, math.MaxInt32)) * time.Millisecond }
+
 func signature(body, secret []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
 	mac.Write([]byte("heartbeat:"))
--- a/service/peers/ends_test.go
+++ b/service/peers/ends_test.go
@@ -60,7 +60,6 @@
 	g.Expect(far.Age).To(BeNumerically(">", 24*time.Hour))
 }
 
-// BenchmarkEndSize gives the bytes that an end adds to a heartbeat.
 // BenchmarkDepartingSize gives the bytes that one life adds to a heartbeat which names it as leaving.
 func BenchmarkDepartingSize(b *testing.B) {
 	const n = 8
@@ -77,6 +76,7 @@
 	b.ReportMetric(float64(size), "bytes/life")
 }
 
+// BenchmarkEndSize gives the bytes that an end adds to a heartbeat.
 func BenchmarkEndSize(b *testing.B) {
 	const n = 32
 	var size int
