--- a/cmd/cobaltcroft-soak/cmds/cmds.go
+++ b/cmd/cobaltcroft-soak/cmds/cmds.go
@@ -103,7 +103,7 @@
 		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
 		return false
 	}
-	fmt.Printf("seed %d: %d breaches, requests by outcome %v; %s\n", seed, len(report.Breaches), report.Counts, report.Rollout)
+	fmt.Printf("seed %d: %d breaches, requests by outcome %v; %d limits, %d requests held against them; %s\n", seed, len(report.Breaches), report.Counts, report.Limits, report.LimitedRequests, report.Rollout)
 	if len(report.Breaches) == 0 {
 		_ = os.RemoveAll(dir)
 		return true
