rollout: a report of a build that tells more times apart no longer ends its conductor

Cause, found by reading at the last landing: the tally adds the times of a report by their place, so that a list longer than its own ended the process (index out of range). Times beyond the last bound count as the longest now. The spec panicked before.

--- a/pkg/rollout/tally.go
+++ b/pkg/rollout/tally.go
@@ -135,7 +135,7 @@
 	t[measure] = pair
 }
 
-// add adds another side to this one, whose times nobody else has.
+// add adds another side to this one, whose times nobody else has. That of another build may tell more times apart.
 func (s *Side) add(other Side) {
 	s.Answers += other.Answers
 	s.Failures += other.Failures
@@ -143,6 +143,6 @@
 		s.Times = make([]int, bounds+1)
 	}
 	for at, n := range other.Times {
-		s.Times[at] += n
+		s.Times[min(at, bounds)] += n
 	}
 }
