--- a/pkg/batch/resting.go
+++ b/pkg/batch/resting.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+)
 
 // Endpoints may want rest from this machine, whichever call they told it. Their workers get no call until then,
 // whatever else speaks for one, and count in no forecast: a stage whose makers all rest takes what is left of the rest.
@@ -16,15 +20,5 @@
 
 // leastRest is how long it takes until the first of the workers' endpoints wants calls; 0 if one does.
 func (b *Batcher) leastRest(workers []*worker) time.Duration {
-	least := time.Duration(0)
-	for _, w := range workers {
-		rest := b.known.Rest(w.endpoint.ID)
-		if rest == 0 {
-			return 0
-		}
-		if least == 0 || rest < least {
-			least = rest
-		}
-	}
-	return least
+	return notice.Least(workers, func(w *worker) time.Duration { return b.known.Rest(w.endpoint.ID) })
 }
--- a/pkg/notice/rests.go
+++ b/pkg/notice/rests.go
@@ -82,22 +82,27 @@
 	return max(0, until.Sub(r.clock.Now()))
 }
 
-// Least is how long it takes until the first of several endpoints wants no rest; 0 if one wants none now, or
-// if there are none.
-func (r *Rests) Least(endpoints []fleet.Endpoint) time.Duration {
+// Least is how long it takes until the first of several wants no rest, by how much longer each wants one; 0 if one wants none
+// now, or if there are none.
+func Least[T any](several []T, left func(T) time.Duration) time.Duration {
 	least := time.Duration(0)
-	for _, e := range endpoints {
-		left := r.Left(e.ID)
-		if left == 0 {
+	for _, one := range several {
+		rest := left(one)
+		if rest == 0 {
 			return 0
 		}
-		if least == 0 || left < least {
-			least = left
+		if least == 0 || rest < least {
+			least = rest
 		}
 	}
 	return least
 }
 
+// Least is how long it takes until the first of several endpoints wants no rest.
+func (r *Rests) Least(endpoints []fleet.Endpoint) time.Duration {
+	return Least(endpoints, func(e fleet.Endpoint) time.Duration { return r.Left(e.ID) })
+}
+
 // Limited tells whether limits for all keep this machine from calling any of several endpoints now.
 func (r *Rests) Limited(endpoints []fleet.Endpoint) bool {
 	return r.limits.Any() && slices.ContainsFunc(endpoints, func(e fleet.Endpoint) bool { return r.limits.Left(e.ID) > 0 })
