throttle: an instance that has just started is not chosen to grant calls while there are others

What callers would see: while the instance that grants an endpoint's calls starts anew again and again, nobody may call the endpoint: each start costs three seconds in which it may not know the others, and one for the permits before it. Seen in soaks, in which instances start every few seconds: 0 to 3 requests held against limits of 0 to 2 a second; in the model 11 of 160 calls.

The others know since when an instance lives, as it does itself; those that live for less than three seconds are passed over, unless all are new.

--- a/pkg/throttle/keeper.go
+++ b/pkg/throttle/keeper.go
@@ -44,7 +44,7 @@
 
 	mu    sync.Mutex
 	sight sight
-	// part is that of the instances which is seen, candidates are all that live and do not leave.
+	// part is that of the instances which is seen, candidates are those that may grant.
 	part       float64
 	candidates []Peer
 	endpoints  map[string]*endpoint
@@ -81,13 +81,10 @@
 func (k *Keeper) Look() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := k.clock.Now()
 	live := k.peers.Live()
-	k.part = k.sight.look(k.clock.Now(), live, k.peers.Leaving())
-	k.candidates = slices.Clone(live)
-	if len(live) == 0 || !k.peers.Leaves() {
-		// The others have chosen another grantor as soon as they hear that this instance leaves.
-		k.candidates = append(k.candidates, k.peers.Self())
-	}
+	k.part = k.sight.look(now, live, k.peers.Leaving())
+	k.candidates = k.mayGrant(now, live)
 	for life, e := range k.endpoints {
 		if _, limited := k.table.PerSecond(life); !limited {
 			delete(k.endpoints, life)
@@ -97,6 +94,20 @@
 	}
 }
 
+// mayGrant returns the instances that may grant calls: those that have lived for long enough to know the others, and do not
+// leave. Where there are none it is all.
+func (k *Keeper) mayGrant(now time.Time, live []Peer) []Peer {
+	settled := slices.DeleteFunc(slices.Clone(live), func(p Peer) bool { return now.Sub(p.Since) < settling })
+	// The others have chosen another grantor as soon as they hear that this instance leaves.
+	if !k.peers.Leaves() && !now.Before(k.settled) {
+		settled = append(settled, k.peers.Self())
+	}
+	if len(settled) == 0 {
+		return append(slices.Clone(live), k.peers.Self())
+	}
+	return settled
+}
+
 // Any tells whether any limit holds.
 func (k *Keeper) Any() bool { return k.table.Count() > 0 }
 
--- a/pkg/throttle/limit.go
+++ b/pkg/throttle/limit.go
@@ -39,4 +39,6 @@
 	Name          string
 	Address       string
 	FailureDomain string
+	// Since is when this instance saw it live first, since its start.
+	Since time.Time
 }
--- a/pkg/throttle/model_test.go
+++ b/pkg/throttle/model_test.go
@@ -59,6 +59,8 @@
 	leaves bool
 	// excused is until when its requests do not count, since it has started anew.
 	excused time.Time
+	// started is when it began to live.
+	started time.Time
 	// heard has when each other instance was heard last.
 	heard map[string]time.Time
 }
@@ -78,6 +80,7 @@
 	instance := m.instances[i]
 	instance.heard, instance.dead, instance.leaves = map[string]time.Time{}, false, false
 	instance.excused = m.clock.Now().Add(contact)
+	instance.started = m.clock.Now()
 	instance.table = throttle.NewTable(m.clock, logging.Discard().For("throttle"))
 	instance.keeper = throttle.NewKeeper(instance.table, instance, func(string) string { return "0" }, m.clock, logging.Discard().For("throttle"))
 	instance.keeper.Start(func(ask func()) {
@@ -105,7 +108,9 @@
 	var seen []throttle.Peer
 	for _, other := range i.model.instances {
 		if at, heard := i.heard[other.Name]; heard && i.model.clock.Since(at) < suspectAfter && other.leaves == leaving {
-			seen = append(seen, other.Peer)
+			peer := other.Peer
+			peer.Since = other.started.Add(time.Duration(i.model.random.IntN(500)) * time.Millisecond)
+			seen = append(seen, peer)
 		}
 	}
 	return seen
@@ -281,6 +286,19 @@
 		Expect(m.most()).To(BeNumerically("<=", m.allowed()))
 	}, entries)
 
+	DescribeTable("go on using a limit while an instance starts anew again and again", func(victim int) {
+		m := settled(6, 4, 1)
+		from := m.clock.Now()
+		for range 8 {
+			m.instances[victim].dead = true
+			m.run(500 * time.Millisecond)
+			m.restart(victim)
+			m.run(4500 * time.Millisecond)
+		}
+		Expect(m.most()).To(BeNumerically("<=", m.allowed()))
+		Expect(m.since(from)).To(BeNumerically(">", 4*40/2), "of 160")
+	}, Entry("the first", 0), Entry("the second", 1), Entry("the third", 2), Entry("the fourth", 3), Entry("the fifth", 4), Entry("the sixth", 5))
+
 	DescribeTable("keep to it while instances leave as planned, and serve on until they end", func(n int, limit float64, seed uint64) {
 		m := settled(n, limit, seed)
 		m.run(2 * time.Second)
--- a/service/handover/permits.go
+++ b/service/handover/permits.go
@@ -30,6 +30,7 @@
 	list := make([]throttle.Peer, len(members))
 	for i, m := range members {
 		list[i] = throttlePeer(m.Self)
+		list[i].Since = m.Since
 	}
 	return list
 }
