--- a/cmd/cobaltcroft/cmds/cmds.go
+++ b/cmd/cobaltcroft/cmds/cmds.go
@@ -62,6 +62,7 @@
 	Timeline timelineCommand `cmd:"" help:"Show events of all instances in causal order."`
 	Send     sendCommand     `cmd:"" help:"Send a request as a caller."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
+	Gateways gatewaysCommand `cmd:"" help:"Show what gateways heed, and how rollouts stand at each."`
 	Account  accountCommand  `cmd:"" help:"Sum up the logs of gateways: requests, stages, calls to the source, owners."`
 }
 
--- a/pkg/gateway/resting.go
+++ b/pkg/gateway/resting.go
@@ -7,10 +7,11 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// Where all endpoints of a service want rest, or take no more by the limits that they name for all instances, none gets a request: it would be turned away, and add to what they
-// rest from. It is refused at once, before its stages are made, and its caller told when the first endpoint has
-// had its rest. Only a rest that is over before a caller would come back anyway is waited for: that spares the
-// caller a try, and holds it no longer than the refusal would. A longer one would hold it, and turn it away after all.
+// Where all endpoints of a service want rest, or take no more by the limits that they name for all instances, none gets a
+// request: it would be turned away, and add to what they rest from. It is refused at once, before its stages are made, and its
+// caller told when the first endpoint has had its rest. Only rests that are over before a caller would come back anyway are waited
+// for: that spares the caller a try, and holds it no longer than the refusal would. A longer one would hold it, and turn it away
+// after all.
 
 // outlasts tells whether a rest is too long to wait for, after those that were waited for before: by a limit for all, each
 // end of a rest may be another request's.
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -98,7 +98,8 @@
 	}
 	for _, gate := range []Gate{p.gates.Send, p.gates.Spend} {
 		if err := p.pass(gate, call.Target); err != nil {
-			// The endpoint said so to another call while this one waited for its connection.
+			// The endpoint said so to another call, or other calls took what it bears, while this one waited for
+			// its connection.
 			p.keep(c, 0)
 			return nil, err
 		}
