throttle: a cut that is over makes no instance new

Found by the model once it tells states as membership does: 202 calls in four seconds where 125 are allowed (6 instances, 20 a second), 36 of 29, 18 of 17.

Now an instance is new by its incarnation, as of when it was first seen, and those that were there before this one has settled are as old as it. Settling is five seconds: members greet each other for four.

--- a/pkg/throttle/keeper.go
+++ b/pkg/throttle/keeper.go
@@ -11,8 +11,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-// settling is how long after its start an instance may not know the others, and grants nothing.
-const settling = 3 * time.Second
+// settling is how long after its start an instance may not know the others, and grants nothing: members greet each other
+// for four seconds.
+const settling = 5 * time.Second
 
 // Peers are the other instances.
 type Peers interface {
@@ -97,7 +98,7 @@
 // mayGrant returns the instances that may grant calls: those that have lived for long enough to know the others, and do not
 // leave. Where there are none it is all.
 func (k *Keeper) mayGrant(now time.Time, live []Peer) []Peer {
-	settled := slices.DeleteFunc(slices.Clone(live), func(p Peer) bool { return now.Sub(p.Since) < settling })
+	settled := slices.DeleteFunc(slices.Clone(live), func(p Peer) bool { return !k.sight.knows(now, k.settled, p) })
 	// The others have chosen another grantor as soon as they hear that this instance leaves.
 	if !k.peers.Leaves() && !now.Before(k.settled) {
 		settled = append(settled, k.peers.Self())
--- a/pkg/throttle/limit.go
+++ b/pkg/throttle/limit.go
@@ -39,6 +39,6 @@
 	Name          string
 	Address       string
 	FailureDomain string
-	// Since is when this instance saw it live first, since its start.
-	Since time.Time
+	// Incarnation grows with each start.
+	Incarnation uint64
 }
--- a/pkg/throttle/model_test.go
+++ b/pkg/throttle/model_test.go
@@ -59,8 +59,6 @@
 	leaves bool
 	// excused is until when its requests do not count, since it has started anew.
 	excused time.Time
-	// started is when it began to live.
-	started time.Time
 	// heard has when each other instance was heard last.
 	heard map[string]time.Time
 }
@@ -79,8 +77,8 @@
 func (m *model) restart(i int) {
 	instance := m.instances[i]
 	instance.heard, instance.dead, instance.leaves = map[string]time.Time{}, false, false
+	instance.Incarnation++
 	instance.excused = m.clock.Now().Add(contact)
-	instance.started = m.clock.Now()
 	instance.table = throttle.NewTable(m.clock, logging.Discard().For("throttle"))
 	instance.keeper = throttle.NewKeeper(instance.table, instance, func(string) string { return "0" }, m.clock, logging.Discard().For("throttle"))
 	instance.keeper.Start(func(ask func()) {
@@ -108,9 +106,7 @@
 	var seen []throttle.Peer
 	for _, other := range i.model.instances {
 		if at, heard := i.heard[other.Name]; heard && i.model.clock.Since(at) < suspectAfter && other.leaves == leaving {
-			peer := other.Peer
-			peer.Since = other.started.Add(time.Duration(i.model.random.IntN(500)) * time.Millisecond)
-			seen = append(seen, peer)
+			seen = append(seen, other.Peer)
 		}
 	}
 	return seen
--- a/service/handover/permits.go
+++ b/service/handover/permits.go
@@ -23,14 +23,13 @@
 var _ throttle.Peers = (*Permits)(nil)
 
 func throttlePeer(s membership.Self) throttle.Peer {
-	return throttle.Peer{Name: s.Name, Address: s.PeerAddress, FailureDomain: s.FailureDomain}
+	return throttle.Peer{Name: s.Name, Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation}
 }
 
 func throttlePeers(members []membership.Member) []throttle.Peer {
 	list := make([]throttle.Peer, len(members))
 	for i, m := range members {
 		list[i] = throttlePeer(m.Self)
-		list[i].Since = m.Since
 	}
 	return list
 }
