gateway: a spec waits for as long as what was told before the store fell silent holds

Traced: the record was read last at 58.526, the conductor's step of 61.523 still counted as confirmed, and two requests of the share were chosen at 62.046. By the design the record may go unread for three seconds (confirmedFor), and an instruction holds for two periods and 0.7 s, 1.5 s in all, from when it was asked for: 4.5 s. The spec counted from 3.5 s on, which holds only where the next report comes within 0.1 s of its time; the users' bound is five (RollbackMs). It counts from 4.6 s on now, and is otherwise as it was: nothing at all may be sent from then on.

--- a/cmd/cobaltcroftd/gateway/rollout_test.go
+++ b/cmd/cobaltcroftd/gateway/rollout_test.go
@@ -201,7 +201,8 @@
 		d.order("v2", 3, well)
 		Eventually(d.told).Should(Equal(told{"running", "v2"}))
 		d.Store.SetFault(platformtest.StoreSilent)
-		time.Sleep(3500 * time.Millisecond)
+		// The record may go unread for three seconds, and what was told before holds for one and a half more.
+		time.Sleep(4600 * time.Millisecond)
 		before, _ := d.arrivals("v2")
 		Consistently(func() int { of, _ := d.arrivals("v2"); return of }).WithTimeout(time.Second).Should(Equal(before))
 		d.Store.SetFault(platformtest.StoreWell)
