--- a/pkg/throttle/table.go
+++ b/pkg/throttle/table.go
@@ -53,13 +53,13 @@
 	}
 }
 
-// take keeps a standing that is newer than what is known, and tells whether it is.
-func (t *Table) take(life string, s standing) bool {
+// take keeps a standing that is newer than what is known.
+func (t *Table) take(life string, s standing) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before, known := t.standings[life]
 	if known && !s.said.After(before.said) || !known && !s.limited {
-		return false
+		return
 	}
 	t.standings[life] = s
 	if s.limited && !before.limited {
@@ -71,7 +71,6 @@
 	if s.limited != before.limited || s.perSecond != before.perSecond {
 		t.log.WithFields(logrus.Fields{"event": "endpoint_limits", "endpoint": life, "limited": s.limited, "per_second": s.perSecond}).Info()
 	}
-	return true
 }
 
 // PerSecond is the limit of an endpoint's life, in requests a second, and whether it names one.
--- a/service/peers/ends_test.go
+++ b/service/peers/ends_test.go
@@ -60,32 +60,31 @@
 	g.Expect(far.Age).To(BeNumerically(">", 24*time.Hour))
 }
 
-// BenchmarkDepartingSize gives the bytes that one life adds to a heartbeat which names it as leaving.
-func BenchmarkDepartingSize(b *testing.B) {
-	const n = 8
+// measureSize reports the bytes that each of n things adds to a heartbeat.
+func measureSize(b *testing.B, n int, unit string, add func(*beat)) {
 	var size int
 	for b.Loop() {
 		beat := typical()
 		before, _ := encode(beat, secret)
-		for i := range n {
-			beat.leaving = append(beat.leaving, control.LeavingEndpoint{Name: fmt.Sprintf("i-0123456%03x@1796270000%03d", i, i)})
-		}
+		add(&beat)
 		after, _ := encode(beat, secret)
 		size = (len(after) - len(before)) / n
 	}
-	b.ReportMetric(float64(size), "bytes/life")
+	b.ReportMetric(float64(size), "bytes/"+unit)
+}
+
+// BenchmarkDepartingSize gives the bytes that one life adds to a heartbeat which names it as leaving.
+func BenchmarkDepartingSize(b *testing.B) {
+	const n = 8
+	measureSize(b, n, "life", func(beat *beat) {
+		for i := range n {
+			beat.leaving = append(beat.leaving, control.LeavingEndpoint{Name: fmt.Sprintf("i-0123456%03x@1796270000%03d", i, i)})
+		}
+	})
 }
 
 // BenchmarkEndSize gives the bytes that an end adds to a heartbeat.
 func BenchmarkEndSize(b *testing.B) {
 	const n = 32
-	var size int
-	for b.Loop() {
-		beat := typical()
-		before, _ := encode(beat, secret)
-		beat.heartbeat.Ends = someEnds(n)
-		after, _ := encode(beat, secret)
-		size = (len(after) - len(before)) / n
-	}
-	b.ReportMetric(float64(size), "bytes/end")
+	measureSize(b, n, "end", func(beat *beat) { beat.heartbeat.Ends = someEnds(n) })
 }
--- a/service/peers/limits_test.go
+++ b/service/peers/limits_test.go
@@ -50,13 +50,5 @@
 // BenchmarkLimitSize gives the bytes that one limit adds to a heartbeat.
 func BenchmarkLimitSize(b *testing.B) {
 	const n = 8
-	var size int
-	for b.Loop() {
-		beat := typical()
-		before, _ := encode(beat, secret)
-		beat.heartbeat.Limits = someLimits(n)
-		after, _ := encode(beat, secret)
-		size = (len(after) - len(before)) / n
-	}
-	b.ReportMetric(float64(size), "bytes/limit")
+	measureSize(b, n, "limit", func(beat *beat) { beat.heartbeat.Limits = someLimits(n) })
 }
