--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -95,7 +95,7 @@
 	permits *throttle.Limiter
 	// unreadNotices counts backoffs and limits that could not be parsed.
 	unreadNotices *metrics.Counter
-	// unknownTerms are the unknown response terms already logged.
+	// unknownTerms are the unknown terms of endpoints and of the store already logged.
 	unknownTerms sync.Map
 	conns        *httpconn.Pool
 	balancer     *balance.Balancer
@@ -206,7 +206,7 @@
 		PeerAddress:   g.listeners.peers.Addr().String(),
 		Machine:       membership.Machine{Cores: s.Machine.Cores(), LinkMbps: s.Machine.LinkMbps},
 	}
-	g.store = platform.NewStore(s.Store)
+	g.store = platform.NewStore(s.Store, g.logUnknownStoreTerms)
 	g.held = memquota.NewQuota(heldLimit(s))
 	g.metrics.NewGauge("cobaltcroft_held_bytes", func() float64 { return float64(g.held.Used()) })
 	table := quarantine.New(g.clock, g.logs.For("quarantine"))
@@ -270,6 +270,7 @@
 	g.metrics.NewGauge("cobaltcroft_endpoints_resting", func() float64 { return float64(g.backoffs.Count()) })
 	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
+	g.metrics.NewGauge("cobaltcroft_source_older_total", func() float64 { return float64(g.follower.OlderResponses()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
 	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts, g.permits)
--- a/cmd/cobaltcroftd/gateway/notices.go
+++ b/cmd/cobaltcroftd/gateway/notices.go
@@ -62,9 +62,18 @@
 
 // logUnknownTerms logs response terms that the gateway does not implement, each once.
 func (g *Gateway) logUnknownTerms(target httpconn.Target, h http.Header) {
-	for _, term := range platform.UnknownHeaders(h) {
+	g.logTermsOnce(h, platform.UnknownHeaders(h), logrus.Fields{"event": "answer_term_unknown", "endpoint": target.ID})
+}
+
+// logUnknownStoreTerms is logUnknownTerms for the store's responses.
+func (g *Gateway) logUnknownStoreTerms(h http.Header) {
+	g.logTermsOnce(h, platform.UnknownStoreHeaders(h), logrus.Fields{"event": "store_term_unknown"})
+}
+
+func (g *Gateway) logTermsOnce(h http.Header, terms []string, fields logrus.Fields) {
+	for _, term := range terms {
 		if _, logged := g.unknownTerms.LoadOrStore(term, true); !logged {
-			g.log.WithFields(logrus.Fields{"event": "answer_term_unknown", "endpoint": target.ID, "term": term}).Warn("response term is not implemented; see the platform documentation")
+			g.log.WithFields(fields).WithFields(logrus.Fields{"term": term, "value": h.Get(term)}).Warn("response term is not implemented; see the platform documentation")
 		}
 	}
 }
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -104,7 +104,7 @@
 		f.logFailedCall("document", "read", transfer, err)
 		return err
 	}
-	f.logCall("document", "read", transfer)
+	f.logCall("document", "read", transfer, newest.At)
 	f.deliverDocument(ctx, newest, 0, transfer.begin)
 	return nil
 }
@@ -120,7 +120,7 @@
 		f.logFailedCall("document", "watch", transfer, err)
 		return err
 	}
-	f.logCall("document", "watch", transfer)
+	f.logCall("document", "watch", transfer, newest.At)
 	f.deliverDocument(ctx, newest, since, transfer.confirmedAt(wait))
 	return nil
 }
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -118,7 +118,7 @@
 		f.logFailedCall("endpoints", "watch", transfer, err)
 		return err
 	}
-	f.logCall("endpoints", "watch", transfer)
+	f.logCall("endpoints", "watch", transfer, changes.Revision)
 	n := changesUpdate{changes: changes, since: since, heardAt: transfer.confirmedAt(wait)}
 	n.confirmedAt = n.heardAt
 	if len(changes.Endpoints) > 0 {
@@ -138,7 +138,7 @@
 		f.logFailedCall("endpoints", "read", transfer, err)
 		return err
 	}
-	f.logCall("endpoints", "read", transfer)
+	f.logCall("endpoints", "read", transfer, state.Revision)
 	f.deliver(ctx, endpointsUpdate{state: state, confirmedAt: transfer.begin, heardAt: transfer.begin})
 	return nil
 }
@@ -151,9 +151,15 @@
 	f.log.WithFields(f.callFields("source_call_failed", of, call, t)).Info(err)
 }
 
-// logCall logs a successful call to the source.
-func (f *Follower) logCall(of, call string, t *transfer) {
-	f.log.WithFields(f.callFields("source_call", of, call, t)).Info()
+// logCall logs a successful call to the source and the revision of its response.
+func (f *Follower) logCall(of, call string, t *transfer, at uint64) {
+	f.log.WithFields(f.callFields("source_call", of, call, t)).WithField("revision", at).Info()
+}
+
+// logOlder logs and counts a response that is older than what this instance knows and was dropped.
+func (f *Follower) logOlder(of string, at, known uint64) {
+	f.olderResponses.Add(1)
+	f.log.WithFields(logrus.Fields{"event": "source_older", "of": of, "revision": at, "known": known}).Warn("the response of the source is older than the known state and was dropped")
 }
 
 func (f *Follower) callFields(event, of, call string, t *transfer) logrus.Fields {
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -62,6 +62,8 @@
 	departures *departures
 	// refusedEntries counts invalid entries.
 	refusedEntries atomic.Uint64
+	// olderResponses counts responses of the source that were older than the view.
+	olderResponses atomic.Uint64
 }
 
 // updateRequest passes an update to the goroutine that owns the view.
@@ -93,6 +95,10 @@
 // RefusedEntries returns the number of invalid entries seen.
 func (f *Follower) RefusedEntries() uint64 { return f.refusedEntries.Load() }
 
+// OlderResponses returns the number of responses of the source that were dropped because they were
+// older than the known state.
+func (f *Follower) OlderResponses() uint64 { return f.olderResponses.Load() }
+
 // View returns the current view.
 func (f *Follower) View() *View { return f.view.Load() }
 
--- a/pkg/discovery/updates.go
+++ b/pkg/discovery/updates.go
@@ -26,6 +26,7 @@
 
 func (n endpointsUpdate) apply(f *Follower, view *View) func() {
 	if n.state.Revision < view.listed.Revision {
+		f.logOlder("endpoints", n.state.Revision, view.listed.Revision)
 		return nil
 	}
 	f.dropInvalid(view, n.state.Refused)
@@ -91,6 +92,9 @@
 	if !n.orders.contiguous(view) {
 		return nil
 	}
+	if n.orders.at > 0 && n.orders.at < view.ordersRevision() {
+		f.logOlder("document", n.orders.at, view.ordersRevision())
+	}
 	changed := f.updateEvacuations(view, n.orders.applyEvacuations(view.Evacuations()))
 	changed = f.updateEvacuations(view, n.status.Evacuations) || changed
 	changed = f.updateRollouts(view, n.orders.applyRollouts(view.Rollouts())) || changed
