--- a/cmd/cobaltcroftd/gateway/gossip.go
+++ b/cmd/cobaltcroftd/gateway/gossip.go
@@ -5,6 +5,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/group"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 )
 
@@ -41,8 +42,8 @@
 func (g *Gateway) receiveDivision(heard ownership.Division) { g.router.MergeDivision(heard) }
 
 // documentRevision and receiveRevision exchange the revision of the configuration in force.
-func (g *Gateway) documentRevision() uint64 { return g.follower.View().Document.Revision }
-func (g *Gateway) receiveRevision(r uint64) { g.follower.ObserveRevision(r) }
+func (g *Gateway) documentRevision() uint64 { return uint64(g.follower.View().Document.Revision) }
+func (g *Gateway) receiveRevision(r uint64) { g.follower.ObserveRevision(revision.Revision(r)) }
 
 // departing and receiveDeparting exchange the endpoints that have announced to leave.
 func (g *Gateway) departing(n int) []string { return g.follower.Departing(n) }
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // An endpoint that has just started, or whose failure domain has returned from an evacuation, is
@@ -50,8 +51,8 @@
 // coldState tracks until when an endpoint is cold.
 type coldState struct {
 	// revision and returned are those of the last endpoint entry that was applied.
-	revision uint64
-	returned uint64
+	revision revision.Revision
+	returned revision.Revision
 	until    time.Time
 	// sentAt is when this instance last sent a request to the endpoint while it was cold.
 	sentAt time.Time
--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // coldPerSecond is the rate limit of a cold endpoint, and coldBound the number of requests that it
@@ -26,7 +27,7 @@
 		clock    *clockwork.FakeClock
 		b        *balance.Balancer
 		all      []fleet.Endpoint
-		revision uint64
+		revision revision.Revision
 	)
 
 	BeforeEach(func() {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -16,6 +16,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -29,7 +30,7 @@
 
 // sourceState is the state of a source or a peer.
 type sourceState struct {
-	Revision  uint64
+	Revision  revision.Revision
 	Document  discovery.Document
 	Endpoints []fleet.Endpoint
 	// Evacuated is sorted.
@@ -54,7 +55,7 @@
 	age         time.Duration
 	// evacuatedAt maps returned revisions to the evacuated failure domains. If set, orders is
 	// returned by watches instead.
-	evacuatedAt map[uint64][]string
+	evacuatedAt map[revision.Revision][]string
 	orders      []fleet.Evacuation
 	// silentOnOrders omits evacuations and rollouts, as old versions do.
 	silentOnOrders bool
@@ -102,13 +103,13 @@
 func (s *fakeSource) recordEvacuated(state sourceState) {
 	s.set(func(s *fakeSource) {
 		if s.evacuatedAt == nil {
-			s.evacuatedAt = map[uint64][]string{}
+			s.evacuatedAt = map[revision.Revision][]string{}
 		}
 		s.evacuatedAt[state.Revision] = state.Evacuated
 	})
 }
 
-func (s *fakeSource) Watch(ctx context.Context, since uint64, wait time.Duration, _ discovery.Progress) (discovery.Changes, error) {
+func (s *fakeSource) Watch(ctx context.Context, since revision.Revision, wait time.Duration, _ discovery.Progress) (discovery.Changes, error) {
 	s.set(func(s *fakeSource) { s.watches++ })
 	state, err := s.await(ctx, since, wait, &s.historyGone)
 	changes := discovery.Changes{Revision: state.Revision}
@@ -118,7 +119,7 @@
 	return changes, err
 }
 
-func (s *fakeSource) WatchDocument(ctx context.Context, since uint64, wait time.Duration, _ discovery.Progress) (discovery.LatestDocument, error) {
+func (s *fakeSource) WatchDocument(ctx context.Context, since revision.Revision, wait time.Duration, _ discovery.Progress) (discovery.LatestDocument, error) {
 	state, err := s.await(ctx, since, wait, &s.documentHistoryGone)
 	newest := discovery.LatestDocument{At: state.Revision}
 	if state.Document.Revision > since {
@@ -131,7 +132,7 @@
 }
 
 // await returns the state once it is newer than a revision or the wait time has expired.
-func (s *fakeSource) await(ctx context.Context, since uint64, wait time.Duration, gone *bool) (sourceState, error) {
+func (s *fakeSource) await(ctx context.Context, since revision.Revision, wait time.Duration, gone *bool) (sourceState, error) {
 	until := time.Now().Add(wait)
 	for {
 		state, out := s.read()
@@ -196,7 +197,7 @@
 	return status
 }
 
-func (p fakePeers) State(_ context.Context, newerThan uint64) (discovery.PeerState, error) {
+func (p fakePeers) State(_ context.Context, newerThan revision.Revision) (discovery.PeerState, error) {
 	state, out := p.read()
 	if out {
 		return discovery.PeerState{}, errUnavailable
@@ -222,7 +223,7 @@
 	return p.relays
 }
 
-func (p fakePeers) Holders(newerThan uint64) []string {
+func (p fakePeers) Holders(newerThan revision.Revision) []string {
 	if state, out := p.read(); out || state.Document.Revision <= newerThan {
 		return nil
 	}
@@ -245,14 +246,14 @@
 
 func (fakePeers) Announce() {}
 
-func document(revision, version uint64) discovery.Document {
+func document(at revision.Revision, version uint64) discovery.Document {
 	data, err := json.Marshal(route.Config{Version: version})
 	Expect(err).NotTo(HaveOccurred())
-	return discovery.Document{Revision: revision, Data: data}
+	return discovery.Document{Revision: at, Data: data}
 }
 
-func state(revision, documentRevision, version uint64, endpoints ...string) sourceState {
-	s := sourceState{Revision: revision, Document: document(documentRevision, version)}
+func state(at, documentRevision revision.Revision, version uint64, endpoints ...string) sourceState {
+	s := sourceState{Revision: at, Document: document(documentRevision, version)}
 	for _, id := range endpoints {
 		s.Endpoints = append(s.Endpoints, fleet.Endpoint{ID: id, Service: "s"})
 	}
@@ -284,7 +285,7 @@
 	}
 	// listed returns the revision of the endpoints, which are delivered separately from the
 	// configuration.
-	listed := func() uint64 { return f.View().Fleet.Revision }
+	listed := func() revision.Revision { return f.View().Fleet.Revision }
 	ready := func() int { return len(f.View().Fleet.Ready("s")) }
 	put := func(s *fakeSource, next sourceState) { s.set(func(s *fakeSource) { s.state = next }) }
 
@@ -335,7 +336,7 @@
 		Eventually(version).Should(Equal(uint64(1)))
 		store.set(func(s *fakeSource) { s.answersLate = true })
 		for n := uint64(2); n <= 8; n++ {
-			put(store, state(5*n, 5*n, n, "a"))
+			put(store, state(revision.Revision(5*n), revision.Revision(5*n), n, "a"))
 			Eventually(version).WithTimeout(4 * time.Second).Should(Equal(n))
 		}
 	})
@@ -357,7 +358,7 @@
 		Eventually(ready).Should(Equal(3))
 		outage()
 		store.loseHistory(state(9, 8, 7, "b"))
-		Eventually(listed).Should(Equal(uint64(9)))
+		Eventually(listed).Should(Equal(revision.Revision(9)))
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(ready()).To(Equal(3))
 		back := state(10, 8, 7, "a", "b")
@@ -385,7 +386,7 @@
 		Eventually(ready).Should(Equal(1))
 		outage()
 		store.loseHistory(state(9, 8, 7))
-		Eventually(listed).Should(Equal(uint64(9)))
+		Eventually(listed).Should(Equal(revision.Revision(9)))
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(f.View().Fleet.All()).To(HaveLen(1))
 		Expect(f.View().Fleet.MayGetWork("b")).To(BeTrue())
@@ -400,21 +401,21 @@
 		Expect(f.Departing(8)).To(Equal([]string{"a"}))
 		By("an entry that changes, is read again, or expires in an outage and returns")
 		put(store, state(6, 4, 3, "a", "b"))
-		Eventually(listed).Should(Equal(uint64(6)))
+		Eventually(listed).Should(Equal(revision.Revision(6)))
 		Expect(ready()).To(Equal(1))
 		outage()
 		store.loseHistory(state(9, 8, 7, "b"))
-		Eventually(listed).Should(Equal(uint64(9)))
+		Eventually(listed).Should(Equal(revision.Revision(9)))
 		Expect(f.View().Fleet.MayGetWork("a")).To(BeFalse())
 		Expect(f.Departing(8)).To(BeEmpty())
 		put(store, state(12, 12, 8, "a", "b"))
-		Eventually(listed).Should(Equal(uint64(12)))
+		Eventually(listed).Should(Equal(revision.Revision(12)))
 		Expect(ready()).To(Equal(1))
 		By("the source listing it as leaving")
 		leaving := state(15, 12, 8, "a", "b", "unknown")
 		leaving.Endpoints[0].Leaving = true
 		put(store, leaving)
-		Eventually(listed).Should(Equal(uint64(15)))
+		Eventually(listed).Should(Equal(revision.Revision(15)))
 		Expect(ready()).To(Equal(1), "the other departure was reported before the endpoint was listed")
 		Expect(f.Departing(8)).To(Equal([]string{"unknown"}))
 	})
@@ -423,7 +424,7 @@
 		put(store, state(5, 4, 3, "a", "b"))
 		Eventually(ready).Should(Equal(2))
 		store.loseHistory(state(9, 8, 7, "b"))
-		Eventually(listed).Should(Equal(uint64(9)))
+		Eventually(listed).Should(Equal(revision.Revision(9)))
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(ready()).To(Equal(1))
 	})
@@ -451,27 +452,27 @@
 	It("relays changes as soon as they arrive, or reports that they are no longer kept", func() {
 		put(store, state(5, 4, 3, "a"))
 		Eventually(version).Should(Equal(uint64(3)))
-		Eventually(listed).Should(Equal(uint64(5)))
+		Eventually(listed).Should(Equal(revision.Revision(5)))
 		By("reading everything again, which drops the kept changes")
 		store.loseHistory(state(6, 4, 3, "a"))
-		Eventually(listed).Should(Equal(uint64(6)))
-		ask := func(since uint64, wait time.Duration) discovery.RelayResponse {
+		Eventually(listed).Should(Equal(revision.Revision(6)))
+		ask := func(since revision.Revision, wait time.Duration) discovery.RelayResponse {
 			return f.Relay(discovery.RelayRequest{Since: since, Document: 4, Wait: wait})
 		}
 		nothing := ask(6, 10*time.Millisecond)
-		Expect(nothing.Changes.Revision).To(Equal(uint64(6)))
-		Expect(nothing.Status.Revision).To(Equal(uint64(4)))
+		Expect(nothing.Changes.Revision).To(Equal(revision.Revision(6)))
+		Expect(nothing.Status.Revision).To(Equal(revision.Revision(4)))
 		got := make(chan discovery.RelayResponse, 1)
 		go func() { got <- ask(6, 5*time.Second) }()
 		put(store, state(9, 4, 3, "a", "b"))
-		Eventually(got).Should(Receive(HaveField("Changes.Revision", uint64(9))))
+		Eventually(got).Should(Receive(HaveField("Changes.Revision", revision.Revision(9))))
 		go func() { got <- ask(9, 5*time.Second) }()
 		put(store, state(11, 10, 7, "a", "b"))
-		Eventually(got).Should(Receive(Or(HaveField("Status.Revision", uint64(10)), HaveField("Changes.Revision", uint64(11)))))
-		Eventually(func() uint64 { return ask(11, 0).Status.Revision }).Should(Equal(uint64(10)))
-		Eventually(listed).Should(Equal(uint64(11)))
+		Eventually(got).Should(Receive(Or(HaveField("Status.Revision", revision.Revision(10)), HaveField("Changes.Revision", revision.Revision(11)))))
+		Eventually(func() revision.Revision { return ask(11, 0).Status.Revision }).Should(Equal(revision.Revision(10)))
+		Eventually(listed).Should(Equal(revision.Revision(11)))
 		By("sending a requester whose revision lies between two entries all that it may lack")
-		Expect(ask(7, time.Second)).To(SatisfyAll(HaveField("Gone", false), HaveField("Changes.Revision", uint64(11))))
+		Expect(ask(7, time.Second)).To(SatisfyAll(HaveField("Gone", false), HaveField("Changes.Revision", revision.Revision(11))))
 		Expect(ask(3, time.Second).Gone).To(BeTrue())
 	})
 })
--- a/pkg/discovery/document_cache.go
+++ b/pkg/discovery/document_cache.go
@@ -11,6 +11,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/gzipcodec"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 const (
@@ -31,7 +32,7 @@
 	// Asker is the name of the requesting instance.
 	Asker string `json:"asker"`
 	// NewerThan is the revision of the requester's document.
-	NewerThan uint64 `json:"newer_than"`
+	NewerThan revision.Revision `json:"newer_than"`
 	// MaxAge is the maximum age, in nanoseconds, of the peer's confirmation that its document is
 	// the newest. 0 accepts any age.
 	MaxAge time.Duration `json:"max_age_ns,omitempty"`
@@ -56,13 +57,13 @@
 
 // packedDocument is a compressed document.
 type packedDocument struct {
-	revision uint64
+	revision revision.Revision
 	digest   string
 	data     []byte
 }
 
-func newPackedDocument(revision uint64, data []byte) *packedDocument {
-	return &packedDocument{revision: revision, digest: digestOf(data), data: data}
+func newPackedDocument(at revision.Revision, data []byte) *packedDocument {
+	return &packedDocument{revision: at, digest: digestOf(data), data: data}
 }
 
 func digestOf(data []byte) string {
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 const (
@@ -135,10 +137,10 @@
 }
 
 // cancelWhenNewer cancels a call once a document newer than the given revision is in force.
-func (f *Follower) cancelWhenNewer(ctx context.Context, t *transfer, revision uint64) {
+func (f *Follower) cancelWhenNewer(ctx context.Context, t *transfer, than revision.Revision) {
 	for {
 		changed := f.history.changed()
-		if f.View().Document.Revision > revision {
+		if f.View().Document.Revision > than {
 			t.cancel()
 			return
 		}
@@ -152,7 +154,7 @@
 
 // deliverDocument delivers a response of the source to the view. The response contains the orders
 // given after since, or all orders in force if since is 0.
-func (f *Follower) deliverDocument(ctx context.Context, newest LatestDocument, since uint64, at time.Time) {
+func (f *Follower) deliverDocument(ctx context.Context, newest LatestDocument, since revision.Revision, at time.Time) {
 	f.logInvalidEvacuations(newest.Evacuations, newest.At)
 	f.logInvalidRollouts(newest.Rollouts)
 	view := f.View()
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -7,6 +7,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 const (
@@ -152,12 +154,12 @@
 }
 
 // logCall logs a successful call to the source and the revision of its response.
-func (f *Follower) logCall(of, call string, t *transfer, at uint64) {
+func (f *Follower) logCall(of, call string, t *transfer, at revision.Revision) {
 	f.log.WithFields(f.callFields("source_call", of, call, t)).WithField("revision", at).Info()
 }
 
 // logOlder logs and counts a response that is older than what this instance knows and was dropped.
-func (f *Follower) logOlder(of string, at, known uint64) {
+func (f *Follower) logOlder(of string, at, known revision.Revision) {
 	f.olderResponses.Add(1)
 	f.log.WithFields(logrus.Fields{"event": "source_older", "of": of, "revision": at, "known": known}).Warn("the response of the source is older than the known state and was dropped")
 }
--- a/pkg/discovery/evacuations.go
+++ b/pkg/discovery/evacuations.go
@@ -4,13 +4,14 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // orders contains the evacuations and rollouts that the source returned as of a revision: those
 // given after since, or all that are in force if since is 0. The zero value contains none.
 type orders struct {
-	since       uint64
-	at          uint64
+	since       revision.Revision
+	at          revision.Revision
 	evacuations []fleet.Evacuation
 	rollouts    []fleet.RolloutOrder
 }
@@ -59,10 +60,10 @@
 }
 
 // logInvalidEvacuations logs orders without a failure domain, which are ignored.
-func (f *Follower) logInvalidEvacuations(given []fleet.Evacuation, revision uint64) {
+func (f *Follower) logInvalidEvacuations(given []fleet.Evacuation, at revision.Revision) {
 	for _, order := range given {
 		if order.Domain == "" {
-			f.log.WithFields(logrus.Fields{"event": "evacuation_refused", "revision": revision}).Warn("evacuation order names no failure domain; remove it and create one that does")
+			f.log.WithFields(logrus.Fields{"event": "evacuation_refused", "revision": at}).Warn("evacuation order names no failure domain; remove it and create one that does")
 		}
 	}
 }
--- a/pkg/discovery/evacuations_test.go
+++ b/pkg/discovery/evacuations_test.go
@@ -11,11 +11,12 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // inDomains returns a state with one endpoint in each of the failure domains a and b, named after
 // it, and the given evacuations.
-func inDomains(revision uint64, evacuated ...string) sourceState {
+func inDomains(revision revision.Revision, evacuated ...string) sourceState {
 	s := state(revision, 1, 1)
 	for _, domain := range []string{"a", "b"} {
 		s.Endpoints = append(s.Endpoints, fleet.Endpoint{ID: domain, Service: "s", FailureDomain: domain})
@@ -73,7 +74,7 @@
 			s.state = inDomains(8)
 			s.orders = []fleet.Evacuation{{Domain: "a"}, {Domain: "b"}, {Domain: "a", Ended: true}, {Domain: "b", Ended: true}}
 		})
-		Eventually(func() uint64 { return f.View().Evacuations().Revision }).Should(Equal(uint64(8)))
+		Eventually(func() revision.Revision { return f.View().Evacuations().Revision }).Should(Equal(revision.Revision(8)))
 		Expect(ready(f)()).To(HaveExactElements("a", "b"))
 	})
 
@@ -172,7 +173,7 @@
 }
 
 // ordersSince returns the orders after a revision, as returned by a watch.
-func (s *fakeSource) ordersSince(since uint64, state sourceState) []fleet.Evacuation {
+func (s *fakeSource) ordersSince(since revision.Revision, state sourceState) []fleet.Evacuation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.orders != nil && since < state.Revision {
--- a/pkg/discovery/fetch_test.go
+++ b/pkg/discovery/fetch_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // pieceHolders are peers that serve a document in small pieces, each with its own fault.
@@ -41,7 +42,7 @@
 	}
 }
 
-func (h *pieceHolders) Holders(newerThan uint64) []string {
+func (h *pieceHolders) Holders(newerThan revision.Revision) []string {
 	if h.fakePeers.Holders(newerThan) == nil {
 		return nil
 	}
@@ -209,7 +210,7 @@
 // progressInterval is the interval between two progress reports.
 const progressInterval = 50 * time.Millisecond
 
-func (s slowLinkSource) WatchDocument(ctx context.Context, since uint64, wait time.Duration, progress discovery.Progress) (discovery.LatestDocument, error) {
+func (s slowLinkSource) WatchDocument(ctx context.Context, since revision.Revision, wait time.Duration, progress discovery.Progress) (discovery.LatestDocument, error) {
 	newest, err := s.fakeSource.WatchDocument(ctx, since, wait, progress)
 	if err != nil || newest.Document.Revision == 0 {
 		return newest, err
@@ -236,14 +237,14 @@
 			t.Kill(nil)
 			_ = t.Wait()
 		})
-		relay := func(since uint64) discovery.RelayResponse {
+		relay := func(since revision.Revision) discovery.RelayResponse {
 			return f.Relay(discovery.RelayRequest{Since: since, Document: 4, Wait: 10 * time.Millisecond})
 		}
-		document := func() uint64 { return relay(5).Status.Revision }
-		Eventually(document).Should(Equal(uint64(4)))
+		document := func() revision.Revision { return relay(5).Status.Revision }
+		Eventually(document).Should(Equal(revision.Revision(4)))
 		store.set(func(s *fakeSource) { s.state = state(9, 8, 7, "a", "b") })
-		Eventually(func() uint64 { return relay(5).Changes.Revision }).Should(Equal(uint64(9)))
-		Expect(document()).To(Equal(uint64(4)))
-		Eventually(document).Should(Equal(uint64(8)))
+		Eventually(func() revision.Revision { return relay(5).Changes.Revision }).Should(Equal(revision.Revision(9)))
+		Expect(document()).To(Equal(revision.Revision(4)))
+		Eventually(document).Should(Equal(revision.Revision(8)))
 	})
 })
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -104,7 +105,7 @@
 
 // LocalState returns the local state for a peer that has the endpoints of revision newerThan. The
 // endpoints are omitted unless they are newer.
-func (f *Follower) LocalState(newerThan uint64) PeerState {
+func (f *Follower) LocalState(newerThan revision.Revision) PeerState {
 	view, now := f.View(), f.clock.Now()
 	known := PeerState{State: State{Revision: view.listed.Revision}, Age: view.FleetAge(now), Status: view.status(now)}
 	if known.State.Revision > newerThan {
@@ -116,12 +117,12 @@
 
 // ObserveRevision records the document revision that a peer has in force. It does not block: if the queue is
 // full the revision is dropped, and reported again later.
-func (f *Follower) ObserveRevision(revision uint64) {
-	if revision <= f.View().Document.Revision {
+func (f *Follower) ObserveRevision(at revision.Revision) {
+	if at <= f.View().Document.Revision {
 		return
 	}
 	select {
-	case f.peerRevisions <- revisionUpdate(revision):
+	case f.peerRevisions <- revisionUpdate(at):
 	default:
 	}
 }
--- a/pkg/discovery/history.go
+++ b/pkg/discovery/history.go
@@ -1,13 +1,17 @@
 package discovery
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
+)
 
 // historyLength bounds the number of changes kept for relaying.
 const historyLength = 512
 
 // historyEntry contains the changes between two revisions.
 type historyEntry struct {
-	from    uint64
+	from    revision.Revision
 	changes Changes
 }
 
@@ -22,7 +26,7 @@
 func newHistory() *history { return &history{notify: make(chan struct{})} }
 
 // add appends the changes that follow a revision.
-func (h *history) add(from uint64, changes Changes) {
+func (h *history) add(from revision.Revision, changes Changes) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if changes.Revision == from {
@@ -62,17 +66,17 @@
 
 // since returns the changes after a revision up to another one, or false if they are no longer
 // kept.
-func (h *history) since(revision, upTo uint64) (Changes, bool) {
+func (h *history) since(after, upTo revision.Revision) (Changes, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var all Changes
 	found := false
 	for _, s := range h.entries {
-		if s.changes.Revision <= revision || s.changes.Revision > upTo {
+		if s.changes.Revision <= after || s.changes.Revision > upTo {
 			continue
 		}
 		// The first entry may start before the revision: applying a change twice is harmless.
-		found = found || s.from <= revision
+		found = found || s.from <= after
 		all.Revision = s.changes.Revision
 		all.Endpoints = append(all.Endpoints, s.changes.Endpoints...)
 	}
@@ -108,7 +112,7 @@
 }
 
 // relayResponse returns the changes in a view after a revision of the endpoints.
-func (f *Follower) relayResponse(view *View, since uint64) RelayResponse {
+func (f *Follower) relayResponse(view *View, since revision.Revision) RelayResponse {
 	now := f.clock.Now()
 	response := RelayResponse{Age: view.FleetAge(now), Status: view.status(now)}
 	if view.listed.Revision <= since {
--- a/pkg/discovery/model_test.go
+++ b/pkg/discovery/model_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -27,13 +28,13 @@
 	clock *clockwork.FakeClock
 	// revision is the current revision of the source, and documents contains the revisions of its
 	// documents. The version of a document is its index plus one.
-	revision  uint64
-	documents []uint64
+	revision  revision.Revision
+	documents []revision.Revision
 	// invalid contains the documents that fail to compile.
-	invalid map[uint64]bool
+	invalid map[revision.Revision]bool
 	// orders contains the evacuation orders; ordered contains their revisions.
 	orders  []fleet.Evacuation
-	ordered []uint64
+	ordered []revision.Revision
 	// rollouts contains the rollout orders with their revisions.
 	rollouts  []fleet.RolloutOrder
 	followers []*Follower
@@ -48,16 +49,16 @@
 	to     int
 	update update
 	// has is the revision of the sender's document, or 0 if the update does not tell it.
-	has uint64
+	has revision.Revision
 }
 
 type heardRevision struct {
-	revision uint64
+	revision revision.Revision
 	at       time.Time
 }
 
 func newModel(followers int) *model {
-	m := &model{clock: clockwork.NewFakeClock(), revision: 1, invalid: map[uint64]bool{}}
+	m := &model{clock: clockwork.NewFakeClock(), revision: 1, invalid: map[revision.Revision]bool{}}
 	for range followers {
 		m.start()
 	}
@@ -70,25 +71,25 @@
 }
 
 // newest returns the revision of the newest document as of a revision of the source.
-func (m *model) newest(at uint64) (revision uint64) {
+func (m *model) newest(at revision.Revision) (latest revision.Revision) {
 	for _, d := range m.documents {
 		if d <= at {
-			revision = d
+			latest = d
 		}
 	}
-	return revision
+	return latest
 }
 
 // evacuated returns the evacuations as of a revision of the source.
-func (m *model) evacuated(at uint64) fleet.Evacuations {
+func (m *model) evacuated(at revision.Revision) fleet.Evacuations {
 	return fleet.Evacuations{}.With(at, m.ordersAfter(0, at))
 }
 
 // ordersAfter returns the orders after one revision up to another.
-func (m *model) ordersAfter(since, at uint64) []fleet.Evacuation {
+func (m *model) ordersAfter(since, at revision.Revision) []fleet.Evacuation {
 	var orders []fleet.Evacuation
-	for i, revision := range m.ordered {
-		if revision > since && revision <= at {
+	for i, ordered := range m.ordered {
+		if ordered > since && ordered <= at {
 			orders = append(orders, m.orders[i])
 		}
 	}
@@ -96,11 +97,11 @@
 }
 
 // rolled returns the rollouts as of a revision of the source.
-func (m *model) rolled(at uint64) fleet.Rollouts {
+func (m *model) rolled(at revision.Revision) fleet.Rollouts {
 	return fleet.Rollouts{}.With(at, m.rolloutsAfter(0, at))
 }
 
-func (m *model) rolloutsAfter(since, at uint64) []fleet.RolloutOrder {
+func (m *model) rolloutsAfter(since, at revision.Revision) []fleet.RolloutOrder {
 	var orders []fleet.RolloutOrder
 	for _, order := range m.rollouts {
 		if order.Revision > since && order.Revision <= at {
@@ -130,12 +131,12 @@
 	})
 }
 
-func (m *model) table(revision uint64) *route.Table {
-	if m.invalid[revision] {
+func (m *model) table(at revision.Revision) *route.Table {
+	if m.invalid[at] {
 		return nil
 	}
 	for version, d := range m.documents {
-		if d == revision {
+		if d == at {
 			return &route.Table{Version: uint64(version + 1)}
 		}
 	}
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -20,28 +21,28 @@
 
 // Document is a configuration as written by the operator. Revision 0 means none.
 type Document struct {
-	Revision uint64 `json:"revision"`
-	Data     []byte `json:"data"`
+	Revision revision.Revision `json:"revision"`
+	Data     []byte            `json:"data"`
 }
 
 // State contains the endpoints that the source lists as of a revision.
 type State struct {
-	Revision  uint64           `json:"revision"`
-	Endpoints []fleet.Endpoint `json:"endpoints"`
+	Revision  revision.Revision `json:"revision"`
+	Endpoints []fleet.Endpoint  `json:"endpoints"`
 	// Refused contains the invalid entries.
 	Refused []fleet.Change `json:"-"`
 }
 
 // Changes contains the changes of the endpoints up to a revision.
 type Changes struct {
-	Revision  uint64         `json:"revision"`
-	Endpoints []fleet.Change `json:"endpoints,omitempty"`
+	Revision  revision.Revision `json:"revision"`
+	Endpoints []fleet.Change    `json:"endpoints,omitempty"`
 }
 
 // LatestDocument is the newest document as of a revision of the source.
 type LatestDocument struct {
 	// At is the revision of the source, which increases with every write.
-	At uint64
+	At revision.Revision
 	// Document has revision 0 if the caller already has the newest one.
 	Document Document
 	// Evacuations contains the evacuation orders in the order in which they were given: all that
@@ -60,13 +61,13 @@
 	State(ctx context.Context, progress Progress) (State, error)
 	// Watch returns the changes of the endpoints after a revision as soon as there are any, or none
 	// when the wait time expires. It returns ErrHistoryGone if they are no longer available.
-	Watch(ctx context.Context, since uint64, wait time.Duration, progress Progress) (Changes, error)
+	Watch(ctx context.Context, since revision.Revision, wait time.Duration, progress Progress) (Changes, error)
 	// Document reads the newest document and the orders in force.
 	Document(ctx context.Context, progress Progress) (LatestDocument, error)
 	// WatchDocument returns as soon as a document was written or an order was given or withdrawn
 	// after a revision of the source, or when the wait time expires. It returns ErrHistoryGone if
 	// the changes since that revision are no longer available.
-	WatchDocument(ctx context.Context, since uint64, wait time.Duration, progress Progress) (LatestDocument, error)
+	WatchDocument(ctx context.Context, since revision.Revision, wait time.Duration, progress Progress) (LatestDocument, error)
 	Decode(d Document) (route.Config, error)
 }
 
@@ -74,13 +75,13 @@
 // the newest.
 type DocumentStatus struct {
 	// Revision is the revision of the document; 0 means none.
-	Revision uint64 `json:"revision"`
+	Revision revision.Revision `json:"revision"`
 	// At is the revision of the source as of which the document was the newest. That was confirmed
 	// Age, in nanoseconds, before the status was created.
-	At  uint64        `json:"at"`
-	Age time.Duration `json:"age_ns"`
+	At  revision.Revision `json:"at"`
+	Age time.Duration     `json:"age_ns"`
 	// Newest is the highest document revision known to the instance.
-	Newest uint64 `json:"newest"`
+	Newest revision.Revision `json:"newest"`
 	// Evacuations contains the evacuated failure domains. Instances of older versions omit it; the
 	// receiver then queries the source.
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
@@ -114,8 +115,8 @@
 type RelayRequest struct {
 	// Since is the revision of the endpoints. Document is the highest document revision that the
 	// requester has or knows of.
-	Since    uint64
-	Document uint64
+	Since    revision.Revision
+	Document revision.Revision
 	// Evacuations contains the evacuations known to the requester.
 	Evacuations fleet.Evacuations
 	// Rollouts contains the rollout orders known to the requester.
@@ -127,7 +128,7 @@
 // Peers provides the state of other instances.
 type Peers interface {
 	// State requests the endpoints of a live instance if they are newer than the given revision.
-	State(ctx context.Context, newerThan uint64) (PeerState, error)
+	State(ctx context.Context, newerThan revision.Revision) (PeerState, error)
 	// Relay requests data that is newer than the requester's. It returns as soon as there is any,
 	// or when the requested wait time expires.
 	Relay(ctx context.Context, relay string, selection RelayRequest) (RelayResponse, error)
@@ -136,7 +137,7 @@
 	Relays() []string
 	// Holders returns the peer addresses of live instances whose document is newer than a revision,
 	// in order of preference.
-	Holders(newerThan uint64) []string
+	Holders(newerThan revision.Revision) []string
 	// Piece requests a piece of the compressed document that a peer has in force.
 	Piece(ctx context.Context, peer string, selection PieceRequest) (Piece, error)
 	// Announce notifies the other instances of the document in force.
--- a/pkg/discovery/timeouts_test.go
+++ b/pkg/discovery/timeouts_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // countingSource counts the read and watch calls for documents.
@@ -25,7 +26,7 @@
 	return c.fakeSource.Document(ctx, p)
 }
 
-func (c *countingSource) WatchDocument(ctx context.Context, since uint64, wait time.Duration, p discovery.Progress) (discovery.LatestDocument, error) {
+func (c *countingSource) WatchDocument(ctx context.Context, since revision.Revision, wait time.Duration, p discovery.Progress) (discovery.LatestDocument, error) {
 	c.documents.Add(1)
 	return c.fakeSource.WatchDocument(ctx, since, wait, p)
 }
@@ -37,7 +38,7 @@
 	calls    atomic.Int64
 }
 
-func (n *followerPeers) State(_ context.Context, newerThan uint64) (discovery.PeerState, error) {
+func (n *followerPeers) State(_ context.Context, newerThan revision.Revision) (discovery.PeerState, error) {
 	return n.follower.Load().LocalState(newerThan), nil
 }
 
@@ -48,7 +49,7 @@
 
 func (n *followerPeers) Relays() []string { return n.relays }
 
-func (*followerPeers) Holders(uint64) []string { return nil }
+func (*followerPeers) Holders(revision.Revision) []string { return nil }
 
 func (*followerPeers) Piece(context.Context, string, discovery.PieceRequest) (discovery.Piece, error) {
 	return discovery.Piece{}, errUnavailable
@@ -62,7 +63,7 @@
 	delay time.Duration
 }
 
-func (s slowPeers) State(ctx context.Context, newerThan uint64) (discovery.PeerState, error) {
+func (s slowPeers) State(ctx context.Context, newerThan revision.Revision) (discovery.PeerState, error) {
 	select {
 	case <-time.After(s.delay):
 		return s.fakePeers.State(ctx, newerThan)
@@ -104,7 +105,7 @@
 	asked *atomic.Int64
 }
 
-func (c stateCountingPeers) State(ctx context.Context, newerThan uint64) (discovery.PeerState, error) {
+func (c stateCountingPeers) State(ctx context.Context, newerThan revision.Revision) (discovery.PeerState, error) {
 	c.asked.Add(1)
 	return c.fakePeers.State(ctx, newerThan)
 }
@@ -121,7 +122,9 @@
 			_ = t.Wait()
 		})
 	}
-	inForce := func(f *discovery.Follower) func() uint64 { return func() uint64 { return f.View().Document.Revision } }
+	inForce := func(f *discovery.Follower) func() revision.Revision {
+		return func() revision.Revision { return f.View().Document.Revision }
+	}
 
 	It("keeps serving when the holders of a newer version are silent, though neighbours have heard of it", func() {
 		store := &fakeSource{state: state(5, 4, 3, "a")}
@@ -131,12 +134,12 @@
 		ofOther.follower.Store(f)
 		run(f)
 		run(other)
-		Eventually(inForce(f)).Should(Equal(uint64(4)))
-		Eventually(inForce(other)).Should(Equal(uint64(4)))
+		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
+		Eventually(inForce(other)).Should(Equal(revision.Revision(4)))
 		store.set(func(s *fakeSource) { s.unavailable = true })
 		f.ObserveRevision(20)
 		By("the neighbour learning of it from this one")
-		Eventually(func() uint64 { return other.View().NewestRevision() }).WithTimeout(8 * time.Second).Should(Equal(uint64(20)))
+		Eventually(func() revision.Revision { return other.View().NewestRevision() }).WithTimeout(8 * time.Second).Should(Equal(revision.Revision(20)))
 		neither := func() bool { return f.View().Behind(time.Now()) || other.View().Behind(time.Now()) }
 		Eventually(neither).WithTimeout(8 * time.Second).Should(BeFalse())
 		Consistently(neither).WithTimeout(2 * time.Second).Should(BeFalse())
@@ -146,7 +149,7 @@
 		store := &fakeSource{state: state(5, 4, 3, "a")}
 		f := follow(store, fakePeers{&fakeSource{unavailable: true}})
 		run(f)
-		Eventually(inForce(f)).Should(Equal(uint64(4)))
+		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
 		f.ObserveRevision(8)
 		lacks := func() bool {
 			_, lacking := f.View().Lacking(time.Now())
@@ -161,13 +164,13 @@
 		store := &countingSource{fakeSource: &fakeSource{state: state(5, 4, 3, "a")}}
 		f := follow(store, fakePeers{&fakeSource{unavailable: true}})
 		run(f)
-		Eventually(inForce(f)).Should(Equal(uint64(4)))
+		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
 		store.set(func(s *fakeSource) { s.state = refused })
-		Eventually(func() uint64 { return f.View().DocumentAt }).Should(Equal(uint64(9)))
+		Eventually(func() revision.Revision { return f.View().DocumentAt }).Should(Equal(revision.Revision(9)))
 		before := store.documents.Load()
 		Consistently(func() time.Duration { return f.View().Age(time.Now()) }).WithTimeout(3 * time.Second).Should(BeNumerically("<", 2500*time.Millisecond))
 		Expect(store.documents.Load() - before).To(BeNumerically("<=", 4))
-		Expect(f.View().Table.Version).To(Equal(uint64(3)))
+		Expect(f.View().Table.Version).To(Equal(revision.Revision(3)))
 	},
 		Entry("of an older version", sourceState{Revision: 9, Document: discovery.Document{Revision: 8, Data: []byte(`{"Version":2}`)}}),
 		Entry("that does not parse", sourceState{Revision: 9, Document: discovery.Document{Revision: 8, Data: []byte(`{`)}}),
@@ -179,7 +182,7 @@
 		run(f)
 		Consistently(store.documents.Load).WithTimeout(3 * time.Second).Should(BeNumerically("<=", 5))
 		store.set(func(s *fakeSource) { s.state = state(9, 8, 2, "a") })
-		Eventually(inForce(f)).Should(Equal(uint64(8)))
+		Eventually(inForce(f)).Should(Equal(revision.Revision(8)))
 	})
 
 	It("pauses between requests to a relay whose document it rejected", func() {
@@ -188,11 +191,11 @@
 		f, relay := follow(store, of), follow(store, fakePeers{&fakeSource{unavailable: true}})
 		of.follower.Store(relay)
 		run(f)
-		Eventually(inForce(f)).Should(Equal(uint64(4)))
+		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
 		store.set(func(s *fakeSource) { s.state = state(9, 8, 2, "a") })
-		Eventually(func() uint64 { return f.View().DocumentAt }).Should(Equal(uint64(9)))
+		Eventually(func() revision.Revision { return f.View().DocumentAt }).Should(Equal(revision.Revision(9)))
 		run(relay)
-		Eventually(inForce(relay)).Should(Equal(uint64(8)))
+		Eventually(inForce(relay)).Should(Equal(revision.Revision(8)))
 		before := of.calls.Load()
 		Consistently(func() int64 { return of.calls.Load() - before }).WithTimeout(time.Second).Should(BeNumerically("<=", 20))
 	})
@@ -201,7 +204,7 @@
 		store, peers := &fakeSource{state: state(5, 4, 3, "a")}, &fakeSource{state: state(9, 4, 3, "a", "b")}
 		f := follow(store, slowPeers{fakePeers{peers}, 1200 * time.Millisecond})
 		run(f)
-		Eventually(inForce(f)).Should(Equal(uint64(4)))
+		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
 		store.set(func(s *fakeSource) { s.unavailable = true })
 		Eventually(func() int { return len(f.View().Fleet.All()) }).WithTimeout(8 * time.Second).Should(Equal(2))
 	})
@@ -236,12 +239,12 @@
 // delayedSource delays its response with the given revision after it was created.
 type delayedSource struct {
 	*fakeSource
-	revision  uint64
+	revision  revision.Revision
 	delay     time.Duration
 	createdAt atomic.Pointer[time.Time]
 }
 
-func (h *delayedSource) Watch(ctx context.Context, since uint64, wait time.Duration, p discovery.Progress) (discovery.Changes, error) {
+func (h *delayedSource) Watch(ctx context.Context, since revision.Revision, wait time.Duration, p discovery.Progress) (discovery.Changes, error) {
 	changes, err := h.fakeSource.Watch(ctx, since, wait, p)
 	if now := time.Now(); err == nil && changes.Revision == h.revision && h.createdAt.CompareAndSwap(nil, &now) {
 		time.Sleep(h.delay)
@@ -259,8 +262,8 @@
 			t.Kill(nil)
 			_ = t.Wait()
 		})
-		listed := func() uint64 { return f.View().Fleet.Revision }
-		Eventually(listed).Should(Equal(uint64(5)))
+		listed := func() revision.Revision { return f.View().Fleet.Revision }
+		Eventually(listed).Should(Equal(revision.Revision(5)))
 		By("changing the endpoints during a watch")
 		watches := func() int {
 			store.mu.Lock()
@@ -270,11 +273,11 @@
 		Eventually(watches).Should(BeNumerically(">", 0))
 		store.set(func(s *fakeSource) { s.state = state(9, 4, 3, "a", "b") })
 		var first time.Time
-		Eventually(func() uint64 {
+		Eventually(func() revision.Revision {
 			view := f.View()
 			first = view.Confirmed
 			return view.Fleet.Revision
-		}).WithPolling(100 * time.Microsecond).Should(Equal(uint64(9)))
+		}).WithPolling(100 * time.Microsecond).Should(Equal(revision.Revision(9)))
 		const slack = 20 * time.Millisecond
 		Expect(first).To(BeTemporally("<=", store.createdAt.Load().Add(slack)))
 	})
--- a/pkg/discovery/updates.go
+++ b/pkg/discovery/updates.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -44,7 +45,7 @@
 // them and when it was last heard from.
 type changesUpdate struct {
 	changes     Changes
-	since       uint64
+	since       revision.Revision
 	confirmedAt time.Time
 	heardAt     time.Time
 }
@@ -152,10 +153,10 @@
 }
 
 // revisionUpdate is the document revision that a peer has in force.
-type revisionUpdate uint64
+type revisionUpdate revision.Revision
 
 func (n revisionUpdate) apply(f *Follower, view *View) func() {
-	return f.notifyIfNew(view.noteRevision(uint64(n), true, f.clock.Now()))
+	return f.notifyIfNew(view.noteRevision(revision.Revision(n), true, f.clock.Now()))
 }
 
 // notifyIfNew returns a function that announces a newly discovered document revision and starts to
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -26,7 +27,7 @@
 	Document Document
 	// DocumentAt is the revision of the source as of which Document was the newest, and
 	// DocumentConfirmed when that was confirmed, on the monotonic clock.
-	DocumentAt        uint64
+	DocumentAt        revision.Revision
 	DocumentConfirmed time.Time
 	// Fleet contains the endpoints that may be alive: the listed ones and, for a grace period after
 	// an outage of the source, those whose entries expired.
@@ -43,13 +44,13 @@
 	// announced describes newer documents announced by other instances.
 	announced announcement
 	// rejected is the revision of the newest document that could not be put in force.
-	rejected uint64
+	rejected revision.Revision
 }
 
 // announcement describes documents that are newer than the one in force.
 type announcement struct {
 	// newest is the highest announced revision, first announced at newestAt.
-	newest   uint64
+	newest   revision.Revision
 	newestAt time.Time
 	// lackingSince is when this instance first learned of a document that it still lacks.
 	// lastHolder is when an instance that has such a document last announced it; instances that
@@ -81,10 +82,12 @@
 func (v *View) Complete() bool { return v.Table != nil && v.ordersRevision() > 0 }
 
 // ordersRevision returns the revision of the source up to which all orders are known.
-func (v *View) ordersRevision() uint64 { return min(v.Evacuations().Revision, v.Rollouts().Revision) }
+func (v *View) ordersRevision() revision.Revision {
+	return min(v.Evacuations().Revision, v.Rollouts().Revision)
+}
 
 // watchRevision returns the revision of the source up to which all documents and orders are known.
-func (v *View) watchRevision() uint64 { return min(v.DocumentAt, v.ordersRevision()) }
+func (v *View) watchRevision() revision.Revision { return min(v.DocumentAt, v.ordersRevision()) }
 
 // Age returns the time since the source confirmed that the configuration is the newest.
 func (v *View) Age(now time.Time) time.Duration { return since(v.DocumentConfirmed, now) }
@@ -100,14 +103,20 @@
 }
 
 // NewestRevision returns the highest document revision that this instance knows of.
-func (v *View) NewestRevision() uint64 { return max(v.Document.Revision, v.announced.newest) }
+func (v *View) NewestRevision() revision.Revision {
+	return max(v.Document.Revision, v.announced.newest)
+}
 
 // resolvedRevision returns the revision of the source up to which every document is either in
 // force, superseded or rejected.
-func (v *View) resolvedRevision() uint64 { return max(v.Document.Revision, v.DocumentAt, v.rejected) }
+func (v *View) resolvedRevision() revision.Revision {
+	return max(v.Document.Revision, v.DocumentAt, v.rejected)
+}
 
 // knownRevision returns the revision up to which documents are in force, resolved or announced.
-func (v *View) knownRevision() uint64 { return max(v.resolvedRevision(), v.announced.newest) }
+func (v *View) knownRevision() revision.Revision {
+	return max(v.resolvedRevision(), v.announced.newest)
+}
 
 // Lacking reports whether a newer document than the one in force is known to exist, and for how
 // long.
@@ -138,8 +147,8 @@
 
 // noteRevision records a document revision reported by an instance that has the document, or only
 // knows of it if has is false. It returns whether the revision is the highest known so far.
-func (v *View) noteRevision(revision uint64, has bool, now time.Time) bool {
-	if revision <= v.resolvedRevision() {
+func (v *View) noteRevision(at revision.Revision, has bool, now time.Time) bool {
+	if at <= v.resolvedRevision() {
 		return false
 	}
 	if _, lacked := v.Lacking(now); !lacked {
@@ -148,10 +157,10 @@
 	if has {
 		v.announced.lastHolderAt = now
 	}
-	if revision <= v.announced.newest {
+	if at <= v.announced.newest {
 		return false
 	}
-	v.announced.newest, v.announced.newestAt = revision, now
+	v.announced.newest, v.announced.newestAt = at, now
 	return true
 }
 
--- a/pkg/fleet/change_bench_test.go
+++ b/pkg/fleet/change_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // services are the services of a large fleet with their share of the endpoints, in percent.
@@ -34,7 +35,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				e.Slots = i % 16
-				s = s.With(uint64(i+2), []fleet.Change{{Endpoint: e}})
+				s = s.With(revision.Revision(i+2), []fleet.Change{{Endpoint: e}})
 			}
 		})
 	}
--- a/pkg/fleet/departures_test.go
+++ b/pkg/fleet/departures_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 var _ = Describe("endpoints that said in answers that they leave", func() {
@@ -58,17 +59,17 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			all := fleet.New(1, nil)
 			said := fleet.Departures{}
-			revision := uint64(1)
+			at := revision.Revision(1)
 			t.Repeat(map[string]func(*rapid.T){
 				"an entry is written": func(t *rapid.T) {
-					revision++
+					at++
 					e := endpoint(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), rapid.SampledFrom([]string{"1", "2"}).Draw(t, "born"))
 					e.Leaving, e.Slots = rapid.Bool().Draw(t, "leaving"), rapid.IntRange(1, 3).Draw(t, "slots")
-					all = all.With(revision, []fleet.Change{{Endpoint: e, Gone: rapid.Bool().Draw(t, "gone")}})
+					all = all.With(at, []fleet.Change{{Endpoint: e, Gone: rapid.Bool().Draw(t, "gone")}})
 				},
 				"all entries are read": func(t *rapid.T) {
-					revision++
-					all = all.Replace(revision, []fleet.Endpoint{endpoint("a", rapid.SampledFrom([]string{"1", "2"}).Draw(t, "born")), endpoint("b", "1")})
+					at++
+					all = all.Replace(at, []fleet.Endpoint{endpoint("a", rapid.SampledFrom([]string{"1", "2"}).Draw(t, "born")), endpoint("b", "1")})
 				},
 				"an endpoint says that it leaves": func(t *rapid.T) {
 					said = maps.Clone(said)
--- a/pkg/fleet/edit_test.go
+++ b/pkg/fleet/edit_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 var _ = Describe("a snapshot of which a few endpoints change", func() {
@@ -21,7 +22,7 @@
 			entries := map[string]fleet.Endpoint{}
 			departed := fleet.Departures{}
 			var evacuated fleet.Evacuations
-			revision := uint64(1)
+			at := revision.Revision(1)
 			domain := rapid.SampledFrom([]string{"x", "y"})
 			entry := func(t *rapid.T) fleet.Endpoint {
 				name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "name")
@@ -35,7 +36,7 @@
 			}
 			t.Repeat(map[string]func(*rapid.T){
 				"entries": func(t *rapid.T) {
-					revision++
+					at++
 					var changes []fleet.Change
 					for range rapid.IntRange(1, 4).Draw(t, "n") {
 						c := fleet.Change{Endpoint: entry(t), Gone: rapid.IntRange(0, 3).Draw(t, "gone") == 0}
@@ -45,11 +46,11 @@
 							delete(entries, c.Endpoint.Name())
 						}
 					}
-					s = s.With(revision, changes)
+					s = s.With(at, changes)
 				},
 				"an evacuation": func(t *rapid.T) {
-					revision++
-					evacuated = evacuated.With(revision, []fleet.Evacuation{{Domain: domain.Draw(t, "domain"), Ended: rapid.Bool().Draw(t, "ended")}})
+					at++
+					evacuated = evacuated.With(at, []fleet.Evacuation{{Domain: domain.Draw(t, "domain"), Ended: rapid.Bool().Draw(t, "ended")}})
 					s = s.WithEvacuations(evacuated)
 				},
 				"a departure": func(t *rapid.T) {
@@ -58,9 +59,9 @@
 					s = s.WithDepartures(departed)
 				},
 				"an order": func(t *rapid.T) {
-					revision++
-					order := fleet.RolloutOrder{Rollout: fleet.Rollout{Service: "s", Version: "v2", Revision: revision}, Ended: rapid.Bool().Draw(t, "ended")}
-					s = s.WithRollouts(s.Rollouts().With(revision, []fleet.RolloutOrder{order}))
+					at++
+					order := fleet.RolloutOrder{Rollout: fleet.Rollout{Service: "s", Version: "v2", Revision: at}, Ended: rapid.Bool().Draw(t, "ended")}
+					s = s.WithRollouts(s.Rollouts().With(at, []fleet.RolloutOrder{order}))
 				},
 				"a rollout state": func(t *rapid.T) {
 					if order, found := s.Rollouts().ForService("s"); found {
@@ -94,7 +95,7 @@
 			return testing.AllocsPerRun(10, func() {
 				slots++
 				e.Slots = slots
-				s = s.With(uint64(slots+1), []fleet.Change{{Endpoint: e}})
+				s = s.With(revision.Revision(slots+1), []fleet.Change{{Endpoint: e}})
 			})
 		}
 		Expect(allocated(10_000)).To(BeNumerically("<", 4*allocated(1_000)))
--- a/pkg/fleet/evacuations.go
+++ b/pkg/fleet/evacuations.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Evacuations contains the evacuated failure domains as of a revision of the source. It is always
@@ -9,7 +11,7 @@
 // reliably as orders. In the zero value, with revision 0, the evacuations are unknown. It is
 // immutable.
 type Evacuations struct {
-	Revision uint64 `json:"revision"`
+	Revision revision.Revision `json:"revision"`
 	// Domains is sorted.
 	Domains []string `json:"domains,omitempty"`
 }
@@ -34,8 +36,8 @@
 
 // With returns the evacuations as of a revision after the orders are applied in sequence. Redundant
 // orders and orders without a failure domain have no effect.
-func (e Evacuations) With(revision uint64, orders []Evacuation) Evacuations {
-	after := Evacuations{Revision: revision, Domains: e.Domains}
+func (e Evacuations) With(at revision.Revision, orders []Evacuation) Evacuations {
+	after := Evacuations{Revision: at, Domains: e.Domains}
 	for _, order := range orders {
 		if order.Domain == "" || after.Has(order.Domain) == !order.Ended {
 			continue
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Endpoint is a process that provides a service.
@@ -30,11 +32,11 @@
 	ColdMs int64 `json:"cold_ms,omitempty"`
 	// ColdRevision is the revision of the entry that set ColdMs, or 0 if the endpoint is warm. It
 	// distinguishes a later warm-up with the same ColdMs.
-	ColdRevision uint64 `json:"cold_revision,omitempty"`
+	ColdRevision revision.Revision `json:"cold_revision,omitempty"`
 	// Returned is the revision as of which the evacuation of the failure domain was last known to
 	// have ended, or 0 if it was never evacuated during the lifetime of this process. It is only
 	// set by Ready.
-	Returned uint64 `json:"-"`
+	Returned revision.Revision `json:"-"`
 }
 
 // Name returns the name that the source and the endpoint itself use.
@@ -47,7 +49,7 @@
 
 // Snapshot is the set of endpoints as of a revision. It is immutable.
 type Snapshot struct {
-	Revision uint64
+	Revision revision.Revision
 	// endpoints is keyed by name, so that a new incarnation replaces the previous one. namesByID
 	// maps IDs to names.
 	endpoints cowMap[Endpoint]
@@ -60,7 +62,7 @@
 	// evacuations contains the evacuated failure domains. returnedAt maps failure domains to the
 	// revision as of which their last evacuation ended.
 	evacuations Evacuations
-	returnedAt  map[string]uint64
+	returnedAt  map[string]revision.Revision
 	// departures contains the endpoints that have announced their departure in a response.
 	departures Departures
 	// rollouts contains the orders to move traffic between versions, and rolloutStates their state.
@@ -84,21 +86,21 @@
 }
 
 // New returns a snapshot with the given endpoints and no evacuations.
-func New(revision uint64, endpoints []Endpoint) *Snapshot {
-	return (&Snapshot{}).Replace(revision, endpoints)
+func New(at revision.Revision, endpoints []Endpoint) *Snapshot {
+	return (&Snapshot{}).Replace(at, endpoints)
 }
 
 // Replace returns the snapshot with all endpoints replaced as of a revision. It keeps the
 // evacuations, departures and rollouts.
-func (s *Snapshot) Replace(revision uint64, endpoints []Endpoint) *Snapshot {
+func (s *Snapshot) Replace(at revision.Revision, endpoints []Endpoint) *Snapshot {
 	replaced := *s
 	all, names := cowMap[Endpoint]{}.edit(), cowMap[string]{}.edit()
 	for _, e := range endpoints {
 		all.set(e.Name(), e)
 		names.set(e.ID, e.Name())
-		replaced.versions = replaced.versions.with(revision, e)
+		replaced.versions = replaced.versions.with(at, e)
 	}
-	replaced.Revision, replaced.endpoints, replaced.namesByID = revision, all.freeze(), names.freeze()
+	replaced.Revision, replaced.endpoints, replaced.namesByID = at, all.freeze(), names.freeze()
 	return replaced.rebuild()
 }
 
@@ -135,9 +137,9 @@
 
 // With returns the snapshot with changes applied as of a revision. It shares the endpoints if no
 // change has an effect.
-func (s *Snapshot) With(revision uint64, changes []Change) *Snapshot {
+func (s *Snapshot) With(at revision.Revision, changes []Change) *Snapshot {
 	after := *s
-	after.Revision = revision
+	after.Revision = at
 	if !s.changedBy(changes) {
 		return &after
 	}
@@ -170,7 +172,7 @@
 		return &after
 	}
 	_, returned := e.Changed(s.evacuations)
-	after.returnedAt = make(map[string]uint64, len(s.returnedAt)+len(returned))
+	after.returnedAt = make(map[string]revision.Revision, len(s.returnedAt)+len(returned))
 	maps.Copy(after.returnedAt, s.returnedAt)
 	for _, domain := range returned {
 		after.returnedAt[domain] = e.Revision
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 func TestFleet(t *testing.T) {
@@ -23,7 +24,7 @@
 		func(orders []fleet.Evacuation, domains ...string) {
 			e := fleet.Evacuations{}.With(7, orders)
 			Expect(e.Known()).To(BeTrue())
-			Expect(e.Revision).To(Equal(uint64(7)))
+			Expect(e.Revision).To(Equal(revision.Revision(7)))
 			Expect(e.Domains).To(HaveExactElements(domains))
 		},
 		Entry("none", nil),
@@ -56,8 +57,8 @@
 		}
 		return ids
 	}
-	orders := func(revision uint64, domains ...string) fleet.Evacuations {
-		return fleet.Evacuations{Revision: revision, Domains: domains}
+	orders := func(at revision.Revision, domains ...string) fleet.Evacuations {
+		return fleet.Evacuations{Revision: at, Domains: domains}
 	}
 
 	It("excludes the endpoints of evacuated failure domains until they are restored", func() {
@@ -70,7 +71,7 @@
 		Expect(known).To(BeTrue(), "running work is not affected")
 		s = s.WithEvacuations(orders(5))
 		Expect(ids(s)).To(HaveExactElements("a1", "b1"))
-		Expect(s.Ready("s")[0].Returned).To(Equal(uint64(5)))
+		Expect(s.Ready("s")[0].Returned).To(Equal(revision.Revision(5)))
 		Expect(s.Ready("s")[1].Returned).To(BeZero())
 	})
 
--- a/pkg/fleet/rollouts.go
+++ b/pkg/fleet/rollouts.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Rollout is an order to move the traffic of a service to the endpoints of another version.
@@ -17,7 +19,7 @@
 	// OverMs is the duration of the rollout in milliseconds.
 	OverMs int64 `json:"over_ms"`
 	// Revision identifies the order. An identical order that is given again has a new revision.
-	Revision uint64 `json:"revision"`
+	Revision revision.Revision `json:"revision"`
 }
 
 // RolloutOrder is a rollout, or the end of one.
@@ -32,7 +34,7 @@
 // It is always sent as a whole, and the one with the higher revision wins. In the zero value, with
 // revision 0, the rollouts are unknown. It is immutable.
 type Rollouts struct {
-	Revision uint64 `json:"revision"`
+	Revision revision.Revision `json:"revision"`
 	// Orders is sorted by service.
 	Orders []Rollout `json:"orders,omitempty"`
 }
@@ -53,8 +55,8 @@
 func (r Rollouts) Same(other Rollouts) bool { return slices.Equal(r.Orders, other.Orders) }
 
 // With returns the rollouts as of a revision after the orders are applied in sequence.
-func (r Rollouts) With(revision uint64, given []RolloutOrder) Rollouts {
-	after := Rollouts{Revision: revision, Orders: r.Orders}
+func (r Rollouts) With(at revision.Revision, given []RolloutOrder) Rollouts {
+	after := Rollouts{Revision: at, Orders: r.Orders}
 	for _, order := range given {
 		if order.Refused == "" {
 			after.Orders = after.with(order)
@@ -115,12 +117,12 @@
 }
 
 // RolloutStates contains the state of rollouts by the revision of their order. It must not be modified.
-type RolloutStates map[uint64]RolloutState
+type RolloutStates map[revision.Revision]RolloutState
 
 // Trial describes the traffic of a version that is being tried.
 type Trial struct {
 	// Order is the revision of the order.
-	Order uint64
+	Order revision.Revision
 	// Share is the fraction of the requests, from 0 to 1.
 	Share float64
 	// Endpoints contains the endpoints that get these requests, sorted by ID. Their number is
@@ -139,6 +141,6 @@
 }
 
 // hashOrder returns a hash of a text and an order, which is the same on all instances.
-func hashOrder(order uint64, text string) uint64 {
-	return xxhash.Sum64String(strconv.FormatUint(order, 10) + "/" + text)
+func hashOrder(order revision.Revision, text string) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(uint64(order), 10) + "/" + text)
 }
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -5,6 +5,8 @@
 	"maps"
 	"math"
 	"slices"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Entries and rollout orders reach an instance independently. Endpoints of a version that appeared
@@ -13,10 +15,10 @@
 
 // versionRevisions maps services and versions to the revision as of which the first endpoint of the
 // version was known.
-type versionRevisions map[string]map[string]uint64
+type versionRevisions map[string]map[string]revision.Revision
 
 // with returns the versions after an endpoint became known as of a revision.
-func (v versionRevisions) with(revision uint64, e Endpoint) versionRevisions {
+func (v versionRevisions) with(at revision.Revision, e Endpoint) versionRevisions {
 	if _, known := v[e.Service][e.Version]; known {
 		return v
 	}
@@ -26,9 +28,9 @@
 	}
 	grown[e.Service] = maps.Clone(v[e.Service])
 	if grown[e.Service] == nil {
-		grown[e.Service] = map[string]uint64{}
+		grown[e.Service] = map[string]revision.Revision{}
 	}
-	grown[e.Service][e.Version] = revision
+	grown[e.Service][e.Version] = at
 	return grown
 }
 
@@ -112,7 +114,7 @@
 func (s *Snapshot) Rollouts() Rollouts { return s.rollouts }
 
 // RolloutState returns the state of the rollout with the given order revision.
-func (s *Snapshot) RolloutState(order uint64) RolloutState { return s.rolloutStates[order] }
+func (s *Snapshot) RolloutState(order revision.Revision) RolloutState { return s.rolloutStates[order] }
 
 // Trial returns the trial of a service. It has no endpoints if no version is being tried.
 func (s *Snapshot) Trial(service string) Trial { return s.trials[service] }
--- a/pkg/fleet/versions_test.go
+++ b/pkg/fleet/versions_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 var _ = Describe("the versions of a service", func() {
@@ -24,8 +25,8 @@
 		}
 		return ids
 	}
-	ordered := func(revision uint64, orders ...fleet.Rollout) fleet.Rollouts {
-		return fleet.Rollouts{Revision: revision, Orders: orders}
+	ordered := func(at revision.Revision, orders ...fleet.Rollout) fleet.Rollouts {
+		return fleet.Rollouts{Revision: at, Orders: orders}
 	}
 	toV2 := fleet.Rollout{Service: "s", Version: "v2", OverMs: 1000, Revision: order}
 	stand := func(exposure fleet.Exposure, share float64) {
@@ -123,7 +124,7 @@
 	It("of an order that is not proven are never ready, in whatever sequence entries, orders and states arrive", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			all := fleet.New(1, []fleet.Endpoint{endpoint("a", "v1")}).WithRollouts(ordered(1))
-			revision := uint64(1)
+			revision := revision.Revision(1)
 			t.Repeat(map[string]func(*rapid.T){
 				"an entry": func(t *rapid.T) {
 					revision++
--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // State is the state of a rollout as shown to operators.
@@ -25,8 +26,8 @@
 	Version string `json:"version"`
 	// Order is the revision of the rollout order; AgeMs is how long the instance has known it, in
 	// milliseconds.
-	Order uint64 `json:"order"`
-	AgeMs int64  `json:"age_ms"`
+	Order revision.Revision `json:"order"`
+	AgeMs int64             `json:"age_ms"`
 	// Instance and Incarnation identify the reporting process.
 	Instance    string `json:"instance"`
 	Incarnation uint64 `json:"incarnation"`
--- a/pkg/rollout/manager.go
+++ b/pkg/rollout/manager.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // ErrConflict is returned if another instance has written the record since it was read.
@@ -21,7 +22,7 @@
 	State   State
 	Version string
 	// Revision is the revision of the record; 0 if there is none.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // stateOf returns the recorded state of an order, or an empty state if the record is about another
@@ -39,7 +40,7 @@
 	Read(ctx context.Context, service string) (Record, error)
 	// Write replaces the record of a service if it still has the revision after, and returns the
 	// new revision. Otherwise it fails with ErrConflict.
-	Write(ctx context.Context, service string, after uint64, state State, version string) (uint64, error)
+	Write(ctx context.Context, service string, after revision.Revision, state State, version string) (revision.Revision, error)
 }
 
 // Peer is an instance that can act as conductor.
@@ -106,11 +107,11 @@
 	log   *logrus.Entry
 
 	mu        sync.Mutex
-	conducted map[uint64]*conductedRollout
+	conducted map[revision.Revision]*conductedRollout
 	// reporting contains the orders with a report in flight; reportedAt is the start of the last
 	// report.
-	reporting  map[uint64]bool
-	reportedAt map[uint64]time.Time
+	reporting  map[revision.Revision]bool
+	reportedAt map[revision.Revision]time.Time
 	// skippedUntil is the time until which a conductor is skipped, by name.
 	skippedUntil map[string]time.Time
 	// spawn runs a call without waiting for it.
@@ -140,9 +141,9 @@
 		share:        share,
 		clock:        clock,
 		log:          log,
-		conducted:    map[uint64]*conductedRollout{},
-		reporting:    map[uint64]bool{},
-		reportedAt:   map[uint64]time.Time{},
+		conducted:    map[revision.Revision]*conductedRollout{},
+		reporting:    map[revision.Revision]bool{},
+		reportedAt:   map[revision.Revision]time.Time{},
 		skippedUntil: map[string]time.Time{},
 		spawn:        func(call func()) { go call() },
 	}
--- a/pkg/rollout/model_test.go
+++ b/pkg/rollout/model_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 )
 
@@ -27,7 +28,7 @@
 	badTolerance = 50
 	tick         = 20 * time.Millisecond
 	over         = 12 * time.Second
-	orderAt      = uint64(5)
+	orderAt      = revision.Revision(5)
 )
 
 var errUnreachable = errors.New("unreachable")
@@ -47,7 +48,7 @@
 	delayWrites   bool
 	pendingWrites []lateWrite
 	record        rollout.Record
-	revision      uint64
+	revision      revision.Revision
 	ordered       fleet.Rollouts
 	// bad is the behaviour of the new version.
 	bad behaviour
@@ -67,11 +68,11 @@
 // lateWrite is a delayed conditional write.
 type lateWrite struct {
 	at     time.Time
-	after  uint64
+	after  revision.Revision
 	record rollout.Record
 }
 
-func (m *model) write(after uint64, record rollout.Record) error {
+func (m *model) write(after revision.Revision, record rollout.Record) error {
 	if m.record.Revision != after {
 		return rollout.ErrConflict
 	}
@@ -176,7 +177,7 @@
 	return i.record, nil
 }
 
-func (i *node) Write(_ context.Context, _ string, after uint64, state rollout.State, version string) (uint64, error) {
+func (i *node) Write(_ context.Context, _ string, after revision.Revision, state rollout.State, version string) (revision.Revision, error) {
 	switch {
 	case i.storeDown || i.storeDownFor[i.name]:
 		return 0, errUnreachable
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Participant tracks one instance's calls and instructions for all rollouts. It is safe for
@@ -18,7 +19,7 @@
 	// inFlight counts calls in flight by service and version.
 	inFlight map[string]map[string]callCounts
 	// participations contains the state of each order in force, by revision.
-	participations map[uint64]*participation
+	participations map[revision.Revision]*participation
 }
 
 // participation is the instance's state for one order.
@@ -38,7 +39,7 @@
 
 // NewParticipant returns a Participant without orders.
 func NewParticipant(clock clockwork.Clock) *Participant {
-	return &Participant{clock: clock, inFlight: map[string]map[string]callCounts{}, participations: map[uint64]*participation{}}
+	return &Participant{clock: clock, inFlight: map[string]map[string]callCounts{}, participations: map[revision.Revision]*participation{}}
 }
 
 // Call is a call in flight.
@@ -96,7 +97,7 @@
 func (p *Participant) SetOrders(orders []fleet.Rollout) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := make(map[uint64]*participation, len(orders))
+	known := make(map[revision.Revision]*participation, len(orders))
 	for _, order := range orders {
 		known[order.Revision] = p.participations[order.Revision]
 		if known[order.Revision] == nil {
@@ -107,7 +108,7 @@
 }
 
 // Report returns the report for an order, without the instance's identity.
-func (p *Participant) Report(order uint64) (Report, bool) {
+func (p *Participant) Report(order revision.Revision) (Report, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.participations[order]
@@ -143,7 +144,7 @@
 }
 
 // SetInstruction applies an instruction of the conductor, valid until the given time.
-func (p *Participant) SetInstruction(order uint64, i Instruction, until time.Time) {
+func (p *Participant) SetInstruction(order revision.Revision, i Instruction, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.participations[order]
@@ -191,7 +192,7 @@
 }
 
 // Finished reports whether the final state of an order is recorded and known here.
-func (p *Participant) Finished(order uint64) bool {
+func (p *Participant) Finished(order revision.Revision) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.participations[order]
--- a/pkg/rollout/status.go
+++ b/pkg/rollout/status.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+import (
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
+)
 
 // Status is the status of a rollout at one instance.
 type Status struct {
@@ -8,8 +12,8 @@
 	Version string `json:"version"`
 	// Order is the revision of the order; AgeMs is how long this instance has known it, in
 	// milliseconds.
-	Order uint64 `json:"order"`
-	AgeMs int64  `json:"age_ms"`
+	Order revision.Revision `json:"order"`
+	AgeMs int64             `json:"age_ms"`
 	// Exposure is withheld, tried, proven or refuted. Share is the fraction of requests for a
 	// version on trial.
 	Exposure string  `json:"exposure"`
--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -3,7 +3,11 @@
 // configuration creates a new one.
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
+)
 
 // Kind states whether the requests of a route may be retried.
 type Kind string
@@ -140,7 +144,7 @@
 	// Version is set by the operator and increases.
 	Version uint64
 	// Revision is the revision at the configuration source; it increases with each version.
-	Revision      uint64
+	Revision      revision.Revision
 	Routes        []Route
 	Services      []Service
 	Limits        Limits
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -8,12 +8,13 @@
 	"strings"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Table answers lookups in one configuration. It is immutable and safe for concurrent use.
 type Table struct {
 	Version  uint64
-	Revision uint64
+	Revision revision.Revision
 	Limits   Limits
 	// hasOrganisations is set if the configuration has organisations, so that non-public routes
 	// require an API key.
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -6,6 +6,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 )
 
 // Methods of the JSON-RPC 2.0 API between instances. A connection starts with MethodHello.
@@ -108,7 +109,7 @@
 // StateRequest requests the known endpoints if their revision is newer than NewerThan. The response
 // is a StateResponse.
 type StateRequest struct {
-	NewerThan uint64 `json:"newer_than"`
+	NewerThan revision.Revision `json:"newer_than"`
 	// AcceptsPacked is set if the caller accepts packed endpoints.
 	AcceptsPacked bool `json:"packs,omitempty"`
 }
@@ -125,8 +126,8 @@
 type RelayRequest struct {
 	// Since is the caller's revision of the endpoints; DocumentRevision, that of the newest document it
 	// knows of.
-	Since            uint64 `json:"since"`
-	DocumentRevision uint64 `json:"document"`
+	Since            revision.Revision `json:"since"`
+	DocumentRevision revision.Revision `json:"document"`
 	// Evacuations are those known to the caller. Changes of evacuations do not end the wait if the
 	// caller's version does not send the field.
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
--- a/service/handover/discovery.go
+++ b/service/handover/discovery.go
@@ -12,6 +12,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -39,7 +40,7 @@
 var _ discovery.Peers = (*DiscoveryPeers)(nil)
 
 // State implements discovery.Peers. It asks a random peer.
-func (k *DiscoveryPeers) State(ctx context.Context, newerThan uint64) (discovery.PeerState, error) {
+func (k *DiscoveryPeers) State(ctx context.Context, newerThan revision.Revision) (discovery.PeerState, error) {
 	addresses := k.Contacts
 	if live := k.Live(); len(live) > 0 {
 		addresses = nil
@@ -137,10 +138,10 @@
 
 // Holders implements discovery.Peers. Peers of the same failure domain come first, newer documents
 // before older ones; ties are in random order to spread the load.
-func (k *DiscoveryPeers) Holders(newerThan uint64) []string {
+func (k *DiscoveryPeers) Holders(newerThan revision.Revision) []string {
 	var holders []membership.Member
 	for _, m := range k.Live() {
-		if m.Revision > newerThan {
+		if revision.Revision(m.Revision) > newerThan {
 			holders = append(holders, m)
 		}
 	}
--- a/service/handover/packing.go
+++ b/service/handover/packing.go
@@ -7,6 +7,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/gzipcodec"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
 
@@ -23,8 +24,8 @@
 // changes between two revisions.
 type packedKey struct {
 	whole    bool
-	since    uint64
-	revision uint64
+	since    revision.Revision
+	revision revision.Revision
 }
 
 // packedAnswer is a compressed answer.
@@ -54,7 +55,7 @@
 }
 
 // changes returns an answer with the changes since a revision, compressed if the peer supports it.
-func (p *endpointPacker) changes(since uint64, told discovery.RelayResponse, packs bool) api.RelayResponse {
+func (p *endpointPacker) changes(since revision.Revision, told discovery.RelayResponse, packs bool) api.RelayResponse {
 	answer := api.RelayResponse{RelayResponse: told}
 	if !packs || len(told.Changes.Endpoints) < minPackedEndpoints {
 		return answer
--- a/service/handover/packing_test.go
+++ b/service/handover/packing_test.go
@@ -12,6 +12,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 )
 
@@ -83,7 +84,7 @@
 	})
 
 	It("are cached in a bounded number", func() {
-		for since := range uint64(3 * maxCachedAnswers) {
+		for since := range revision.Revision(3 * maxCachedAnswers) {
 			p.changes(since, relayed, true)
 		}
 		Expect(p.cache).To(HaveLen(maxCachedAnswers))
