--- a/pkg/discovery/timeouts_test.go
+++ b/pkg/discovery/timeouts_test.go
@@ -170,7 +170,7 @@
 		before := store.documents.Load()
 		Consistently(func() time.Duration { return f.View().Age(time.Now()) }).WithTimeout(3 * time.Second).Should(BeNumerically("<", 2500*time.Millisecond))
 		Expect(store.documents.Load() - before).To(BeNumerically("<=", 4))
-		Expect(f.View().Table.Version).To(Equal(revision.Revision(3)))
+		Expect(f.View().Table.Version).To(Equal(uint64(3)))
 	},
 		Entry("of an older version", sourceState{Revision: 9, Document: discovery.Document{Revision: 8, Data: []byte(`{"Version":2}`)}}),
 		Entry("that does not parse", sourceState{Revision: 9, Document: discovery.Document{Revision: 8, Data: []byte(`{`)}}),
