platform, discovery: revisions of a restored store don't order its earlier life

Cause: the store came back from a copy some seconds old and gave its revisions out again. A number that orders the changes of one life of the store was used as an order over all its lives: reads after the 410 were dropped as older, and once the old number existed anew, a watch went on from it in another history and skipped what had been written below it.

Ruled out: a store that serves its copy for too long, since the reads did bring the change.

Which configuration is newer is said across eras by the operator's version, which outlives the store; heartbeats, statuses, relays and pieces carry it, so that an instance that starts on the older copy takes the newer one from its peers.

--- a/cmd/cobaltcroftd/gateway/gossip.go
+++ b/cmd/cobaltcroftd/gateway/gossip.go
@@ -13,22 +13,22 @@
 // others.
 func (g *Gateway) groupSettings(self membership.Instance) group.Settings {
 	return group.Settings{
-		Self:         self,
-		Contacts:     g.settings.Peers,
-		Heartbeat:    heartbeat,
-		SuspectAfter: suspectAfter,
-		Claims:       g.claims,
-		OnClaims:     g.receiveClaims,
-		Division:     g.division,
-		OnDivision:   g.receiveDivision,
-		Revision:     g.documentRevision,
-		OnRevision:   g.receiveRevision,
-		Ends:         g.quarantine.Recent,
-		OnEnds:       g.quarantine.Merge,
-		Departing:    g.departing,
-		OnDeparting:  g.receiveDeparting,
-		Limits:       g.recentLimits,
-		OnLimits:     g.receiveLimits,
+		Self:            self,
+		Contacts:        g.settings.Peers,
+		Heartbeat:       heartbeat,
+		SuspectAfter:    suspectAfter,
+		Claims:          g.claims,
+		OnClaims:        g.receiveClaims,
+		Division:        g.division,
+		OnDivision:      g.receiveDivision,
+		Configuration:   g.configuration,
+		OnConfiguration: g.receiveConfiguration,
+		Ends:            g.quarantine.Recent,
+		OnEnds:          g.quarantine.Merge,
+		Departing:       g.departing,
+		OnDeparting:     g.receiveDeparting,
+		Limits:          g.recentLimits,
+		OnLimits:        g.receiveLimits,
 	}
 }
 
@@ -41,9 +41,15 @@
 func (g *Gateway) division() ownership.Division             { return g.router.Division() }
 func (g *Gateway) receiveDivision(heard ownership.Division) { g.router.MergeDivision(heard) }
 
-// documentRevision and receiveRevision exchange the revision of the configuration in force.
-func (g *Gateway) documentRevision() uint64 { return uint64(g.follower.View().Document.Revision) }
-func (g *Gateway) receiveRevision(r uint64) { g.follower.ObserveRevision(revision.Revision(r)) }
+// configuration and receiveConfiguration exchange which configuration is in force.
+func (g *Gateway) configuration() (at, version uint64) {
+	inForce := g.follower.View().InForce()
+	return uint64(inForce.Revision), inForce.Version
+}
+
+func (g *Gateway) receiveConfiguration(at, version uint64) {
+	g.follower.ObserveDocument(discovery.DocumentID{Revision: revision.Revision(at), Version: version})
+}
 
 // departing and receiveDeparting exchange the endpoints that have announced to leave.
 func (g *Gateway) departing(n int) []string { return g.follower.Departing(n) }
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -185,7 +185,7 @@
 }
 
 func (p fakePeers) status(state sourceState) discovery.DocumentStatus {
-	status := discovery.DocumentStatus{Revision: state.Document.Revision, At: state.Revision, Age: p.stateAge(), Newest: state.Document.Revision}
+	status := discovery.DocumentStatus{Revision: state.Document.Revision, Version: versionOf(state), At: state.Revision, Age: p.stateAge(), Newest: state.Document.Revision, NewestVersion: versionOf(state)}
 	p.mu.Lock()
 	if !p.silentOnOrders {
 		status.Evacuations = fleet.Evacuations{Revision: state.Revision, Domains: state.Evacuated}
@@ -223,13 +223,20 @@
 	return p.relays
 }
 
-func (p fakePeers) Holders(newerThan revision.Revision) []string {
-	if state, out := p.read(); out || state.Document.Revision <= newerThan {
+func (p fakePeers) Holders(wanted func(discovery.DocumentID) bool) []string {
+	if state, out := p.read(); out || !wanted(discovery.DocumentID{Revision: state.Document.Revision, Version: versionOf(state)}) {
 		return nil
 	}
 	return []string{"peer"}
 }
 
+// versionOf returns the version of a state's document, or 0 if it has none.
+func versionOf(state sourceState) uint64 {
+	var config route.Config
+	_ = json.Unmarshal(state.Document.Data, &config)
+	return config.Version
+}
+
 func (p fakePeers) Piece(_ context.Context, _ string, selection discovery.PieceRequest) (discovery.Piece, error) {
 	state, out := p.read()
 	if out {
@@ -457,7 +464,7 @@
 		store.loseHistory(state(6, 4, 3, "a"))
 		Eventually(listed).Should(Equal(revision.Revision(6)))
 		ask := func(since revision.Revision, wait time.Duration) discovery.RelayResponse {
-			return f.Relay(discovery.RelayRequest{Since: since, Document: 4, Wait: wait})
+			return f.Relay(discovery.RelayRequest{Since: since, Document: discovery.DocumentID{Revision: 4}, Wait: wait})
 		}
 		nothing := ask(6, 10*time.Millisecond)
 		Expect(nothing.Changes.Revision).To(Equal(revision.Revision(6)))
--- a/pkg/discovery/document_cache.go
+++ b/pkg/discovery/document_cache.go
@@ -31,8 +31,9 @@
 type PieceRequest struct {
 	// Asker is the name of the requesting instance.
 	Asker string `json:"asker"`
-	// NewerThan is the revision of the requester's document.
+	// NewerThan and Version are the revision and the version of the requester's document.
 	NewerThan revision.Revision `json:"newer_than"`
+	Version   uint64            `json:"version,omitempty"`
 	// MaxAge is the maximum age, in nanoseconds, of the peer's confirmation that its document is
 	// the newest. 0 accepts any age.
 	MaxAge time.Duration `json:"max_age_ns,omitempty"`
@@ -109,13 +110,11 @@
 	return &documentCache{clock: clock, readers: map[string]time.Time{}}
 }
 
-// put stores a compressed document unless a newer one is cached.
+// put stores a compressed document in place of the cached one.
 func (s *documentCache) put(p *packedDocument) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.document == nil || p.revision > s.document.revision {
-		s.document = p
-	}
+	s.document = p
 }
 
 // packed returns the compressed form of a document.
@@ -129,9 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.document == nil || p.revision > s.document.revision {
-		s.document = p
-	}
+	s.document = p
 	return p, nil
 }
 
@@ -163,7 +160,7 @@
 func (f *Follower) Piece(request PieceRequest) (Piece, error) {
 	view := f.View()
 	piece := Piece{Status: view.status(f.clock.Now())}
-	if view.Document.Revision <= request.NewerThan || request.MaxAge > 0 && piece.Status.Age > request.MaxAge {
+	if !view.InForce().newerThan(DocumentID{Version: request.Version, Revision: request.NewerThan}) || request.MaxAge > 0 && piece.Status.Age > request.MaxAge {
 		return piece, nil
 	}
 	if !f.documentCache.admit(request.Asker) {
--- a/pkg/discovery/documents.go
+++ b/pkg/discovery/documents.go
@@ -91,7 +91,7 @@
 		call = f.readDocument
 	}
 	err := call(ctx, view)
-	if err != nil && f.View().Document.Revision > view.Document.Revision {
+	if err != nil && f.View().InForce() != view.InForce() {
 		return nil
 	}
 	return err
@@ -100,7 +100,7 @@
 func (f *Follower) readDocument(ctx context.Context, view *View) error {
 	callCtx, transfer := newTransfer(ctx, f.clock, readTimeout)
 	defer transfer.end()
-	go f.cancelWhenNewer(callCtx, transfer, view.Document.Revision)
+	go f.cancelWhenReplaced(callCtx, transfer, view.InForce())
 	newest, err := f.source.Document(callCtx, transfer.progress)
 	if err != nil {
 		f.logFailedCall("document", "read", transfer, err)
@@ -115,7 +115,7 @@
 	wait := f.documentWatchTimeout()
 	callCtx, transfer := newTransfer(ctx, f.clock, wait+responseGrace)
 	defer transfer.end()
-	go f.cancelWhenNewer(callCtx, transfer, view.Document.Revision)
+	go f.cancelWhenReplaced(callCtx, transfer, view.InForce())
 	since := view.watchRevision()
 	newest, err := f.source.WatchDocument(callCtx, since, wait, transfer.progress)
 	if err != nil {
@@ -136,11 +136,11 @@
 	return watchTimeout
 }
 
-// cancelWhenNewer cancels a call once a document newer than the given revision is in force.
-func (f *Follower) cancelWhenNewer(ctx context.Context, t *transfer, than revision.Revision) {
+// cancelWhenReplaced cancels a call once another document than the given one is in force.
+func (f *Follower) cancelWhenReplaced(ctx context.Context, t *transfer, inForce DocumentID) {
 	for {
 		changed := f.history.changed()
-		if f.View().Document.Revision > than {
+		if f.View().InForce() != inForce {
 			t.cancel()
 			return
 		}
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -190,7 +190,7 @@
 
 func (f *Follower) requestFromRelay(ctx context.Context, relay string) bool {
 	view := f.View()
-	request := RelayRequest{Since: view.listed.Revision, Document: view.knownRevision(), Evacuations: view.Evacuations(), Rollouts: view.Rollouts(), Wait: relayTimeout}
+	request := RelayRequest{Since: view.listed.Revision, Document: view.known(), Evacuations: view.Evacuations(), Rollouts: view.Rollouts(), Wait: relayTimeout}
 	callCtx, cancel := context.WithTimeout(ctx, relayTimeout+relayResponseGrace)
 	response, err := f.peers.Relay(callCtx, relay, request)
 	cancel()
--- a/pkg/discovery/evacuations_test.go
+++ b/pkg/discovery/evacuations_test.go
@@ -116,7 +116,7 @@
 		ask := func(knows fleet.Evacuations) <-chan discovery.RelayResponse {
 			got := make(chan discovery.RelayResponse, 1)
 			go func() {
-				got <- relay.Relay(discovery.RelayRequest{Since: 100, Document: 100, Evacuations: knows, Wait: 10 * time.Second})
+				got <- relay.Relay(discovery.RelayRequest{Since: 100, Document: discovery.DocumentID{Revision: 100}, Evacuations: knows, Wait: 10 * time.Second})
 			}()
 			return got
 		}
--- a/pkg/discovery/fetch.go
+++ b/pkg/discovery/fetch.go
@@ -86,7 +86,9 @@
 	return (lacks || view.Document.Revision == 0) && len(f.holders(view)) > 0
 }
 
-func (f *Follower) holders(view *View) []string { return f.peers.Holders(view.resolvedRevision()) }
+func (f *Follower) holders(view *View) []string {
+	return f.peers.Holders(func(d DocumentID) bool { return !view.resolves(d) })
+}
 
 // fetchDocument tries a few peers and reports whether a document was activated.
 func (f *Follower) fetchDocument(ctx context.Context, b *partialDocument) bool {
@@ -124,7 +126,7 @@
 // nextPiece returns the request for the next piece. An instance without a document only accepts one
 // that was recently confirmed to be the newest.
 func nextPiece(view *View, b *partialDocument) PieceRequest {
-	request := PieceRequest{NewerThan: view.resolvedRevision(), Digest: b.document.digest, Offset: len(b.document.data)}
+	request := PieceRequest{NewerThan: view.resolvedRevision(), Version: view.InForce().Version, Digest: b.document.digest, Offset: len(b.document.data)}
 	if view.Document.Revision == 0 {
 		request.MaxAge = confirmationTTL
 	}
--- a/pkg/discovery/fetch_test.go
+++ b/pkg/discovery/fetch_test.go
@@ -42,8 +42,8 @@
 	}
 }
 
-func (h *pieceHolders) Holders(newerThan revision.Revision) []string {
-	if h.fakePeers.Holders(newerThan) == nil {
+func (h *pieceHolders) Holders(wanted func(discovery.DocumentID) bool) []string {
+	if h.fakePeers.Holders(wanted) == nil {
 		return nil
 	}
 	return h.names
@@ -114,7 +114,7 @@
 		begin("first", "second")
 		peers.failFrom["first"] = 2 * smallPiece
 		newer()
-		f.ObserveRevision(8)
+		f.ObserveDocument(discovery.DocumentID{Revision: 8})
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(peers.servedOffsets("first")).To(Equal([]int{0, smallPiece}))
 		Expect(peers.servedOffsets("second")[0]).To(Equal(2 * smallPiece))
@@ -124,7 +124,7 @@
 		begin("first", "second")
 		peers.busy["first"] = true
 		newer()
-		f.ObserveRevision(8)
+		f.ObserveDocument(discovery.DocumentID{Revision: 8})
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(peers.servedOffsets("first")).To(BeEmpty())
 	})
@@ -133,7 +133,7 @@
 		begin("first", "second")
 		peers.corrupt["first"] = true
 		newer()
-		f.ObserveRevision(8)
+		f.ObserveDocument(discovery.DocumentID{Revision: 8})
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(peers.servedOffsets("second")[0]).To(BeZero())
 	})
@@ -144,25 +144,25 @@
 		newer()
 		others.set(func(s *fakeSource) { s.relays = []string{"first"} })
 		store.set(func(s *fakeSource) { s.unavailable, s.state = false, state(9, 8, 7) })
-		f.ObserveRevision(8)
+		f.ObserveDocument(discovery.DocumentID{Revision: 8})
 		Eventually(version).Should(Equal(uint64(7)))
 	})
 
 	It("is behind once the grace period for a newer document has passed, until its holders are silent", func() {
 		begin("first")
 		behind := func() bool { return f.View().Behind(time.Now()) }
-		f.ObserveRevision(8)
+		f.ObserveDocument(discovery.DocumentID{Revision: 8})
 		tooSoon := func() bool {
 			now, view := time.Now(), f.View()
 			lacking, _ := view.Lacking(now)
 			return view.Behind(now) && lacking < discovery.BehindGrace
 		}
 		Consistently(tooSoon).WithTimeout(1200 * time.Millisecond).Should(BeFalse())
-		Eventually(func() bool { f.ObserveRevision(8); return behind() }).Should(BeTrue())
+		Eventually(func() bool { f.ObserveDocument(discovery.DocumentID{Revision: 8}); return behind() }).Should(BeTrue())
 		By("serving again when nobody announces the newer one")
 		Eventually(behind).Should(BeFalse())
 		By("refusing when it is announced again, and serving once it has arrived")
-		Eventually(func() bool { f.ObserveRevision(8); return behind() }).Should(BeTrue())
+		Eventually(func() bool { f.ObserveDocument(discovery.DocumentID{Revision: 8}); return behind() }).Should(BeTrue())
 		newer()
 		Eventually(version).Should(Equal(uint64(7)))
 		Expect(behind()).To(BeFalse())
@@ -238,7 +238,7 @@
 			_ = t.Wait()
 		})
 		relay := func(since revision.Revision) discovery.RelayResponse {
-			return f.Relay(discovery.RelayRequest{Since: since, Document: 4, Wait: 10 * time.Millisecond})
+			return f.Relay(discovery.RelayRequest{Since: since, Document: discovery.DocumentID{Revision: 4}, Wait: 10 * time.Millisecond})
 		}
 		document := func() revision.Revision { return relay(5).Status.Revision }
 		Eventually(document).Should(Equal(revision.Revision(4)))
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -24,9 +24,9 @@
 	maxRetryDelay = 400 * time.Millisecond
 	// confirmationTTL is how long a confirmation is valid. It is longer than one watch.
 	confirmationTTL = watchTimeout + 200*time.Millisecond
-	// peerRevisionQueue is the capacity of the queue of revisions reported by peers. Dropped
-	// revisions are reported again.
-	peerRevisionQueue = 16
+	// peerDocumentQueue is the capacity of the queue of documents reported by peers. Dropped ones are
+	// reported again.
+	peerDocumentQueue = 16
 )
 
 // Follower maintains the view of the configuration and the endpoints. A single goroutine updates
@@ -38,8 +38,8 @@
 	log     *logrus.Entry
 	view    atomic.Pointer[View]
 	updates chan updateRequest
-	// peerRevisions receives the document revisions that peers have in force.
-	peerRevisions chan revisionUpdate
+	// peerDocuments receives the documents that peers have in force.
+	peerDocuments chan peerDocumentUpdate
 	// history holds recent changes for instances that use this one as a relay.
 	history *history
 	// relayingUntil is when this instance stops acting as a relay, and lastRelayed when a relay
@@ -81,7 +81,7 @@
 		clock:          clock,
 		log:            log,
 		updates:        make(chan updateRequest),
-		peerRevisions:  make(chan revisionUpdate, peerRevisionQueue),
+		peerDocuments:  make(chan peerDocumentUpdate, peerDocumentQueue),
 		history:        newHistory(),
 		documentWanted: make(chan struct{}, 1),
 		documentCache:  newDocumentCache(clock),
@@ -115,14 +115,14 @@
 	return known
 }
 
-// ObserveRevision records the document revision that a peer has in force. It does not block: if the queue is
-// full the revision is dropped, and reported again later.
-func (f *Follower) ObserveRevision(at revision.Revision) {
-	if at <= f.View().Document.Revision {
+// ObserveDocument records the document that a peer has in force. It does not block: if the queue is
+// full the document is dropped, and reported again later.
+func (f *Follower) ObserveDocument(d DocumentID) {
+	if !d.newerThan(f.View().InForce()) {
 		return
 	}
 	select {
-	case f.peerRevisions <- revisionUpdate(at):
+	case f.peerDocuments <- peerDocumentUpdate(d):
 	default:
 	}
 }
@@ -139,7 +139,7 @@
 		case e := <-f.updates:
 			f.apply(e.update)
 			close(e.applied)
-		case n := <-f.peerRevisions:
+		case n := <-f.peerDocuments:
 			f.apply(n)
 		case <-f.outageGraceEnd:
 			f.apply(outageGraceExpired{})
--- a/pkg/discovery/history.go
+++ b/pkg/discovery/history.go
@@ -92,7 +92,7 @@
 	for {
 		changed := f.history.changed()
 		view := f.View()
-		if view.listed.Revision > request.Since || view.NewestRevision() > request.Document || hasNewerOrders(view, request) {
+		if view.listed.Revision > request.Since || view.Newest().newerThan(request.Document) || hasNewerOrders(view, request) {
 			return f.relayResponse(view, request.Since)
 		}
 		select {
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -76,12 +76,15 @@
 type DocumentStatus struct {
 	// Revision is the revision of the document; 0 means none.
 	Revision revision.Revision `json:"revision"`
+	// Version is the operator's version of the document. Instances of older versions omit it.
+	Version uint64 `json:"version,omitempty"`
 	// At is the revision of the source as of which the document was the newest. That was confirmed
 	// Age, in nanoseconds, before the status was created.
 	At  revision.Revision `json:"at"`
 	Age time.Duration     `json:"age_ns"`
-	// Newest is the highest document revision known to the instance.
-	Newest revision.Revision `json:"newest"`
+	// Newest and NewestVersion identify the newest document known to the instance.
+	Newest        revision.Revision `json:"newest"`
+	NewestVersion uint64            `json:"newest_version,omitempty"`
 	// Evacuations contains the evacuated failure domains. Instances of older versions omit it; the
 	// receiver then queries the source.
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
@@ -90,6 +93,14 @@
 	Rollouts fleet.Rollouts `json:"rollouts,omitzero"`
 }
 
+// id identifies the document in force at the instance.
+func (m DocumentStatus) id() DocumentID { return DocumentID{Version: m.Version, Revision: m.Revision} }
+
+// newest identifies the newest document known to the instance.
+func (m DocumentStatus) newest() DocumentID {
+	return DocumentID{Version: m.NewestVersion, Revision: m.Newest}
+}
+
 // PeerState is the state that a peer returns.
 type PeerState struct {
 	State State `json:"state"`
@@ -113,10 +124,10 @@
 
 // RelayRequest describes the data that the requester already has.
 type RelayRequest struct {
-	// Since is the revision of the endpoints. Document is the highest document revision that the
-	// requester has or knows of.
+	// Since is the revision of the endpoints. Document is the newest document that the requester has
+	// or knows of.
 	Since    revision.Revision
-	Document revision.Revision
+	Document DocumentID
 	// Evacuations contains the evacuations known to the requester.
 	Evacuations fleet.Evacuations
 	// Rollouts contains the rollout orders known to the requester.
@@ -135,9 +146,9 @@
 	// Relays returns the peer addresses of the instances that relay the source's changes to this
 	// one, in order of preference. It returns none if this instance has to watch the source itself.
 	Relays() []string
-	// Holders returns the peer addresses of live instances whose document is newer than a revision,
-	// in order of preference.
-	Holders(newerThan revision.Revision) []string
+	// Holders returns the peer addresses of live instances whose document is wanted, in order of
+	// preference.
+	Holders(wanted func(DocumentID) bool) []string
 	// Piece requests a piece of the compressed document that a peer has in force.
 	Piece(ctx context.Context, peer string, selection PieceRequest) (Piece, error)
 	// Announce notifies the other instances of the document in force.
--- a/pkg/discovery/timeouts_test.go
+++ b/pkg/discovery/timeouts_test.go
@@ -49,7 +49,7 @@
 
 func (n *followerPeers) Relays() []string { return n.relays }
 
-func (*followerPeers) Holders(revision.Revision) []string { return nil }
+func (*followerPeers) Holders(func(discovery.DocumentID) bool) []string { return nil }
 
 func (*followerPeers) Piece(context.Context, string, discovery.PieceRequest) (discovery.Piece, error) {
 	return discovery.Piece{}, errUnavailable
@@ -137,9 +137,9 @@
 		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
 		Eventually(inForce(other)).Should(Equal(revision.Revision(4)))
 		store.set(func(s *fakeSource) { s.unavailable = true })
-		f.ObserveRevision(20)
+		f.ObserveDocument(discovery.DocumentID{Revision: 20})
 		By("the neighbour learning of it from this one")
-		Eventually(func() revision.Revision { return other.View().NewestRevision() }).WithTimeout(8 * time.Second).Should(Equal(revision.Revision(20)))
+		Eventually(func() revision.Revision { return other.View().Newest().Revision }).WithTimeout(8 * time.Second).Should(Equal(revision.Revision(20)))
 		neither := func() bool { return f.View().Behind(time.Now()) || other.View().Behind(time.Now()) }
 		Eventually(neither).WithTimeout(8 * time.Second).Should(BeFalse())
 		Consistently(neither).WithTimeout(2 * time.Second).Should(BeFalse())
@@ -150,7 +150,7 @@
 		f := follow(store, fakePeers{&fakeSource{unavailable: true}})
 		run(f)
 		Eventually(inForce(f)).Should(Equal(revision.Revision(4)))
-		f.ObserveRevision(8)
+		f.ObserveDocument(discovery.DocumentID{Revision: 8})
 		lacks := func() bool {
 			_, lacking := f.View().Lacking(time.Now())
 			return lacking
--- a/pkg/discovery/updates.go
+++ b/pkg/discovery/updates.go
@@ -105,13 +105,18 @@
 
 // applyDocument activates a newer document or confirms the current one.
 func (n documentUpdate) applyDocument(f *Follower, view *View) func() {
-	if n.document.Revision > view.Document.Revision {
+	if n.document.Revision > view.Document.Revision || n.replaces(view) {
 		return n.activate(f, view)
 	}
 	view.confirmDocument(n.status, n.confirmedAt)
 	return nil
 }
 
+// replaces reports whether the document is valid and newer than the one in force.
+func (n documentUpdate) replaces(view *View) bool {
+	return n.table != nil && DocumentID{Version: n.table.Version, Revision: n.document.Revision}.newerThan(view.InForce())
+}
+
 // activate puts the document in force unless it is invalid or has an older version.
 func (n documentUpdate) activate(f *Follower, view *View) func() {
 	fields := logrus.Fields{"event": "configuration_in_force", "revision": n.document.Revision, "from": n.from}
@@ -147,20 +152,20 @@
 	ordered = f.updateRollouts(view, n.status.Rollouts) || ordered
 	view.confirmDocument(n.status, n.at)
 	now := f.clock.Now()
-	had := view.noteRevision(n.status.Revision, true, now)
-	heard := view.noteRevision(n.status.Newest, false, now)
+	had := view.noteDocument(n.status.id(), true, now)
+	heard := view.noteDocument(n.status.newest(), false, now)
 	return f.notifyIf(ordered, f.notifyIfNew(had || heard))
 }
 
-// revisionUpdate is the document revision that a peer has in force.
-type revisionUpdate revision.Revision
+// peerDocumentUpdate identifies the document that a peer has in force.
+type peerDocumentUpdate DocumentID
 
-func (n revisionUpdate) apply(f *Follower, view *View) func() {
-	return f.notifyIfNew(view.noteRevision(revision.Revision(n), true, f.clock.Now()))
+func (n peerDocumentUpdate) apply(f *Follower, view *View) func() {
+	return f.notifyIfNew(view.noteDocument(DocumentID(n), true, f.clock.Now()))
 }
 
-// notifyIfNew returns a function that announces a newly discovered document revision and starts to
-// fetch the document from a peer. It returns nil if the revision is not new.
+// notifyIfNew returns a function that announces a newly discovered document and starts to
+// fetch the document from a peer. It returns nil if the document is not new.
 func (f *Follower) notifyIfNew(isNew bool) func() {
 	if !isNew {
 		return nil
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -47,10 +47,27 @@
 	rejected revision.Revision
 }
 
+// DocumentID identifies a document. The zero value stands for none.
+type DocumentID struct {
+	// Version is the operator's version, or 0 if unknown.
+	Version  uint64
+	Revision revision.Revision
+}
+
+// newerThan reports whether a document replaces another one. Within an era the later write does. In
+// different eras it is the one with the higher version, since a source that was restored from an older
+// copy has an older version under a greater revision until the operator writes the newer one again.
+func (d DocumentID) newerThan(other DocumentID) bool {
+	if d.Revision.Era() != other.Revision.Era() && d.Version != other.Version && d.Version > 0 && other.Version > 0 {
+		return d.Version > other.Version
+	}
+	return d.Revision > other.Revision
+}
+
 // announcement describes documents that are newer than the one in force.
 type announcement struct {
-	// newest is the highest announced revision, first announced at newestAt.
-	newest   revision.Revision
+	// newest is the newest announced document, first announced at newestAt.
+	newest   DocumentID
 	newestAt time.Time
 	// lackingSince is when this instance first learned of a document that it still lacks.
 	// lastHolder is when an instance that has such a document last announced it; instances that
@@ -102,35 +119,65 @@
 	return now.Sub(confirmed)
 }
 
-// NewestRevision returns the highest document revision that this instance knows of.
-func (v *View) NewestRevision() revision.Revision {
-	return max(v.Document.Revision, v.announced.newest)
+// InForce identifies the document in force.
+func (v *View) InForce() DocumentID {
+	if v.Table == nil {
+		return DocumentID{}
+	}
+	return DocumentID{Version: v.Table.Version, Revision: v.Document.Revision}
+}
+
+// Newest identifies the newest document that this instance knows of.
+func (v *View) Newest() DocumentID {
+	if inForce := v.InForce(); !v.announced.newest.newerThan(inForce) {
+		return inForce
+	}
+	return v.announced.newest
 }
 
-// resolvedRevision returns the revision of the source up to which every document is either in
-// force, superseded or rejected.
+// resolvedRevision returns the revision of the source up to which every document of that era is
+// either in force, superseded or rejected.
 func (v *View) resolvedRevision() revision.Revision {
 	return max(v.Document.Revision, v.DocumentAt, v.rejected)
 }
 
-// knownRevision returns the revision up to which documents are in force, resolved or announced.
-func (v *View) knownRevision() revision.Revision {
-	return max(v.resolvedRevision(), v.announced.newest)
+// resolves reports whether a document is in force, superseded or rejected. A document of an earlier
+// era that is newer than the one in force is none of these: the source has lost it.
+func (v *View) resolves(d DocumentID) bool {
+	if !d.newerThan(v.InForce()) {
+		return true
+	}
+	for _, upTo := range []revision.Revision{v.DocumentAt, v.rejected} {
+		if d.Revision <= upTo && d.Revision.Era() == upTo.Era() {
+			return true
+		}
+	}
+	return false
+}
+
+// known identifies the newest document that is in force, resolved or announced.
+func (v *View) known() DocumentID {
+	newest := v.Newest()
+	newest.Revision = max(newest.Revision, v.resolvedRevision())
+	return newest
 }
 
 // Lacking reports whether a newer document than the one in force is known to exist, and for how
 // long.
 func (v *View) Lacking(now time.Time) (time.Duration, bool) {
-	if v.announced.newest <= v.resolvedRevision() {
+	if v.resolves(v.announced.newest) {
 		return 0, false
 	}
 	return now.Sub(v.announced.lackingSince), true
 }
 
 // Behind reports whether requests must be refused because other instances have had a newer
-// configuration for longer than behindGrace.
+// configuration for longer than behindGrace. One that was only written again has the same version.
 func (v *View) Behind(now time.Time) bool {
 	lacking, lacks := v.Lacking(now)
+	if version := v.announced.newest.Version; version > 0 && version == v.InForce().Version {
+		return false
+	}
 	return lacks && lacking >= behindGrace && now.Sub(v.announced.lastHolderAt) < announcementTTL
 }
 
@@ -138,17 +185,21 @@
 // it does not confirm the current one beyond its own revision, since other instances may accept the
 // newer one.
 func (v *View) status(now time.Time) DocumentStatus {
-	m := DocumentStatus{Revision: v.Document.Revision, At: v.DocumentAt, Age: v.Age(now), Newest: v.NewestRevision(), Evacuations: v.Evacuations(), Rollouts: v.Rollouts()}
+	inForce, newest := v.InForce(), v.Newest()
+	m := DocumentStatus{
+		Revision: inForce.Revision, Version: inForce.Version, At: v.DocumentAt, Age: v.Age(now),
+		Newest: newest.Revision, NewestVersion: newest.Version, Evacuations: v.Evacuations(), Rollouts: v.Rollouts(),
+	}
 	if v.rejected > v.Document.Revision {
 		m.At = v.Document.Revision
 	}
 	return m
 }
 
-// noteRevision records a document revision reported by an instance that has the document, or only
-// knows of it if has is false. It returns whether the revision is the highest known so far.
-func (v *View) noteRevision(at revision.Revision, has bool, now time.Time) bool {
-	if at <= v.resolvedRevision() {
+// noteDocument records a document reported by an instance that has it, or only knows of it if has is
+// false. It returns whether the document is the newest known so far.
+func (v *View) noteDocument(d DocumentID, has bool, now time.Time) bool {
+	if v.resolves(d) {
 		return false
 	}
 	if _, lacked := v.Lacking(now); !lacked {
@@ -157,10 +208,10 @@
 	if has {
 		v.announced.lastHolderAt = now
 	}
-	if at <= v.announced.newest {
+	if !d.newerThan(v.announced.newest) {
 		return false
 	}
-	v.announced.newest, v.announced.newestAt = at, now
+	v.announced.newest, v.announced.newestAt = d, now
 	return true
 }
 
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -340,8 +340,8 @@
 	if u.view.Table != nil {
 		fields["version"] = u.view.Table.Version
 		fields["view_age_ms"] = u.age.Milliseconds()
-		if newest := u.view.NewestRevision(); newest > u.view.Document.Revision {
-			fields["revision"], fields["newer_revision"] = u.view.Document.Revision, newest
+		if newest := u.view.Newest(); newest != u.view.InForce() {
+			fields["revision"], fields["newer_revision"] = u.view.Document.Revision, newest.Revision
 		}
 	}
 	u.Log.WithFields(fields).Info()
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -42,10 +42,11 @@
 	// of another member. OnDivision must not block. Both may be nil.
 	Division   func() ownership.Division
 	OnDivision func(ownership.Division)
-	// Revision returns the revision of the local configuration to send, and OnRevision receives
-	// that of another member. OnRevision must not block. Both may be nil.
-	Revision   func() uint64
-	OnRevision func(uint64)
+	// Configuration returns the revision and the operator's version of the local configuration to
+	// send, and OnConfiguration receives those of another member. OnConfiguration must not block.
+	// Both may be nil.
+	Configuration   func() (revision, version uint64)
+	OnConfiguration func(revision, version uint64)
 	// Ends returns up to n endpoint failures, with the requests that may have caused them, to send.
 	// OnEnds receives those of another member and must not block. Both may be nil.
 	Ends   func(n int) []quarantine.Crash
@@ -209,8 +210,8 @@
 	if g.settings.OnClaims != nil && len(h.Claims) > 0 {
 		g.settings.OnClaims(h.Claims)
 	}
-	if g.settings.OnRevision != nil && h.Revision > 0 {
-		g.settings.OnRevision(h.Revision)
+	if g.settings.OnConfiguration != nil && h.Revision > 0 {
+		g.settings.OnConfiguration(h.Revision, h.ConfigVersion)
 	}
 	if g.settings.OnEnds != nil && len(h.Ends) > 0 {
 		g.settings.OnEnds(h.Ends)
@@ -259,8 +260,8 @@
 	if g.settings.Division != nil {
 		h.Division = g.settings.Division()
 	}
-	if g.settings.Revision != nil {
-		h.Revision = g.settings.Revision()
+	if g.settings.Configuration != nil {
+		h.Revision, h.ConfigVersion = g.settings.Configuration()
 	}
 	if g.settings.Ends != nil {
 		h.Ends = g.settings.Ends(ends)
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -72,6 +72,8 @@
 	Sequence uint64
 	Leaving  bool
 	Revision uint64
+	// ConfigVersion is the operator's version of the configuration of Revision, or 0 if unknown.
+	ConfigVersion uint64
 	// Suspects are the members of the sender's failure domain from which it misses heartbeats.
 	Suspects []string
 	// Known are a few live members.
@@ -91,6 +93,8 @@
 	Instance
 	State    State
 	Revision uint64
+	// ConfigVersion is the operator's version of the configuration, or 0 if unknown.
+	ConfigVersion uint64
 	// LastHeartbeat is when the last heartbeat was received.
 	LastHeartbeat time.Time
 	// StateSince is when the state last changed.
@@ -180,8 +184,8 @@
 	before := member.State
 	member.sequence = h.Sequence
 	member.LastHeartbeat = now
-	m.changed = m.changed || isNew || h.Revision > member.Revision
-	member.Revision = max(member.Revision, h.Revision)
+	m.changed = m.changed || isNew || h.Revision != member.Revision || h.ConfigVersion != member.ConfigVersion
+	member.Revision, member.ConfigVersion = h.Revision, h.ConfigVersion
 	clear(member.witnesses)
 	member.State = Live
 	if h.Leaving || before == Leaving {
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -124,10 +124,11 @@
 
 // RelayRequest waits for changes that the caller does not have yet. The response is a RelayResponse.
 type RelayRequest struct {
-	// Since is the caller's revision of the endpoints; DocumentRevision, that of the newest document it
-	// knows of.
+	// Since is the caller's revision of the endpoints; DocumentRevision and DocumentVersion are those of
+	// the newest document it knows of.
 	Since            revision.Revision `json:"since"`
 	DocumentRevision revision.Revision `json:"document"`
+	DocumentVersion  uint64            `json:"document_version,omitempty"`
 	// Evacuations are those known to the caller. Changes of evacuations do not end the wait if the
 	// caller's version does not send the field.
 	Evacuations fleet.Evacuations `json:"evacuations,omitzero"`
--- a/service/handover/discovery.go
+++ b/service/handover/discovery.go
@@ -125,7 +125,7 @@
 // Relay implements discovery.Peers.
 func (k *DiscoveryPeers) Relay(ctx context.Context, relay string, selection discovery.RelayRequest) (discovery.RelayResponse, error) {
 	var relayed api.RelayResponse
-	call := api.RelayRequest{Since: selection.Since, DocumentRevision: selection.Document, Evacuations: selection.Evacuations, Rollouts: selection.Rollouts, WaitMs: selection.Wait.Milliseconds(), AcceptsPacked: true}
+	call := api.RelayRequest{Since: selection.Since, DocumentRevision: selection.Document.Revision, DocumentVersion: selection.Document.Version, Evacuations: selection.Evacuations, Rollouts: selection.Rollouts, WaitMs: selection.Wait.Milliseconds(), AcceptsPacked: true}
 	err := k.Client.Call(ctx, relay, api.MethodFollow, call, &relayed)
 	if err == nil {
 		err = unpack(relayed.PackedChanges, &relayed.Changes.Endpoints)
@@ -138,10 +138,10 @@
 
 // Holders implements discovery.Peers. Peers of the same failure domain come first, newer documents
 // before older ones; ties are in random order to spread the load.
-func (k *DiscoveryPeers) Holders(newerThan revision.Revision) []string {
+func (k *DiscoveryPeers) Holders(wanted func(discovery.DocumentID) bool) []string {
 	var holders []membership.Member
 	for _, m := range k.Live() {
-		if revision.Revision(m.Revision) > newerThan {
+		if wanted(discovery.DocumentID{Version: m.ConfigVersion, Revision: revision.Revision(m.Revision)}) {
 			holders = append(holders, m)
 		}
 	}
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -111,7 +111,7 @@
 			return nil, err
 		}
 		wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
-		told := h.follower.Relay(discovery.RelayRequest{Since: call.Since, Document: call.DocumentRevision, Evacuations: call.Evacuations, Rollouts: call.Rollouts, Wait: wait})
+		told := h.follower.Relay(discovery.RelayRequest{Since: call.Since, Document: discovery.DocumentID{Version: call.DocumentVersion, Revision: call.DocumentRevision}, Evacuations: call.Evacuations, Rollouts: call.Rollouts, Wait: wait})
 		return h.packer.changes(call.Since, told, call.AcceptsPacked), nil
 	case api.MethodPiece:
 		call, err := peers.DecodeParams[discovery.PieceRequest](method, raw)
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -48,10 +48,12 @@
 		PeerAddress:   h.From.PeerAddress,
 		Leaving:       h.Leaving,
 		Revision:      h.Revision,
-		WallMs:        b.stamp.WallMs,
-		Logical:       b.stamp.Logical,
-		Suspects:      h.Suspects,
-		Sequence:      h.Sequence,
+
+		ConfigurationVersion: h.ConfigVersion,
+		WallMs:               b.stamp.WallMs,
+		Logical:              b.stamp.Logical,
+		Suspects:             h.Suspects,
+		Sequence:             h.Sequence,
 	}
 	for _, e := range rotate(b.leaving, h.Sequence) {
 		wire.LeavingEndpoints = append(wire.LeavingEndpoints, &pb.LeavingEndpoint{Name: e.Name, Incarnation: e.Incarnation})
@@ -118,11 +120,12 @@
 					LinkMbps: float64(wire.GetMachine().GetLinkMbps()),
 				},
 			},
-			Sequence: wire.Sequence,
-			Leaving:  wire.Leaving,
-			Revision: wire.Revision,
-			Suspects: wire.Suspects,
-			Division: ownership.Division{Parts: int(wire.GetDivision().GetParts()), Term: wire.GetDivision().GetTerm()},
+			Sequence:      wire.Sequence,
+			Leaving:       wire.Leaving,
+			Revision:      wire.Revision,
+			ConfigVersion: wire.ConfigurationVersion,
+			Suspects:      wire.Suspects,
+			Division:      ownership.Division{Parts: int(wire.GetDivision().GetParts()), Term: wire.GetDivision().GetTerm()},
 		},
 		stamp: timeline.Stamp{WallMs: wire.WallMs, Logical: wire.Logical},
 	}
