fleet, discovery: orders that an older copy of the store lacks remain in force

What callers would have seen: after a drill, requests at an evacuated domain, and traffic back at the endpoints of a version on its way out, if the order was given in the lost seconds; a roll-out that begins anew, since its order stands under another revision.

Change: what was in force and is missing is retained until it is written again, 10 s at most, and told to instances that start then; what the copy shows is in force as well. An order with the same content that a restored store shows again keeps its identity; lots and reports go by the revision under which the store lists it, which is the same at instances that did not know it before.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -271,7 +271,7 @@
 	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_source_older_total", func() float64 { return float64(g.follower.OlderResponses()) })
-	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().Domains)) })
+	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().All())) })
 	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts, g.permits)
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
--- a/cmd/cobaltcroftd/gateway/rollouts.go
+++ b/cmd/cobaltcroftd/gateway/rollouts.go
@@ -29,7 +29,7 @@
 // withheld because this instance has not received the first instruction. Other instances may serve
 // it already.
 func (g *Gateway) awaitsInstruction(view *discovery.View) bool {
-	for _, order := range view.Rollouts().Orders {
+	for _, order := range view.Rollouts().InForce() {
 		of, others := view.Fleet.CountVersions(order)
 		withheld := view.Fleet.RolloutState(order.Revision).Exposure == fleet.Withheld
 		if withheld && of > 0 && others == 0 && g.rollouts.AwaitsInstruction(order) {
--- a/pkg/discovery/evacuations.go
+++ b/pkg/discovery/evacuations.go
@@ -36,12 +36,20 @@
 func (f *Follower) updateEvacuations(view *View, e fleet.Evacuations) bool {
 	before := view.Evacuations()
 	view.listed = view.listed.WithEvacuations(e)
-	updated := view.Evacuations()
-	if updated.Same(before) {
+	if len(e.Retained) > 0 && f.adoptsRetained(view.Evacuations().Revision, e.Revision) {
+		view.listed = view.listed.RetainEvacuations(e.Retained)
+	}
+	return f.evacuationsChanged(view, before)
+}
+
+// evacuationsChanged logs how the evacuations differ from those before, updates the retained endpoints
+// and reports whether there is a difference.
+func (f *Follower) evacuationsChanged(view *View, before fleet.Evacuations) bool {
+	evacuated, returned := view.Evacuations().Changed(before)
+	if len(evacuated) == 0 && len(returned) == 0 {
 		return false
 	}
 	view.Fleet = f.outageGrace.retain(f.clock.Now(), view.Fleet, view.listed)
-	evacuated, returned := updated.Changed(before)
 	for _, domain := range evacuated {
 		f.logEvacuation("domain_evacuated", domain, view)
 	}
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -63,6 +63,8 @@
 	// for so long that its entries are believed. Both are only accessed by the goroutine of Run.
 	removals removals
 	settled  <-chan time.Time
+	// startedAt is when this instance started.
+	startedAt time.Time
 	// departures holds the departures announced by endpoints.
 	departures *departures
 	// refusedEntries counts invalid entries.
@@ -92,6 +94,7 @@
 		sourceJitter:   rand.N(maxSourceJitter),
 		departures:     newDepartures(),
 		removals:       removals{},
+		startedAt:      clock.Now(),
 	}
 	none := fleet.New(0, nil)
 	f.view.Store(&View{Fleet: none, listed: none})
--- a/pkg/discovery/restored.go
+++ b/pkg/discovery/restored.go
@@ -16,9 +16,10 @@
 // goes first.
 
 const (
-	// settlePeriod is how long after a restore the source may still list what had been removed. An
-	// endpoint that ended does not renew its entry, which then expires after three heartbeats.
-	settlePeriod = 6 * time.Second
+	// settlePeriod is how long after a restore the source may still list what had been removed and lack
+	// what had been written. An endpoint that ended does not renew its entry, which then expires after
+	// three heartbeats, and the operator writes lost orders again.
+	settlePeriod = 10 * time.Second
 	// maxCopyAge is the maximum age of a copy from which a source is restored.
 	maxCopyAge = time.Minute
 )
@@ -134,6 +135,18 @@
 	return changes
 }
 
+// adoptsRetained reports whether this instance has to learn from a peer which orders the source has lost:
+// it started after the source was restored, and the peer did not.
+func (f *Follower) adoptsRetained(known, told revision.Revision) bool {
+	if f.clock.Since(f.startedAt) > settlePeriod || known.Era() != told.Era() {
+		return false
+	}
+	if f.settled == nil {
+		f.settled = f.clock.After(settlePeriod)
+	}
+	return true
+}
+
 // entries returns the entries that the source lists, including withheld ones.
 func (v *View) entries() []fleet.Endpoint {
 	all := v.listed.All()
@@ -143,7 +156,8 @@
 	return all
 }
 
-// settled ends the time after a restore: entries that the source still lists are believed.
+// settled ends the time after a restore: entries that the source still lists are believed, and orders
+// that it still lacks are no longer in force.
 type settled struct{}
 
 func (settled) apply(f *Follower, view *View) func() {
@@ -153,7 +167,9 @@
 	}
 	f.log.WithFields(logrus.Fields{"event": "source_settled", "era": view.listed.Revision.Era(), "endpoints": len(changes)}).Info()
 	view.withheld = nil
-	view.listed = view.listed.With(view.listed.Revision, changes)
+	evacuations := view.Evacuations()
+	view.listed = view.listed.With(view.listed.Revision, changes).WithoutRetained()
 	view.Fleet = f.outageGrace.retain(f.clock.Now(), view.Fleet, view.listed)
+	f.evacuationsChanged(view, evacuations)
 	return nil
 }
--- a/pkg/discovery/rollouts.go
+++ b/pkg/discovery/rollouts.go
@@ -24,18 +24,24 @@
 // the view's are ignored.
 func (f *Follower) updateRollouts(view *View, r fleet.Rollouts) bool {
 	before := view.Rollouts()
+	if r.Revision.Era() > before.Revision.Era() && before.Known() {
+		f.settled = f.clock.After(settlePeriod)
+	}
 	// A newer revision alone may admit endpoints that were withheld until the orders were known.
 	view.updateSnapshots(func(s *fleet.Snapshot) *fleet.Snapshot { return s.WithRollouts(r) })
+	if len(r.Retained) > 0 && f.adoptsRetained(view.Rollouts().Revision, r.Revision) {
+		view.updateSnapshots(func(s *fleet.Snapshot) *fleet.Snapshot { return s.RetainRollouts(r.Retained) })
+	}
 	after := view.Rollouts()
 	if after.Same(before) {
 		return false
 	}
-	for _, order := range after.Orders {
-		if known, _ := before.ForService(order.Service); known != order {
+	for _, order := range after.InForce() {
+		if known, _ := before.ForService(order.Service); known.Revision != order.Revision {
 			f.logRollout("rollout_ordered", order)
 		}
 	}
-	for _, order := range before.Orders {
+	for _, order := range before.InForce() {
 		if _, still := after.ForService(order.Service); !still {
 			f.logRollout("rollout_withdrawn", order)
 		}
--- a/pkg/fleet/evacuations.go
+++ b/pkg/fleet/evacuations.go
@@ -14,6 +14,10 @@
 	Revision revision.Revision `json:"revision"`
 	// Domains is sorted.
 	Domains []string `json:"domains,omitempty"`
+	// Retained contains, sorted, domains that were evacuated before the source was restored from a copy
+	// that lacks their orders. They remain evacuated until the orders are written again or the new era
+	// is settled.
+	Retained []string `json:"retained,omitempty"`
 }
 
 // Evacuation is an order to evacuate a failure domain, or the end of one.
@@ -27,11 +31,38 @@
 
 // Has reports whether a failure domain is evacuated.
 func (e Evacuations) Has(domain string) bool {
-	_, found := slices.BinarySearch(e.Domains, domain)
+	return contains(e.Domains, domain) || contains(e.Retained, domain)
+}
+
+func contains(domains []string, domain string) bool {
+	_, found := slices.BinarySearch(domains, domain)
 	return found
 }
 
-// Same reports whether the same failure domains are evacuated, regardless of the revisions.
+// All returns all evacuated failure domains, sorted.
+func (e Evacuations) All() []string {
+	all := e.Domains
+	for _, domain := range e.Retained {
+		all = with(all, domain)
+	}
+	return all
+}
+
+// after returns the evacuations as they follow the known ones, which keep in force what a restored
+// source lacks.
+func (e Evacuations) after(known Evacuations) Evacuations {
+	retained := known.Retained
+	switch {
+	case !known.Known():
+		retained = e.Retained
+	case e.Revision.Era() > known.Revision.Era():
+		retained = known.All()
+	}
+	e.Retained = slices.DeleteFunc(slices.Clone(retained), func(d string) bool { return contains(e.Domains, d) })
+	return e
+}
+
+// Same reports whether the source lists the same failure domains, regardless of the revisions.
 func (e Evacuations) Same(other Evacuations) bool { return slices.Equal(e.Domains, other.Domains) }
 
 // With returns the evacuations as of a revision after the orders are applied in sequence. Redundant
@@ -39,7 +70,7 @@
 func (e Evacuations) With(at revision.Revision, orders []Evacuation) Evacuations {
 	after := Evacuations{Revision: at, Domains: e.Domains}
 	for _, order := range orders {
-		if order.Domain == "" || after.Has(order.Domain) == !order.Ended {
+		if order.Domain == "" || contains(after.Domains, order.Domain) == !order.Ended {
 			continue
 		}
 		if order.Ended {
@@ -64,12 +95,12 @@
 // Changed returns the failure domains that were evacuated since before and those that were
 // restored.
 func (e Evacuations) Changed(before Evacuations) (evacuated, returned []string) {
-	for _, domain := range e.Domains {
+	for _, domain := range e.All() {
 		if !before.Has(domain) {
 			evacuated = append(evacuated, domain)
 		}
 	}
-	for _, domain := range before.Domains {
+	for _, domain := range before.All() {
 		if !e.Has(domain) {
 			returned = append(returned, domain)
 		}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -166,12 +166,29 @@
 	if e.Revision <= s.evacuations.Revision {
 		return s
 	}
+	return s.evacuated(e.after(s.evacuations))
+}
+
+// RetainEvacuations returns the snapshot with more failure domains evacuated, for an instance that did
+// not know the orders before the source was restored.
+func (s *Snapshot) RetainEvacuations(domains []string) *Snapshot {
+	e := s.evacuations
+	for _, domain := range domains {
+		if !e.Has(domain) {
+			e.Retained = with(e.Retained, domain)
+		}
+	}
+	return s.evacuated(e)
+}
+
+// evacuated returns the snapshot with the given evacuations.
+func (s *Snapshot) evacuated(e Evacuations) *Snapshot {
 	after := *s
 	after.evacuations = e
-	if e.Same(s.evacuations) {
+	evacuated, returned := e.Changed(s.evacuations)
+	if len(evacuated) == 0 && len(returned) == 0 {
 		return &after
 	}
-	_, returned := e.Changed(s.evacuations)
 	after.returnedAt = make(map[string]revision.Revision, len(s.returnedAt)+len(returned))
 	maps.Copy(after.returnedAt, s.returnedAt)
 	for _, domain := range returned {
@@ -180,6 +197,14 @@
 	return after.rebuild()
 }
 
+// WithoutRetained returns the snapshot without orders that only remained in force because a restored
+// source lacked them.
+func (s *Snapshot) WithoutRetained() *Snapshot {
+	e, r := s.evacuations, s.rollouts
+	e.Retained, r.Retained = nil, nil
+	return s.evacuated(e).ordered(r)
+}
+
 // Evacuations returns the evacuated failure domains.
 func (s *Snapshot) Evacuations() Evacuations { return s.evacuations }
 
--- a/pkg/fleet/rollouts.go
+++ b/pkg/fleet/rollouts.go
@@ -18,8 +18,33 @@
 	Version string `json:"version"`
 	// OverMs is the duration of the rollout in milliseconds.
 	OverMs int64 `json:"over_ms"`
-	// Revision identifies the order. An identical order that is given again has a new revision.
+	// Revision identifies the order at this instance. An identical order that is given again has a new
+	// revision, unless a restored source shows it again.
 	Revision revision.Revision `json:"revision"`
+	// At is the revision under which the source lists the order, the same at all instances, or 0 if it
+	// equals Revision.
+	At revision.Revision `json:"at,omitempty"`
+}
+
+// ListedAt returns the revision under which the source lists the order.
+func (r Rollout) ListedAt() revision.Revision {
+	if r.At > 0 {
+		return r.At
+	}
+	return r.Revision
+}
+
+// identifiedBy returns the order under the revision by which it is already known: the source lists it
+// as before, or was restored and shows it again.
+func (r Rollout) identifiedBy(known Rollouts) Rollout {
+	k, ok := known.ForService(r.Service)
+	if !ok || k.Version != r.Version || k.OverMs != r.OverMs || k.Revision >= r.Revision {
+		return r
+	}
+	if at := r.ListedAt(); k.ListedAt() == at || k.ListedAt().Era() < at.Era() {
+		r.Revision, r.At = k.Revision, at
+	}
+	return r
 }
 
 // RolloutOrder is a rollout, or the end of one.
@@ -37,6 +62,10 @@
 	Revision revision.Revision `json:"revision"`
 	// Orders is sorted by service.
 	Orders []Rollout `json:"orders,omitempty"`
+	// Retained contains orders that were in force before the source was restored from a copy that lacks
+	// them, sorted by service. They remain in force until they are written again or the new era is
+	// settled.
+	Retained []Rollout `json:"retained,omitempty"`
 }
 
 // Known reports whether the rollouts are known.
@@ -44,15 +73,50 @@
 
 // ForService returns the order for a service, if any.
 func (r Rollouts) ForService(service string) (Rollout, bool) {
-	at, found := r.find(service)
-	if !found {
-		return Rollout{}, false
+	if at, found := r.find(service); found {
+		return r.Orders[at], true
+	}
+	for _, order := range r.Retained {
+		if order.Service == service {
+			return order, true
+		}
 	}
-	return r.Orders[at], true
+	return Rollout{}, false
 }
 
+// InForce returns all orders in force.
+func (r Rollouts) InForce() []Rollout { return slices.Concat(r.Orders, r.Retained) }
+
 // Same reports whether the same orders are in force, regardless of the revisions.
-func (r Rollouts) Same(other Rollouts) bool { return slices.Equal(r.Orders, other.Orders) }
+func (r Rollouts) Same(other Rollouts) bool {
+	return slices.Equal(r.Orders, other.Orders) && slices.Equal(r.Retained, other.Retained)
+}
+
+// identifiedBy returns the rollouts with the orders under the revisions by which they are known.
+func (r Rollouts) identifiedBy(known Rollouts) Rollouts {
+	r.Orders = slices.Clone(r.Orders)
+	for i, order := range r.Orders {
+		r.Orders[i] = order.identifiedBy(known)
+	}
+	return r
+}
+
+// after returns the rollouts as they follow the known ones, which keep in force what a restored source
+// lacks.
+func (r Rollouts) after(known Rollouts) Rollouts {
+	retained := known.Retained
+	switch {
+	case !known.Known():
+		retained = r.Retained
+	case r.Revision.Era() > known.Revision.Era():
+		retained = known.InForce()
+	}
+	r.Retained = slices.DeleteFunc(slices.Clone(retained), func(o Rollout) bool {
+		_, listed := r.find(o.Service)
+		return listed
+	})
+	return r.identifiedBy(known)
+}
 
 // With returns the rollouts as of a revision after the orders are applied in sequence.
 func (r Rollouts) With(at revision.Revision, given []RolloutOrder) Rollouts {
@@ -121,7 +185,7 @@
 
 // Trial describes the traffic of a version that is being tried.
 type Trial struct {
-	// Order is the revision of the order.
+	// Order is the revision under which the source lists the order.
 	Order revision.Revision
 	// Share is the fraction of the requests, from 0 to 1.
 	Share float64
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -59,7 +59,7 @@
 	for service, all := range w {
 		grown[service] = maps.Clone(all)
 	}
-	for _, order := range before.Orders {
+	for _, order := range before.InForce() {
 		next, ordered := now.ForService(order.Service)
 		if states[order.Revision].Exposure == Proven || ordered && next.Version == order.Version {
 			continue
@@ -69,17 +69,38 @@
 		}
 		grown[order.Service][order.Version] = true
 	}
-	for _, order := range now.Orders {
+	for _, order := range now.InForce() {
 		delete(grown[order.Service], order.Version)
 	}
 	return grown
 }
 
-// WithRollouts returns the snapshot with the given rollouts, or s if it has newer ones.
+// WithRollouts returns the snapshot with the given rollouts. If it has newer ones, it only takes over by
+// which revisions the orders are known.
 func (s *Snapshot) WithRollouts(r Rollouts) *Snapshot {
-	if r.Revision <= s.rollouts.Revision {
-		return s
+	if r.Revision > s.rollouts.Revision {
+		return s.ordered(r.after(s.rollouts))
+	}
+	if known := s.rollouts.identifiedBy(r); !known.Same(s.rollouts) {
+		return s.ordered(known)
+	}
+	return s
+}
+
+// RetainRollouts returns the snapshot with more orders in force, for an instance that did not know the
+// orders before the source was restored.
+func (s *Snapshot) RetainRollouts(orders []Rollout) *Snapshot {
+	r := s.rollouts
+	for _, order := range orders {
+		if _, known := r.ForService(order.Service); !known {
+			r.Retained = append(slices.Clone(r.Retained), order)
+		}
 	}
+	return s.ordered(r)
+}
+
+// ordered returns the snapshot with the given rollouts.
+func (s *Snapshot) ordered(r Rollouts) *Snapshot {
 	after := *s
 	after.rollouts = r
 	if r.Same(s.rollouts) && !s.anyUnverified() {
@@ -178,7 +199,7 @@
 	case state.Exposure == Proven && len(target) > 0:
 		return target
 	case state.Exposure == Tried && len(target) > 0 && len(others) > 0:
-		s.trials[service] = Trial{Order: order.Revision, Share: state.Share, Endpoints: trialEndpoints(order, target, state.Share, len(others))}
+		s.trials[service] = Trial{Order: order.ListedAt(), Share: state.Share, Endpoints: trialEndpoints(order, target, state.Share, len(others))}
 	case state.Exposure == Withheld && len(others) == 0 && s.versions[service][order.Version] < order.Revision:
 		// The version already had all traffic before the order.
 		return target
@@ -199,7 +220,7 @@
 // on all instances that know the same endpoints.
 func trialEndpoints(order Rollout, target []Endpoint, share float64, others int) []Endpoint {
 	n := max(1, int(math.Ceil(share*float64(others))))
-	weight := func(e Endpoint) uint64 { return hashOrder(order.Revision, e.ID) }
+	weight := func(e Endpoint) uint64 { return hashOrder(order.ListedAt(), e.ID) }
 	chosen := slices.Clone(target)
 	slices.SortFunc(chosen, func(a, b Endpoint) int { return cmp.Compare(weight(a), weight(b)) })
 	chosen = chosen[:min(n, len(chosen))]
