rollout: a verdict that a restored store has lost is written again

What operators would have seen: after a drill status/rollout/SERVICE is gone or says running for good, since instances that know a verdict as recorded stop reporting; a bad version gets requests again where all that knew are gone.

Cause: 'recorded' outlived the store's memory of it. Change: once the order is listed in a later era, instances report again with the verdict they hold until a conductor has looked at what stands there and written it if it is missing; a record counts only beside an order of the same era. Verdicts never change by it.

--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -28,6 +28,8 @@
 	// milliseconds.
 	Order revision.Revision `json:"order"`
 	AgeMs int64             `json:"age_ms"`
+	// At is the revision under which the source lists the order. Older versions omit it.
+	At revision.Revision `json:"at,omitempty"`
 	// Instance and Incarnation identify the reporting process.
 	Instance    string `json:"instance"`
 	Incarnation uint64 `json:"incarnation"`
@@ -44,6 +46,12 @@
 	Movable bool `json:"movable,omitempty"`
 }
 
+// isAbout reports whether the report is about an order. Instances that started after the source was
+// restored know the order by another revision.
+func (r Report) isAbout(order fleet.Rollout) bool {
+	return r.Order == order.Revision || r.At > 0 && r.At == order.ListedAt()
+}
+
 // Instruction is the conductor's reply to a report. The zero value withholds the version.
 type Instruction struct {
 	Exposure fleet.Exposure `json:"exposure"`
@@ -131,6 +139,20 @@
 	return &Conductor{order: order, schedule: NewSchedule(order, share), orderedAt: now, reports: map[string]receivedReport{}, pastTally: NewTally(), stepSince: now, oldSeenAt: now}
 }
 
+// Renew processes the order as the source lists it now. It returns true if the source was restored
+// since, so that the record may be lost and has to be read and, if it is, written again.
+func (c *Conductor) Renew(order fleet.Rollout) bool {
+	restored := order.ListedAt().Era() > c.order.ListedAt().Era()
+	c.order = order
+	if restored && c.recorded.Final() {
+		c.decided = c.recorded
+	}
+	if restored {
+		c.recorded = ""
+	}
+	return restored
+}
+
 // Order returns the rollout order.
 func (c *Conductor) Order() fleet.Rollout { return c.order }
 
--- a/pkg/rollout/manager.go
+++ b/pkg/rollout/manager.go
@@ -26,9 +26,10 @@
 }
 
 // stateOf returns the recorded state of an order, or an empty state if the record is about another
-// order.
+// order or was read in another era than the order.
 func (r Record) stateOf(order fleet.Rollout) State {
-	if r.Revision <= order.Revision || r.Version != order.Version {
+	at := order.ListedAt()
+	if r.Revision <= at || r.Revision.Era() != at.Era() || r.Version != order.Version {
 		return ""
 	}
 	return r.State
@@ -165,7 +166,7 @@
 
 // Poll sends due reports, advances the conducted rollouts and updates the view.
 func (m *Manager) Poll(ctx context.Context) {
-	orders := m.view.Rollouts().Orders
+	orders := m.view.Rollouts().InForce()
 	m.SetOrders(orders)
 	for _, order := range orders {
 		m.reportIfDue(ctx, order)
@@ -254,16 +255,16 @@
 // Answer processes a report as conductor. If the order is unknown here, the version is withheld.
 func (m *Manager) Answer(r Report) Instruction {
 	order, ordered := m.view.Rollouts().ForService(r.Service)
-	if !ordered || order.Revision != r.Order {
+	if !ordered || !r.isAbout(order) {
 		return Instruction{}
 	}
 	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.conducted[r.Order]
+	c := m.conducted[order.Revision]
 	if c == nil {
 		c = &conductedRollout{Conductor: NewConductor(order, m.share, now)}
-		m.conducted[r.Order] = c
+		m.conducted[order.Revision] = c
 		m.log.WithFields(logrus.Fields{"event": "rollout_conducted", "service": order.Service, "version": order.Version, "order": order.Revision}).Info()
 	}
 	c.reportAt = now
@@ -285,7 +286,7 @@
 	defer m.mu.Unlock()
 	var due []*conductedRollout
 	for revision, c := range m.conducted {
-		inForce, ordered := fleet.Rollouts{Orders: orders}.ForService(c.Order().Service)
+		inForce, ordered := orderFor(orders, c.Order().Service)
 		switch {
 		case !ordered:
 			c.Withdraw()
@@ -293,6 +294,8 @@
 			// The record now belongs to the newer order.
 			delete(m.conducted, revision)
 			continue
+		case c.Renew(inForce):
+			c.readAt = time.Time{}
 		}
 		if now.Sub(c.reportAt) < conductPeriod || !ordered {
 			m.decide(now, c)
@@ -307,6 +310,15 @@
 	return due
 }
 
+func orderFor(orders []fleet.Rollout, service string) (fleet.Rollout, bool) {
+	for _, order := range orders {
+		if order.Service == service {
+			return order, true
+		}
+	}
+	return fleet.Rollout{}, false
+}
+
 // decide advances a rollout and logs the decision.
 func (m *Manager) decide(now time.Time, c *conductedRollout) {
 	seen := Observation{}
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -31,6 +31,9 @@
 	instruction Instruction
 	// validUntil is when the instruction expires.
 	validUntil time.Time
+	// recordLost is set if the source was restored since the final state was recorded, so that the
+	// record may be lost.
+	recordLost bool
 }
 
 // callCounts counts the calls in flight: all, and those that can resume elsewhere if their endpoint
@@ -99,10 +102,15 @@
 	defer p.mu.Unlock()
 	known := make(map[revision.Revision]*participation, len(orders))
 	for _, order := range orders {
-		known[order.Revision] = p.participations[order.Revision]
-		if known[order.Revision] == nil {
-			known[order.Revision] = &participation{order: order, knownSince: p.clock.Now(), tally: NewTally()}
+		before := p.participations[order.Revision]
+		if before == nil {
+			before = &participation{order: order, knownSince: p.clock.Now(), tally: NewTally()}
 		}
+		if order.ListedAt().Era() > before.order.ListedAt().Era() {
+			before.recordLost = true
+		}
+		before.order = order
+		known[order.Revision] = before
 	}
 	p.participations = known
 }
@@ -122,6 +130,7 @@
 		Service: known.order.Service,
 		Version: known.order.Version,
 		Order:   order,
+		At:      known.order.ListedAt(),
 		AgeMs:   now.Sub(known.knownSince).Milliseconds(),
 		State:   known.instruction.State,
 		Step:    known.instruction.Step,
@@ -148,6 +157,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.participations[order]
+	if known != nil && i.Recorded {
+		known.recordLost = false
+	}
 	if known == nil || known.instruction.Recorded || known.instruction.State == Reverted && !i.Recorded {
 		// A decision is final; it is replaced only by the recorded state.
 		return
@@ -196,5 +208,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.participations[order]
-	return known != nil && known.instruction.Recorded
+	return known != nil && known.instruction.Recorded && !known.recordLost
 }
--- a/pkg/rollout/status.go
+++ b/pkg/rollout/status.go
@@ -32,7 +32,7 @@
 func (m *Manager) List() []Status {
 	list := []Status{}
 	now := m.clock.Now()
-	for _, order := range m.view.Rollouts().Orders {
+	for _, order := range m.view.Rollouts().InForce() {
 		entry := Status{Service: order.Service, Version: order.Version, Order: order.Revision}
 		m.Participant.list(&entry)
 		m.mu.Lock()
