discovery: an instance that starts asks its peers before it serves by the store

What callers would have seen: an instance that starts while the store's copy is older serves by a configuration that had been replaced, until a heartbeat tells it of the newer one (up to a second), and then for another second of grace.

Cause: what the store lists counted as the newest.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -253,6 +253,8 @@
 
 func (fakePeers) Announce() {}
 
+func (fakePeers) Contacts() []string { return nil }
+
 func document(at revision.Revision, version uint64) discovery.Document {
 	data, err := json.Marshal(route.Config{Version: version})
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -138,6 +138,7 @@
 // Run follows the source and the peers until t dies.
 func (f *Follower) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
+	t.Go(func() error { f.askPeers(ctx); return nil })
 	t.Go(func() error { f.followEndpoints(ctx); return nil })
 	t.Go(func() error { f.followDocument(ctx); return nil })
 	t.Go(func() error { f.fetchDocuments(ctx); return nil })
@@ -175,6 +176,9 @@
 func (f *Follower) apply(n update) {
 	view := *f.View()
 	then := n.apply(f, &view)
+	if _, lacks := view.Lacking(f.clock.Now()); view.peersAsked && view.Table != nil && !lacks {
+		view.current = true
+	}
 	f.view.Store(&view)
 	if then != nil {
 		then()
--- a/pkg/discovery/source.go
+++ b/pkg/discovery/source.go
@@ -151,6 +151,8 @@
 	Holders(wanted func(DocumentID) bool) []string
 	// Piece requests a piece of the compressed document that a peer has in force.
 	Piece(ctx context.Context, peer string, selection PieceRequest) (Piece, error)
+	// Contacts returns the peer addresses of other instances, which may not be live.
+	Contacts() []string
 	// Announce notifies the other instances of the document in force.
 	Announce()
 }
--- a/pkg/discovery/timeouts_test.go
+++ b/pkg/discovery/timeouts_test.go
@@ -57,6 +57,8 @@
 
 func (*followerPeers) Announce() {}
 
+func (*followerPeers) Contacts() []string { return nil }
+
 // slowPeers delays responses with all endpoints.
 type slowPeers struct {
 	fakePeers
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -48,6 +48,10 @@
 	announced announcement
 	// rejected is the revision of the newest document that could not be put in force.
 	rejected revision.Revision
+	// peersAsked is set once the peers were asked what they have in force. current is set once no
+	// newer document than the one in force was known after that.
+	peersAsked bool
+	current    bool
 }
 
 // DocumentID identifies a document. The zero value stands for none.
@@ -98,8 +102,8 @@
 func (v *View) Rollouts() fleet.Rollouts { return v.listed.Rollouts() }
 
 // Complete reports whether requests can be served: the configuration, the evacuations and the
-// rollouts are known.
-func (v *View) Complete() bool { return v.Table != nil && v.ordersRevision() > 0 }
+// rollouts are known, also by the peers.
+func (v *View) Complete() bool { return v.Table != nil && v.ordersRevision() > 0 && v.peersAsked }
 
 // ordersRevision returns the revision of the source up to which all orders are known.
 func (v *View) ordersRevision() revision.Revision {
@@ -175,13 +179,18 @@
 }
 
 // Behind reports whether requests must be refused because other instances have had a newer
-// configuration for longer than behindGrace. One that was only written again has the same version.
+// configuration for longer than behindGrace, or at all if this instance has just started. One that was
+// only written again has the same version.
 func (v *View) Behind(now time.Time) bool {
 	lacking, lacks := v.Lacking(now)
+	grace := behindGrace
+	if !v.current {
+		grace = 0
+	}
 	if version := v.announced.newest.Version; version > 0 && version == v.InForce().Version {
 		return false
 	}
-	return lacks && lacking >= behindGrace && now.Sub(v.announced.lastHolderAt) < announcementTTL
+	return lacks && lacking >= grace && now.Sub(v.announced.lastHolderAt) < announcementTTL
 }
 
 // status returns the document status sent to other instances. After a newer document was rejected,
--- a/service/handover/discovery.go
+++ b/service/handover/discovery.go
@@ -31,8 +31,8 @@
 	Client *peers.Client
 	Self   membership.Instance
 	Live   func() []membership.Member
-	// Contacts are the addresses to use while no member is known.
-	Contacts []string
+	// Configured are the addresses to use while no member is known.
+	Configured []string
 	// SendHeartbeat triggers a heartbeat.
 	SendHeartbeat func()
 }
@@ -41,13 +41,7 @@
 
 // State implements discovery.Peers. It asks a random peer.
 func (k *DiscoveryPeers) State(ctx context.Context, newerThan revision.Revision) (discovery.PeerState, error) {
-	addresses := k.Contacts
-	if live := k.Live(); len(live) > 0 {
-		addresses = nil
-		for _, m := range live {
-			addresses = append(addresses, m.PeerAddress)
-		}
-	}
+	addresses := k.Contacts()
 	if len(addresses) == 0 {
 		return discovery.PeerState{}, problem.New(problem.Unavailable, "name some peers in the settings", "no peer is known")
 	}
@@ -62,6 +56,19 @@
 	return known.PeerState, err
 }
 
+// Contacts implements discovery.Peers.
+func (k *DiscoveryPeers) Contacts() []string {
+	live := k.Live()
+	if len(live) == 0 {
+		return k.Configured
+	}
+	addresses := make([]string, 0, len(live))
+	for _, m := range live {
+		addresses = append(addresses, m.PeerAddress)
+	}
+	return addresses
+}
+
 // Relays implements discovery.Peers. In a large failure domain, the first two instances by
 // rendezvous hashing, capable machines first, relay to the others. The first relay watches the
 // source; the second follows the first and falls back to the source.
--- a/service/handover/discovery_test.go
+++ b/service/handover/discovery_test.go
@@ -34,7 +34,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		go server.Serve(listener)
 		DeferCleanup(server.Close)
-		k := &DiscoveryPeers{Client: peers.NewClient("newer", testToken, usage), Live: func() []membership.Member { return nil }, Contacts: []string{listener.Addr().String()}}
+		k := &DiscoveryPeers{Client: peers.NewClient("newer", testToken, usage), Live: func() []membership.Member { return nil }, Configured: []string{listener.Addr().String()}}
 
 		known, err := k.State(context.Background(), 0)
 		Expect(err).NotTo(HaveOccurred())
