quarantine, discovery: crashes that a restored store has lost are written again

What callers would have seen: a request that ended its endpoints may end more of them after a drill, on sides of a cut or after all instances have started anew, since the store's record of it is gone with its lease.

Cause: a write that was acknowledged counted as kept. Change: when the follower enters a later era each instance writes what it observed in the ten minutes that the store would keep it, in batches, after up to 2 s; cobaltcroft_source_era tells the era.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -219,6 +219,8 @@
 	g.gossip = peers.NewGossip(g.listeners.heartbeat, s.PeerToken, timeline.NewClock(g.clock), ratelimit.NewSplitter(g.clock), g.metrics, g.logs.For("peers"), func(membership.Instance, uint64) {})
 	g.group = group.New(g.groupSettings(self), g.gossip, g.clock, g.logs.For("peers"))
 	g.follower = discovery.New(g.store, &handover.DiscoveryPeers{Client: g.client, Self: self, Live: g.group.Live, Configured: s.Peers, SendHeartbeat: g.group.Notify}, g.clock, g.logs.For("discovery"))
+	g.follower.OnRestore(g.quarantine.RewriteLost)
+	g.metrics.NewGauge("cobaltcroft_source_era", func() float64 { return float64(g.follower.View().Era()) })
 	g.unreadNotices = g.metrics.NewCounter("cobaltcroft_notices_unread_total")
 	g.rateLimits = throttle.NewTable(g.clock, g.logs.For("throttle"))
 	permitPeers := &handover.ThrottlePeers{Client: g.client, Instance: self, IsLeaving: g.stopping.begun, LiveMembers: g.group.Live, LeavingMembers: g.group.Leaving}
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -63,6 +63,8 @@
 	// for so long that its entries are believed. Both are only accessed by the goroutine of Run.
 	removals removals
 	settled  <-chan time.Time
+	// onRestore is called when the source was restored from an older copy.
+	onRestore func()
 	// startedAt is when this instance started.
 	startedAt time.Time
 	// departures holds the departures announced by endpoints.
@@ -95,12 +97,17 @@
 		departures:     newDepartures(),
 		removals:       removals{},
 		startedAt:      clock.Now(),
+		onRestore:      func() {},
 	}
 	none := fleet.New(0, nil)
 	f.view.Store(&View{Fleet: none, listed: none})
 	return f
 }
 
+// OnRestore sets the function to call when the source was restored from an older copy and may have lost
+// what this instance wrote there. It must be set before Run and must not block.
+func (f *Follower) OnRestore(fn func()) { f.onRestore = fn }
+
 // RefusedEntries returns the number of invalid entries seen.
 func (f *Follower) RefusedEntries() uint64 { return f.refusedEntries.Load() }
 
--- a/pkg/discovery/restored.go
+++ b/pkg/discovery/restored.go
@@ -65,6 +65,7 @@
 	f.log.WithFields(logrus.Fields{
 		"event": "source_era", "era": at.Era(), "before": view.listed.Revision.Era(), "revision": at, "known": view.listed.Revision, "leaving": leaving, "removed": len(f.removals),
 	}).Warn("the source was restored from an older copy")
+	f.onRestore()
 }
 
 // withholdRemoved returns the endpoints without those whose entries had been removed before the source
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -113,6 +113,9 @@
 // watchRevision returns the revision of the source up to which all documents and orders are known.
 func (v *View) watchRevision() revision.Revision { return min(v.DocumentAt, v.ordersRevision()) }
 
+// Era returns the era of the source, which rises with each restore from an older copy.
+func (v *View) Era() uint64 { return v.listed.Revision.Era() }
+
 // Age returns the time since the source confirmed that the configuration is the newest.
 func (v *View) Age(now time.Time) time.Duration { return since(v.DocumentConfirmed, now) }
 
--- a/pkg/quarantine/manager.go
+++ b/pkg/quarantine/manager.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,6 +23,10 @@
 	// write.
 	writeQueueSize = 256
 	maxWriteBatch  = 32
+	// storeRetention is how long the store keeps a crash. maxRewriteDelay bounds the random delay before
+	// crashes are written again, which spreads the writes of all instances.
+	storeRetention  = 10 * time.Minute
+	maxRewriteDelay = 2 * time.Second
 )
 
 // Store persists crashes for instances that cannot reach each other: during a network partition, or
@@ -42,30 +49,79 @@
 	log       *logrus.Entry
 	// pendingWrites is the queue of crashes to be written.
 	pendingWrites chan Crash
+	// lost is signalled when the store may have lost crashes.
+	lost chan struct{}
+
+	mu sync.Mutex
+	// observed maps the requests whose crashes this instance observed or cleared to the last time.
+	observed map[Digest]time.Time
 }
 
 // NewManager returns a Manager for a table. broadcast sends recent changes of the table to all other
 // instances and must not block.
 func NewManager(table *Table, store Store, broadcast func(), clock clockwork.Clock, log *logrus.Entry) *Manager {
-	return &Manager{Table: table, store: store, broadcast: broadcast, clock: clock, log: log, pendingWrites: make(chan Crash, writeQueueSize)}
+	return &Manager{Table: table, store: store, broadcast: broadcast, clock: clock, log: log, pendingWrites: make(chan Crash, writeQueueSize), lost: make(chan struct{}, 1), observed: map[Digest]time.Time{}}
 }
 
 // RecordCrash records a crash observed by this instance.
 func (m *Manager) RecordCrash(d Digest, incarnation string) {
 	m.Table.RecordCrash(d, incarnation)
+	m.noteObserved(d)
 	m.publish([]Crash{{Digest: d, Incarnation: incarnation}})
 }
 
 // Clear records that a request ran without crashing its endpoint.
 func (m *Manager) Clear(d Digest) {
 	if m.Table.Clear(d) {
+		m.noteObserved(d)
 		m.publish(m.Table.crashesOf(d))
 	}
 }
 
+// noteObserved records that this instance has written crashes of a request.
+func (m *Manager) noteObserved(d Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	maps.DeleteFunc(m.observed, func(_ Digest, at time.Time) bool { return now.Sub(at) > storeRetention })
+	if len(m.observed) < maxRequests {
+		m.observed[d] = now
+	}
+}
+
+// RewriteLost writes the crashes that this instance has written again, because the store was restored
+// from a copy that may lack them. It does not block.
+func (m *Manager) RewriteLost() {
+	select {
+	case m.lost <- struct{}{}:
+	default:
+	}
+}
+
+// rewrite queues the crashes that this instance has written and that the store would still keep.
+func (m *Manager) rewrite() {
+	m.mu.Lock()
+	now := m.clock.Now()
+	var digests []Digest
+	for d, at := range m.observed {
+		if now.Sub(at) <= storeRetention {
+			digests = append(digests, d)
+		}
+	}
+	m.mu.Unlock()
+	for _, d := range digests {
+		m.enqueue(m.crashesOf(d))
+	}
+}
+
 // publish broadcasts changes and queues crashes to be written.
 func (m *Manager) publish(crashes []Crash) {
 	m.broadcast()
+	m.enqueue(crashes)
+}
+
+// enqueue queues crashes to be written.
+func (m *Manager) enqueue(crashes []Crash) {
 	for _, e := range crashes {
 		select {
 		case m.pendingWrites <- e:
@@ -94,10 +150,15 @@
 
 // Run writes crashes to the store until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	var due <-chan time.Time
 	for {
 		select {
 		case e := <-m.pendingWrites:
 			m.writeWithRetry(ctx, m.collectBatch(e))
+		case <-m.lost:
+			due = m.clock.After(rand.N(maxRewriteDelay))
+		case <-due:
+			m.rewrite()
 		case <-ctx.Done():
 			return
 		}
