rollout: a recorded verdict stays final when the store comes back older

What operators would have seen: a roll-out that was completed, whose old endpoints are stopped, is reverted seconds later.

Change: the verdict stays recorded and only the record counts as lost; reports tell it, so that a new conductor doesn't judge again either.

--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -35,6 +35,9 @@
 	Incarnation uint64 `json:"incarnation"`
 	// State is the last state the instance was told.
 	State State `json:"state,omitempty"`
+	// RecordLost is set if the store was restored since State was recorded, until the instance is told
+	// that it is recorded again. Older versions omit it.
+	RecordLost bool `json:"record_lost,omitempty"`
 	// Step is the last step the instance was told.
 	Step int `json:"step,omitempty"`
 	// Tally is everything the instance has counted for the rollout.
@@ -129,6 +132,9 @@
 	// decided is the state to be recorded; recorded is the state in the record.
 	decided  State
 	recorded State
+	// recordLost is set if the store was restored since the final state was recorded, until it has been
+	// found there or written again.
+	recordLost bool
 	// recordReadAt is when the record was last read, or zero.
 	recordReadAt time.Time
 }
@@ -140,14 +146,15 @@
 }
 
 // Renew processes the order as the source lists it now. It returns true if the source was restored
-// since, so that the record may be lost and has to be read and, if it is, written again.
+// since, so that the record may be lost and has to be read and, if it is, written again. A state that
+// was recorded remains final.
 func (c *Conductor) Renew(order fleet.Rollout) bool {
 	restored := order.ListedAt().Era() > c.order.ListedAt().Era()
 	c.order = order
-	if restored && c.recorded.Final() {
-		c.decided = c.recorded
-	}
-	if restored {
+	switch {
+	case restored && c.recorded.Final():
+		c.recordLost = true
+	case restored:
 		c.recorded = ""
 	}
 	return restored
@@ -171,6 +178,9 @@
 	if r.State.Final() {
 		c.decide(r.State)
 	}
+	if r.RecordLost && !c.recorded.Final() {
+		c.recorded, c.recordLost = r.State, true
+	}
 	if reached := min(stepFull, step(r.Step)); reached > c.step {
 		// A previous conductor had enough evidence for this step.
 		c.step, c.stepSince = reached, now
@@ -184,7 +194,10 @@
 	if at.After(c.recordReadAt) {
 		c.recordReadAt = at
 	}
-	if state != "" {
+	switch {
+	case c.recorded.Final():
+		c.recordLost = c.recordLost && state != c.recorded
+	case state != "":
 		c.recorded = state
 	}
 }
@@ -203,7 +216,7 @@
 func (c *Conductor) PendingState() (State, bool) {
 	switch {
 	case c.recorded.Final():
-		return c.recorded, false
+		return c.recorded, c.recordLost
 	case c.decided.Final():
 		return c.decided, true
 	}
@@ -308,9 +321,9 @@
 func (c *Conductor) Instruction(now time.Time) Instruction {
 	switch {
 	case c.recorded == Completed:
-		return Instruction{Exposure: fleet.Proven, State: Completed, Recorded: true}
+		return Instruction{Exposure: fleet.Proven, State: Completed, Recorded: !c.recordLost}
 	case c.recorded == Reverted || c.decided == Reverted:
-		return Instruction{Exposure: fleet.Refuted, State: Reverted, Recorded: c.recorded == Reverted}
+		return Instruction{Exposure: fleet.Refuted, State: Reverted, Recorded: c.recorded == Reverted && !c.recordLost}
 	case c.decided == Completed:
 		return Instruction{Exposure: fleet.Proven, State: Completed, Step: int(stepFull)}
 	case !c.RecordFresh(now) || c.step == stepWaiting:
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -133,10 +133,12 @@
 		At:      known.order.ListedAt(),
 		AgeMs:   now.Sub(known.knownSince).Milliseconds(),
 		State:   known.instruction.State,
-		Step:    known.instruction.Step,
-		Tally:   known.tally.clone(),
-		Clear:   proven && left.all == 0,
-		Movable: proven && left.all == left.movable,
+
+		RecordLost: known.instruction.Recorded && known.recordLost,
+		Step:       known.instruction.Step,
+		Tally:      known.tally.clone(),
+		Clear:      proven && left.all == 0,
+		Movable:    proven && left.all == left.movable,
 	}, true
 }
 
--- a/pkg/rollout/restored_test.go
+++ b/pkg/rollout/restored_test.go
@@ -54,6 +54,26 @@
 		Entry("completed, the order written again", behaviour{route: -1}, rollout.Completed, uint64(orderAt)+3),
 	)
 
+	It("stays completed when it turns bad afterwards, also under a new conductor", func() {
+		m := newModel(1, 6)
+		m.bad = behaviour{route: -1}
+		m.run(time.Second, perSecond)
+		m.order()
+		m.run(over+time.Second, perSecond)
+		Expect(m.record.State).To(Equal(rollout.Completed))
+		m.bad = badVersions[1]
+		m.run(4*time.Second, perSecond)
+		m.restore(uint64(orderAt) - 2)
+		m.run(4*time.Second, perSecond)
+		Expect(m.record.State).To(Equal(rollout.Completed))
+		m.restore(uint64(orderAt) - 1)
+		for n := range m.instances[:5] {
+			m.instances[n] = m.start(m.instances[n].name, 2)
+		}
+		m.run(4*time.Second, perSecond)
+		Expect(m.record.State).To(Equal(rollout.Completed))
+	})
+
 	It("has its verdict written again by others if all that conducted it are gone", func() {
 		m := newModel(1, 6)
 		m.bad = badVersions[0]
