--- a/cmd/cobaltcroftd/gateway/drill_test.go
+++ b/cmd/cobaltcroftd/gateway/drill_test.go
@@ -38,12 +38,13 @@
 		d.Config.Routes[0].PathPrefix = "/" + prefix + "/"
 		d.PutConfig()
 	}
-	// restore brings the store back from a copy after it was away for a moment.
-	restore := func(c platformtest.Copy) {
+	// restore brings the store back from a copy after it was away for a moment, and returns what it has
+	// lost.
+	restore := func(c platformtest.Copy) []platformtest.Write {
 		d.Store.SetFault(platformtest.StoreReset)
+		defer d.Store.SetFault(platformtest.StoreHealthy)
 		time.Sleep(300 * time.Millisecond)
-		d.Store.Restore(c)
-		d.Store.SetFault(platformtest.StoreHealthy)
+		return d.Store.Restore(c)
 	}
 	// loseConfigurations puts three configurations in force and restores a copy from before them.
 	loseConfigurations := func(i *instance) {
@@ -124,7 +125,6 @@
 		d.Store.Put("servers/"+leaving.ID, leaving.Entry("draining"))
 		d.Store.Remove("servers/" + left.ID)
 		time.Sleep(applyBound + observed)
-		lost := d.Store.Lost(c)
 		arrived := leaving.RequestCount() + left.RequestCount()
 		var stop atomic.Bool
 		done := make(chan struct{})
@@ -135,7 +135,7 @@
 				Expect(traffic(i, "once", "stream")).To(HaveEach(http.StatusOK))
 			}
 		}()
-		restore(c)
+		lost := restore(c)
 		time.Sleep(applyBound)
 		d.Store.Rewrite(lost)
 		time.Sleep(observed)
@@ -155,8 +155,7 @@
 		}
 		Eventually(func() int { i.ask("once"); return added.RequestCount() }).Should(BeNumerically(">", 0))
 		time.Sleep(applyBound)
-		lost := d.Store.Lost(c)
-		restore(c)
+		lost := restore(c)
 		for until := time.Now().Add(observed); time.Now().Before(until); {
 			Expect(status(i, "once")()).To(Equal(http.StatusOK))
 		}
