--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -50,9 +50,11 @@
 	// answersLate delays responses until the context of the call is done.
 	answersLate bool
 	relays      []string
-	watches     int
-	relayCalls  int
-	age         time.Duration
+	// contacts are the peers that an instance asks when it starts.
+	contacts   []string
+	watches    int
+	relayCalls int
+	age        time.Duration
 	// evacuatedAt maps returned revisions to the evacuated failure domains. If set, orders is
 	// returned by watches instead.
 	evacuatedAt map[revision.Revision][]string
@@ -253,7 +255,11 @@
 
 func (fakePeers) Announce() {}
 
-func (fakePeers) Contacts() []string { return nil }
+func (p fakePeers) Contacts() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.contacts
+}
 
 func document(at revision.Revision, version uint64) discovery.Document {
 	data, err := json.Marshal(route.Config{Version: version})
@@ -269,6 +275,29 @@
 	return s
 }
 
+var _ = Describe("a follower that starts while its source lists an older copy", func() {
+	It("asks its peers and never serves by the older document", func() {
+		source, peers := &fakeSource{}, &fakeSource{contacts: []string{"peer"}}
+		source.set(func(s *fakeSource) { s.state = state(revision.At(1, 12), revision.At(1, 11), 3, "a") })
+		peers.set(func(s *fakeSource) { s.state = state(14, 14, 5, "a") })
+		f := discovery.New(source, fakePeers{peers}, clockwork.NewRealClock(), logging.Discard().For("discovery"))
+		var t tomb.Tomb
+		t.Go(func() error { return f.Run(&t) })
+		DeferCleanup(func() {
+			t.Kill(nil)
+			_ = t.Wait()
+		})
+		Eventually(func(g Gomega) {
+			view := f.View()
+			if view.Complete() && !view.Behind(time.Now()) {
+				Expect(view.Table.Version).To(Equal(uint64(5)))
+			}
+			g.Expect(view.Complete()).To(BeTrue())
+			g.Expect(view.Table.Version).To(Equal(uint64(5)))
+		}).WithPolling(100 * time.Microsecond).Should(Succeed())
+	})
+})
+
 var _ = Describe("a follower", func() {
 	var (
 		store, peers *fakeSource
--- a/pkg/discovery/restored_test.go
+++ b/pkg/discovery/restored_test.go
@@ -9,6 +9,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/revision"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
 // restoredSource is a follower whose updates a test gives as those of a source.
@@ -155,7 +156,48 @@
 	follower.clock.Advance(time.Minute)
 	follower.apply(outageGraceExpired{})
 	follower.wantReady(t, "without what the copy lacks", "c", "e")
-	if answer := relay.relayResponse(relay.View(), 12); !answer.Gone && answer.Changes.Revision.Era() != 0 {
+	if answer := relay.relayResponse(relay.View(), 14); !answer.Gone {
 		t.Errorf("differences are sent to a revision that they were not taken from: %+v", answer)
 	}
 }
+
+// document puts a document in force as one of the source.
+func (r restoredSource) document(at revision.Revision, version uint64) {
+	r.apply(documentUpdate{
+		document: Document{Revision: at}, table: &route.Table{Version: version}, status: DocumentStatus{Revision: at, At: at},
+		confirmedAt: r.clock.Now(), from: "source", orders: orders{at: at},
+	})
+}
+
+func TestADocumentThatWasOnlyWrittenAgainStopsNobody(t *testing.T) {
+	r := newRestored()
+	r.apply(peersAsked{})
+	r.document(5, 7)
+	r.apply(peerDocumentUpdate{Version: 7, Revision: revision.At(1, 5)})
+	r.clock.Advance(behindGrace)
+	if _, lacks := r.View().Lacking(r.clock.Now()); !lacks || r.View().Behind(r.clock.Now()) {
+		t.Errorf("lacks it: %t, refuses requests: %t", lacks, r.View().Behind(r.clock.Now()))
+	}
+	r.apply(peerDocumentUpdate{Version: 8, Revision: revision.At(1, 6)})
+	r.clock.Advance(behindGrace)
+	if !r.View().Behind(r.clock.Now()) {
+		t.Error("serves without the newer version")
+	}
+}
+
+func TestAnInstanceThatStartsOnAnOlderCopyDoesNotServeByIt(t *testing.T) {
+	r := newRestored()
+	r.document(revision.At(1, 5), 7)
+	if r.View().Complete() {
+		t.Error("serves before the peers were asked")
+	}
+	r.apply(statusUpdate{status: DocumentStatus{Revision: 6, Version: 8, Newest: 6, NewestVersion: 8}, at: r.clock.Now()})
+	r.apply(peersAsked{})
+	if !r.View().Behind(r.clock.Now()) {
+		t.Error("serves by version 7 although a peer has version 8")
+	}
+	r.apply(documentUpdate{document: Document{Revision: 6}, table: &route.Table{Version: 8}, status: DocumentStatus{Revision: 6, Version: 8, At: 6}, confirmedAt: r.clock.Now(), from: "peer"})
+	if !r.View().Complete() || r.View().Behind(r.clock.Now()) || r.View().Table.Version != 8 {
+		t.Errorf("does not serve by version 8: %+v", r.View().InForce())
+	}
+}
