discovery: the peers of a spec give pieces by the rule of instances

A spec failed in one of three runs: its stand-in for peers compared bare revisions and gave no piece to an instance that already had the older copy's document.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -245,7 +245,11 @@
 		return discovery.Piece{}, errUnavailable
 	}
 	piece := discovery.Piece{Status: p.status(state)}
-	if state.Document.Revision <= selection.NewerThan || selection.MaxAge > 0 && p.stateAge() > selection.MaxAge {
+	newer := state.Document.Revision > selection.NewerThan
+	if state.Document.Revision.Era() != selection.NewerThan.Era() {
+		newer = versionOf(state) > selection.Version
+	}
+	if !newer || selection.MaxAge > 0 && p.stateAge() > selection.MaxAge {
 		return piece, nil
 	}
 	digest, data := discovery.Pack(state.Document)
