settings, standin, cmd: plain wording

pkg/settings, pkg/standin and the commands of cobaltcroft-soak, -load and -standin whole: comments say what the code does in the field's terms.

--- a/cmd/cobaltcroft-load/cmds/cmds.go
+++ b/cmd/cobaltcroft-load/cmds/cmds.go
@@ -1,4 +1,4 @@
-// Package cmds has the commands of cobaltcroft-load.
+// Package cmds implements the commands of cobaltcroft-load.
 package cmds
 
 import (
--- a/cmd/cobaltcroft-load/cmds/measure.go
+++ b/cmd/cobaltcroft-load/cmds/measure.go
@@ -19,8 +19,8 @@
 	Fleet string `required:"" help:"The fleet."`
 }
 
-// Run writes the settings and prints, for the script that starts the processes, one
-// line for each: the program and its settings file.
+// Run writes the settings and prints a line with program and settings file for each process, which a script
+// uses to start them.
 func (c *prepareCommand) Run() error {
 	fleet, err := fleetNamed(c.Fleet)
 	if err != nil {
@@ -51,7 +51,7 @@
 	Results string        `type:"path" help:"Append the rows as JSON lines to this file, for the report."`
 }
 
-// Run replays each trace under each policy in turn.
+// Run replays each trace with each policy.
 func (c *measureCommand) Run() error {
 	layout, err := measure.ReadLayout(c.Dir)
 	if err != nil {
@@ -123,5 +123,5 @@
 	Page    string `arg:"" type:"path" help:"The page whose tables are replaced, between its markers."`
 }
 
-// Run writes the tables into the page.
+// Run replaces the tables of the page.
 func (c *reportCommand) Run() error { return measure.Report(c.Results, c.Page) }
--- a/cmd/cobaltcroft-load/cmds/scale.go
+++ b/cmd/cobaltcroft-load/cmds/scale.go
@@ -14,7 +14,7 @@
 	Endpoints int    `required:"" help:"The number of endpoint records."`
 }
 
-// Run writes the settings and prints one line for each process, as prepare does.
+// Run writes the settings and prints a line for each process, like prepare.
 func (c *prepareScaleCommand) Run() error {
 	layout, err := measure.PrepareScale(c.Dir, c.Instances, c.Domains, c.Endpoints)
 	if err != nil {
@@ -37,7 +37,7 @@
 	Dir string `arg:"" type:"path" help:"The folder that prepare-scale wrote."`
 }
 
-// Run measures and prints one line.
+// Run measures and prints one line with the results.
 func (c *scaleCommand) Run() error {
 	layout, err := measure.ReadLayout(c.Dir)
 	if err != nil {
--- a/cmd/cobaltcroft-soak/cmds/cmds.go
+++ b/cmd/cobaltcroft-soak/cmds/cmds.go
@@ -1,4 +1,4 @@
-// Package cmds has the command of cobaltcroft-soak.
+// Package cmds implements the command of cobaltcroft-soak.
 package cmds
 
 import (
@@ -28,7 +28,7 @@
 	Dir       string        `help:"Where settings and logs are kept; a temporary folder if not given. That of a seed without a breach is removed."`
 }
 
-// Main plays the seeds and exits with 1 if anything broke.
+// Main runs the seeds and exits with status 1 if a check failed.
 func Main() {
 	var line commandLine
 	kong.Parse(&line, kong.Name("cobaltcroft-soak"), kong.Description("Plays faults on real instances before stand-ins of the platform, and checks what must always hold."))
@@ -58,13 +58,13 @@
 	}
 }
 
-// earlier is the build with which the instances begin; its program is empty if that is the present one.
+// earlier is the build with which the instances start. Its program is empty if that is the current build.
 type earlier struct {
 	program string
 	lacks   []soak.Guarantee
 }
 
-// buildEarlier builds the earlier program that is asked for, if any; the function removes it.
+// buildEarlier builds the requested earlier program, if any. The returned function removes it.
 func (c commandLine) buildEarlier() (earlier, func(), error) {
 	if c.From == "" {
 		return earlier{}, func() {}, nil
@@ -87,7 +87,7 @@
 	return earlier{program, l.lacks}, cleanUp, nil
 }
 
-// play plays one seed, and tells whether nothing broke.
+// play runs one seed and reports whether all checks passed.
 func (c commandLine) play(seed uint64, from earlier) bool {
 	base := c.Dir
 	if base == "" {
--- a/cmd/cobaltcroft-soak/cmds/landing.go
+++ b/cmd/cobaltcroft-soak/cmds/landing.go
@@ -12,15 +12,16 @@
 	"github.com/cobaltcroft/cobaltcroft/platform/platformtest/soak"
 )
 
-// landing is an earlier state of the product that may run beside the present one.
+// landing is an earlier version of the program that may run side by side with the current one.
 type landing struct {
 	commit string
-	// lacks are the promises that it does not give.
+	// lacks contains the guarantees that it does not give.
 	lacks []soak.Guarantee
 }
 
-// readLanding finds a commit in the list of landings: a line is "commit | lacking promises, by commas", and #
-// begins a comment. "last" is the first line. A commit that is not listed lacks nothing.
+// readLanding finds a commit in the list of landings. A line has the form "commit | guarantee, guarantee" with the
+// guarantees that the commit lacks; # starts a comment. "last" selects the first line. A commit that is not
+// listed lacks no guarantee.
 func readLanding(path, commit string) (landing, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -43,7 +44,7 @@
 	return landing{commit: commit}, nil
 }
 
-// build builds the program of a commit in a folder, from the repository's history, and returns its path.
+// build builds the program of a commit in a directory and returns its path.
 func (l landing) build(dir string) (string, error) {
 	if err := exec.Command("git", "cat-file", "-e", l.commit+"^{commit}").Run(); err != nil {
 		return "", problem.Wrap(err, problem.NotFound, "fetch the whole history (git fetch --unshallow), or name another commit", "the repository's history has no commit %s", l.commit)
--- a/cmd/cobaltcroft-standin/cmds/cmds.go
+++ b/cmd/cobaltcroft-standin/cmds/cmds.go
@@ -1,4 +1,4 @@
-// Package cmds has the commands of cobaltcroft-standin.
+// Package cmds implements the command of cobaltcroft-standin.
 package cmds
 
 import (
@@ -16,7 +16,7 @@
 	Site string `arg:"" type:"path" help:"The site's settings (JSON)."`
 }
 
-// Main runs the stand-ins until a signal stops them.
+// Main runs the fakes until it receives a signal.
 func Main() {
 	var line commandLine
 	kong.Parse(&line, kong.Name("cobaltcroft-standin"), kong.Description("Small stand-ins for the key-value service, the instance list and the endpoints."))
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// The bounds on the fields.
+// Limits of fields: characters, bytes and numbers of requests.
 const (
 	minTokenLength = 8
 	maxRequest     = 64 << 20
@@ -20,7 +20,7 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?$`)
 
-// checker collects faults.
+// checker collects invalid fields.
 type checker struct{ faults []string }
 
 func (c *checker) add(field string, value any, remedy string) {
@@ -70,7 +70,7 @@
 	}
 }
 
-// Faults returns every fault of s, each with field, value and remedy.
+// Faults returns a message for each invalid field, with its value and a remedy.
 func (s Settings) Faults() []string {
 	c := &checker{}
 	c.name("instance", s.Instance)
--- a/pkg/settings/duration.go
+++ b/pkg/settings/duration.go
@@ -7,10 +7,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Duration is a time.Duration written in JSON as a string such as "250ms".
+// Duration is a time.Duration that is encoded in JSON as a string such as "250ms".
 type Duration time.Duration
 
-// UnmarshalJSON reads a string that time.ParseDuration accepts.
+// UnmarshalJSON decodes a string in the format of time.ParseDuration.
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
@@ -24,7 +24,7 @@
 	return nil
 }
 
-// MarshalJSON writes the string form.
+// MarshalJSON encodes the duration as a string.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -11,80 +11,80 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
-// Gateway is the settings of an instance that stands before HTTP endpoints and finds
-// configuration and endpoints in a metadata store. Unknown fields are ignored.
+// Gateway contains the settings of an instance that forwards to HTTP endpoints and reads its
+// configuration and the endpoints from a metadata store. Unknown fields are ignored.
 type Gateway struct {
 	Instance      string `json:"instance"`
 	FailureDomain string `json:"failure_domain"`
-	// Regions has the region of each failure domain. Requests that are limited to some regions go to no failure domain that
-	// it lacks.
+	// Regions maps failure domains to regions. Requests that are restricted to some regions are not sent to failure domains
+	// without a region.
 	Regions map[string]string `json:"regions"`
-	// Listen has the address of each face.
+	// Listen contains the address of each interface.
 	Listen GatewayListen `json:"listen"`
-	// Peers are peer addresses (IP:port) of some instances, to begin with.
+	// Peers are the peer addresses (IP:port) of some instances, used to discover the others.
 	Peers []string `json:"peers"`
 	// PeerToken is shared by all instances of a deployment.
 	PeerToken string `json:"peer_token"`
 	// Store is the IP:port of the metadata store.
 	Store string `json:"store"`
-	// Machine is what the instance has of its machine.
+	// Machine is the share of the machine that the instance may use.
 	Machine GatewayMachine `json:"machine"`
-	// MemoryMB is what the process may use, in units of a million bytes.
+	// MemoryMB is the memory limit of the process in millions of bytes.
 	MemoryMB int `json:"memory_mb"`
-	// StopGraceSeconds bounds a planned stop.
+	// StopGraceSeconds is the maximum duration of a graceful shutdown.
 	StopGraceSeconds float64         `json:"stop_grace_seconds"`
 	Retries          GatewayRetries  `json:"retries"`
 	Rollouts         GatewayRollouts `json:"rollouts"`
-	// Log gives a level by layer; "default" applies to all others.
+	// Log maps layers to log levels; "default" applies to all other layers.
 	Log map[string]string `json:"log"`
 }
 
-// GatewayListen has one address (IP:port) for each face.
+// GatewayListen contains the address (IP:port) of each interface.
 type GatewayListen struct {
-	// Requests takes the clients' requests, Readiness the balancer's question.
+	// Requests serves clients, Readiness the health check of the load balancer.
 	Requests  string `json:"requests"`
 	Readiness string `json:"readiness"`
 	Peers     string `json:"peers"`
 	Metrics   string `json:"metrics"`
 }
 
-// GatewayMachine is the share of a machine that an instance has. By it instances choose those
-// that work for others; 0 stands for not known, and is the least where others are known.
+// GatewayMachine is the share of a machine that an instance may use. Instances with a larger share are
+// preferred for work on behalf of others. 0 stands for unknown and ranks below any known value.
 type GatewayMachine struct {
-	// ProcessorShare is the part of one processor, and ProcessorSpeed how many times as fast as
-	// usual that one is.
+	// ProcessorShare is the number of processors, which may be a fraction, and ProcessorSpeed their speed
+	// relative to the reference processor.
 	ProcessorShare float64 `json:"processor_share"`
 	ProcessorSpeed float64 `json:"processor_speed"`
-	// LinkMbps is the rate of its link, in millions of bits a second.
+	// LinkMbps is the bandwidth of the network link in megabits per second.
 	LinkMbps float64 `json:"link_mbps"`
 }
 
-// Cores is the processor time that it has, in processors of the usual speed.
+// Cores returns the processor share in processors of the reference speed.
 func (m GatewayMachine) Cores() float64 { return m.ProcessorShare * m.ProcessorSpeed }
 
-// GatewayRetries bounds repeats over all instances: in each window, a service may
-// receive Ratio times its requests and Slack more.
+// GatewayRetries limits retries across all instances: in each window, a service may receive Slack plus
+// Ratio times its number of requests.
 type GatewayRetries struct {
 	Ratio         float64 `json:"ratio"`
 	Slack         float64 `json:"slack"`
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
-// GatewayRollouts bounds how traffic is moved between versions.
+// GatewayRollouts limits how traffic is moved between versions.
 type GatewayRollouts struct {
-	// Share is the part of a service's requests that a version may get which turns out to be bad; over 0, up to 1.
+	// Share is the maximum fraction of a service's requests that a bad version may get, greater than 0 and at most 1.
 	Share float64 `json:"share"`
 }
 
-// Window is the time over which repeats are counted.
+// Window returns the period over which retries are counted.
 func (r GatewayRetries) Window() time.Duration { return seconds(r.WindowSeconds) }
 
-// StopGrace bounds a planned stop.
+// StopGrace returns the maximum duration of a graceful shutdown.
 func (g Gateway) StopGrace() time.Duration { return seconds(g.StopGraceSeconds) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// GatewayDefaults apply where the file is silent.
+// GatewayDefaults returns the values of fields that the file omits.
 func GatewayDefaults() Gateway {
 	return Gateway{
 		Machine:          GatewayMachine{ProcessorSpeed: 1},
@@ -95,7 +95,7 @@
 	}
 }
 
-// ReadGateway reads and checks the settings file at path.
+// ReadGateway reads and validates the settings file at path.
 func ReadGateway(path string) (Gateway, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -104,7 +104,7 @@
 	return ParseGateway(data)
 }
 
-// ParseGateway reads settings from JSON and checks them. The error lists every fault.
+// ParseGateway parses settings from JSON and validates them. The error lists all invalid fields.
 func ParseGateway(data []byte) (Gateway, error) {
 	g := GatewayDefaults()
 	decoder := json.NewDecoder(bytes.NewReader(data))
@@ -126,15 +126,15 @@
 	minMemoryMB = 32
 	maxMemoryMB = 1 << 20
 	maxGrace    = 600
-	// maxProcessors and maxLinkMbps bound what a machine has: far above any, they catch figures
-	// in other units.
+	// maxProcessors and maxLinkMbps are far above those of any machine. They detect values in the wrong
+	// unit.
 	maxProcessors = 1024
 	maxLinkMbps   = 1e6
-	// minRolloutShare is the least share of a version that is tried by which it can be judged.
+	// minRolloutShare is the smallest share at which a version receives enough requests to be evaluated.
 	minRolloutShare = 0.001
 )
 
-// Faults returns every fault, each with field, value and remedy.
+// Faults returns a message for each invalid field, with its value and a remedy.
 func (g Gateway) Faults() []string {
 	c := &checker{}
 	c.name("instance", g.Instance)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -1,6 +1,6 @@
-// Package settings reads and checks the settings file of an instance. Settings
-// are what a process must know before it can reach anything: its name, addresses,
-// failure domain, tokens and the platform's addresses. All else is configuration.
+// Package settings reads and validates the settings file of an instance. It contains what a process needs
+// before it can reach any other: its name, failure domain, addresses, tokens and the addresses of the
+// platform. Everything else is part of the configuration.
 package settings
 
 import (
@@ -25,24 +25,24 @@
 	Advertise Advertise `json:"advertise"`
 	// Peers are the peer addresses of some other instances, to begin with.
 	Peers []string `json:"peers"`
-	// Tokens that operators and peers present.
+	// Tokens authenticate operators and peers.
 	Tokens Tokens `json:"tokens"`
-	// Platform has the addresses of the platform's services.
+	// Platform contains the addresses of the platform's services.
 	Platform Platform `json:"platform"`
-	// Timings of the control work.
+	// Timings contains intervals and timeouts.
 	Timings Timings `json:"timings"`
 	// Placement of models on endpoints.
 	Placement Placement `json:"placement"`
-	// Limits on input.
+	// Limits contains limits on sizes and numbers of requests.
 	Limits Limits `json:"limits"`
-	// Policy chooses the decision policy; all but "cobaltcroft" are baselines
-	// for measuring.
+	// Policy is the policy by which endpoints are chosen. All but "cobaltcroft" are baselines for
+	// measurements.
 	Policy string `json:"policy"`
-	// Log gives a level by layer; "default" applies to all others.
+	// Log maps layers to log levels; "default" applies to all other layers.
 	Log map[string]string `json:"log"`
 }
 
-// Listen has one address (IP:port) for each face.
+// Listen contains the address (IP:port) of each interface.
 type Listen struct {
 	Callers   string `json:"callers"`
 	Operators string `json:"operators"`
@@ -50,16 +50,15 @@
 	Metrics   string `json:"metrics"`
 }
 
-// Advertise has addresses (IP:port) at which others reach this instance, where a
-// forwarder stands before it. Empty: the listen address.
+// Advertise contains the addresses (IP:port) at which others reach this instance if they differ from the
+// listen addresses, such as behind a port forwarder. Empty fields default to the listen address.
 type Advertise struct {
 	Peers string `json:"peers"`
 }
 
 // Tokens are shared secrets.
 type Tokens struct {
-	// Operators are accepted on the operators' face, any of them, so that they
-	// can be changed one after the other.
+	// Operators are the tokens of operators. Several are valid at a time, so that they can be rotated.
 	Operators []string `json:"operators"`
 	// Peers is shared by all instances.
 	Peers string `json:"peers"`
@@ -69,54 +68,53 @@
 type Platform struct {
 	KeyValue     string `json:"key_value"`
 	InstanceList string `json:"instance_list"`
-	// Timeout bounds one call.
+	// Timeout is the timeout of a call.
 	Timeout Duration `json:"timeout"`
 }
 
-// Timings of the control work.
+// Timings contains intervals and timeouts.
 type Timings struct {
-	// Heartbeat is the time between heartbeats to each peer of the domain.
+	// Heartbeat is the interval between heartbeats to each peer of the failure domain.
 	Heartbeat Duration `json:"heartbeat"`
 	// SuspectAfter is the silence after which a peer is suspected.
 	SuspectAfter Duration `json:"suspect_after"`
-	// InstanceListPoll is the time between reads of the instance list.
+	// InstanceListPoll is the interval between reads of the instance list.
 	InstanceListPoll Duration `json:"instance_list_poll"`
-	// AntiEntropy is the time between reads of the configuration's head by an
-	// instance that holds no watch.
+	// AntiEntropy is the mean interval between reads of the configuration's head by an instance that
+	// does not watch it.
 	AntiEntropy Duration `json:"anti_entropy"`
-	// StopGrace bounds how long a planned stop waits for requests in flight.
+	// StopGrace is how long a graceful shutdown waits for requests in flight.
 	StopGrace Duration `json:"stop_grace"`
-	// ClaimRetention is how long the platform keeps the claim of a
-	// not-repeatable request.
+	// ClaimRetention is how long the platform keeps the claim of a non-repeatable request.
 	ClaimRetention Duration `json:"claim_retention"`
 }
 
-// Placement of models on endpoints, by the holder of the failure domain's lease.
+// Placement configures how the holder of a failure domain's lease places models on endpoints.
 type Placement struct {
-	// Lease is the time of the lease; whole seconds.
+	// Lease is the lease time in whole seconds.
 	Lease Duration `json:"lease"`
-	// Period is the time between readings of the endpoints' models.
+	// Period is the interval between reads of the endpoints' models.
 	Period Duration `json:"period"`
-	// OrderTimeout bounds one order.
+	// OrderTimeout is the timeout of an order.
 	OrderTimeout Duration `json:"order_timeout"`
-	// LoadsPerMinute bounds the loads in the failure domain: what the weight store
-	// bears, divided by the number of domains.
+	// LoadsPerMinute is the maximum rate of model loads in the failure domain: the capacity of the weight
+	// store divided by the number of failure domains.
 	LoadsPerMinute float64 `json:"loads_per_minute"`
 }
 
 // Limits on input.
 type Limits struct {
-	// RequestBytes bounds a caller's body.
+	// RequestBytes is the maximum size of a request body.
 	RequestBytes int64 `json:"request_bytes"`
-	// AnswerBytes bounds an endpoint's answer.
+	// AnswerBytes is the maximum size of a response of an endpoint.
 	AnswerBytes int64 `json:"answer_bytes"`
-	// InFlight bounds the requests in flight on this instance.
+	// InFlight is the maximum number of requests in flight at this instance.
 	InFlight int `json:"in_flight"`
-	// QueuePerService bounds the calls that wait for an endpoint of a service.
+	// QueuePerService is the maximum number of calls waiting for an endpoint of a service.
 	QueuePerService int `json:"queue_per_service"`
 }
 
-// The policies that Settings.Policy may name.
+// Values of Settings.Policy.
 const (
 	PolicyCobaltcroft   = "cobaltcroft"
 	PolicyRandom        = "random"
@@ -125,7 +123,7 @@
 	PolicyStrictLocal   = "strict_local"
 )
 
-// Defaults returns the settings that apply where the file is silent.
+// Defaults returns the values of fields that the file omits.
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{Timeout: Duration(500 * time.Millisecond)},
@@ -153,7 +151,7 @@
 	}
 }
 
-// Read reads and checks the settings file at path.
+// Read reads and validates the settings file at path.
 func Read(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -162,7 +160,7 @@
 	return Parse(data)
 }
 
-// Parse reads settings from JSON and checks them. The error lists every fault.
+// Parse parses settings from JSON and validates them. The error lists all invalid fields.
 func Parse(data []byte) (Settings, error) {
 	s := Defaults()
 	decoder := json.NewDecoder(bytes.NewReader(data))
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -19,50 +19,50 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
 )
 
-// EndpointSettings describe one endpoint.
+// EndpointSettings are the settings of an endpoint.
 type EndpointSettings struct {
 	Name          string `json:"name"`
 	Service       string `json:"service"`
 	FailureDomain string `json:"failure_domain"`
-	// Listen is the address; port 0 lets the system choose.
+	// Listen is the listen address. Port 0 selects a free port.
 	Listen string `json:"listen"`
-	// Concurrency is how many calls run at once; the others wait.
+	// Concurrency is the maximum number of concurrent calls. Further calls are queued.
 	Concurrency int `json:"concurrency"`
-	// ServiceMs is the time of a call that names none, in milliseconds.
+	// ServiceMs is the default duration of a call in milliseconds.
 	ServiceMs    float64 `json:"service_ms"`
 	ChecksTokens bool    `json:"checks_tokens,omitempty"`
-	// NeedsModels makes it refuse calls of models that it was not told to load.
+	// NeedsModels makes the endpoint reject calls for models that were not loaded by an order.
 	NeedsModels bool `json:"needs_models,omitempty"`
-	// LoadMs is how long an order takes, in milliseconds.
+	// LoadMs is the duration of an order in milliseconds.
 	LoadMs float64 `json:"load_ms,omitempty"`
 }
 
 const (
-	// defaultTokens is how many tokens a generation has that names no number.
+	// defaultTokens is the default number of tokens of a generation.
 	defaultTokens = 8
-	// prefillShare is the part of a generation's time before its first token, and
-	// cachedShare what is left of that part when the prefix is in the cache.
+	// prefillShare is the fraction of a generation's duration before its first token, and cachedShare the
+	// fraction of that which remains if the prefix is cached.
 	prefillShare = 0.4
 	cachedShare  = 0.2
-	// cachedPrefixes is how many prompt prefixes an engine's cache holds.
+	// cachedPrefixes is the number of prompt prefixes in an engine's cache.
 	cachedPrefixes = 8
 	maxCallBody    = 16 << 20
 )
 
-// Run is one call that an endpoint has run, wholly or in part.
+// Run is a call that an endpoint has processed, completely or in part.
 type Run struct {
 	Endpoint string `json:"endpoint"`
 	Service  string `json:"service"`
 	Request  string `json:"request"`
 	Stage    string `json:"stage"`
 	Attempt  string `json:"attempt"`
-	// Ms is how long it held a slot, in milliseconds.
+	// Ms is how long the call occupied a slot, in milliseconds.
 	Ms float64 `json:"ms"`
-	// Whole is false if it was broken off.
+	// Whole is false if the call was aborted.
 	Whole bool `json:"whole"`
 }
 
-// Endpoint stands in for an engine, a stage pool's member or a plain service.
+// Endpoint is a fake engine, stage endpoint or plain service.
 type Endpoint struct {
 	settings EndpointSettings
 	list     *InstanceList
@@ -72,11 +72,11 @@
 	running int
 	waiting []*waitingCall
 	active  map[string]context.CancelFunc
-	// nextCall has faults shared with other endpoints; nil: none.
+	// nextCall contains faults shared with other endpoints, or is nil.
 	nextCall *NextCall
 	runs     []Run
 	models   models
-	// reserved keeps the port while the endpoint is dead.
+	// reserved keeps the port bound while the endpoint is stopped.
 	reserved    *reservation
 	loads       []loadAt
 	calls       int
@@ -95,13 +95,13 @@
 	ready    chan struct{}
 }
 
-// NewEndpoint returns an endpoint that enters itself in list when it starts.
+// NewEndpoint returns an endpoint that registers in list when it starts.
 func NewEndpoint(s EndpointSettings, list *InstanceList) *Endpoint {
 	prefixes, _ := lru.New[string, struct{}](cachedPrefixes)
 	return &Endpoint{settings: s, list: list, active: map[string]context.CancelFunc{}, prefixes: prefixes, crossed: make(chan openinference.InferResponse, 1), crossedBack: make(chan openinference.InferResponse, 1)}
 }
 
-// Start listens and serves, at the same address as before if there was one.
+// Start starts the endpoint, at its previous address after a restart.
 func (e *Endpoint) Start() error {
 	address := e.settings.Listen
 	if e.address != "" {
@@ -136,10 +136,9 @@
 	return nil
 }
 
-// Kill closes all connections, as the death of the process would. The list keeps
-// the entry, since it lags.
+// Kill closes all connections, like a crash of the process. The entry stays in the list.
 func (e *Endpoint) Kill() {
-	// The server closes only a listener that it has begun to serve; one killed at once would go on accepting.
+	// The server only closes listeners that it already serves.
 	_ = e.listener.Close()
 	_ = e.server.Close()
 	if e.reserved == nil {
@@ -147,8 +146,8 @@
 	}
 }
 
-// SetLeaving marks the endpoint as leaving in the list, and if itself is set has it
-// refuse new calls too.
+// SetLeaving marks the endpoint as leaving in the list. If itself is set, the endpoint also rejects new
+// calls.
 func (e *Endpoint) SetLeaving(leaving, itself bool) {
 	e.mu.Lock()
 	e.leaving = leaving
@@ -164,7 +163,7 @@
 	e.list.Set(i)
 }
 
-// Address returns where the endpoint listens.
+// Address returns the listen address.
 func (e *Endpoint) Address() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -178,24 +177,24 @@
 	e.faults = f
 }
 
-// Runs returns what the endpoint has run so far.
+// Runs returns the calls that the endpoint has processed.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return append([]Run(nil), e.runs...)
 }
 
-// Calls returns how many calls have come, refused ones included.
+// Calls returns the number of calls received, including rejected ones.
 func (e *Endpoint) Calls() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.calls
 }
 
-// work is what the input may say about its own cost.
+// work contains the durations that the input may specify.
 type work struct {
 	Input struct {
-		// WorkMs is the time of each stage, in milliseconds.
+		// WorkMs maps stages to their durations in milliseconds.
 		WorkMs map[string]float64 `json:"work_ms"`
 		Tokens int                `json:"tokens"`
 	} `json:"input"`
@@ -212,7 +211,7 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// enter waits for a slot; higher priorities go first. It returns false if ctx ends.
+// enter waits for a slot, in order of priority. It returns false if ctx is done first.
 func (e *Endpoint) enter(ctx context.Context, priority uint32) bool {
 	e.mu.Lock()
 	if e.running < e.settings.Concurrency {
@@ -235,7 +234,7 @@
 	return e.stopWaiting(w)
 }
 
-// stopWaiting takes a call out of the queue, or returns true if it has got a slot.
+// stopWaiting removes a call from the queue, or returns true if it already has a slot.
 func (e *Endpoint) stopWaiting(w *waitingCall) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -260,7 +259,7 @@
 	e.running--
 }
 
-// begin notes a call and returns the faults that apply to it and its context.
+// begin registers a call and returns its faults and its context.
 func (e *Endpoint) begin(ctx context.Context, id string) (context.Context, EndpointFaults, func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -289,7 +288,7 @@
 	w.Header().Set(openinference.HeaderLoad, openinference.EncodeLoad(load.running, load.waiting, e.faults.Draining))
 }
 
-// loadAt is a load and when it was.
+// loadAt is the load at a time.
 type loadAt struct {
 	at               time.Time
 	running, waiting int
@@ -334,7 +333,7 @@
 	return e.answer(ctx, w, req.ID, resp, faults)
 }
 
-// hold runs a call for its time. It returns false if it was broken off.
+// hold waits for the duration of a call. It returns false if the call was aborted.
 func (e *Endpoint) hold(ctx context.Context, id string, p openinference.Parameters, input string, faults EndpointFaults) bool {
 	var w work
 	_ = json.Unmarshal([]byte(input), &w)
@@ -351,14 +350,13 @@
 	return Run{Endpoint: e.settings.Name, Service: e.settings.Service, Request: p.RequestID, Stage: p.Stage, Attempt: id, Ms: float64(time.Since(started).Microseconds()) / 1000, Whole: whole}
 }
 
-// Output is what an endpoint answers: a value that only this request, stage and
-// input have.
+// Output returns the response to a call, which is unique to its request, stage and input.
 func Output(request, stage, input string) json.RawMessage {
 	data, _ := json.Marshal(map[string]string{"request": request, "stage": stage, "of": digest(input)})
 	return data
 }
 
-// Token is the token at an index of what an engine generates.
+// Token returns the token at an index of a generation.
 func Token(request, stage, input string, index int) string {
 	return fmt.Sprintf("%s-%d ", digest(request, stage, input)[:8], index)
 }
@@ -397,7 +395,7 @@
 	return nil
 }
 
-// tokens writes the stream. It returns false if it was broken off.
+// tokens writes the stream. It returns false if the stream was aborted.
 func (e *Endpoint) tokens(ctx context.Context, w http.ResponseWriter, req openinference.GenerateRequest, faults EndpointFaults) bool {
 	var cost work
 	_ = json.Unmarshal([]byte(req.TextInput), &cost)
@@ -435,8 +433,8 @@
 	return writeEvent(w, openinference.GenerateResponse{ID: req.ID, Parameters: p}) == nil
 }
 
-// cached returns the prefill time, shorter if the prefix was in the cache, where it
-// is afterwards.
+// cached returns the duration of the prefill, which is shorter if the prefix is cached, and adds the
+// prefix to the cache.
 func (e *Endpoint) cached(key string, prefill time.Duration) time.Duration {
 	if key == "" {
 		return prefill
--- a/pkg/standin/endpoint_test.go
+++ b/pkg/standin/endpoint_test.go
@@ -7,7 +7,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/standin"
 )
 
-// An endpoint that is killed as soon as it has started takes no connection more.
+// Guards against an endpoint that accepts connections after it was killed right after its start.
 func TestAKilledEndpointRefusesConnections(t *testing.T) {
 	for n := range 200 {
 		e := standin.NewEndpoint(standin.EndpointSettings{Name: "e", Service: "s", Listen: "127.0.0.1:0"}, standin.NewInstanceList(0))
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -11,53 +11,52 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
 )
 
-// EndpointFaults are the faults of an endpoint. The zero value is none.
+// EndpointFaults are the faults of an endpoint. The zero value contains none.
 type EndpointFaults struct {
-	// Calls is how many calls the faults apply to; 0 is all.
+	// Calls is the number of calls to which the faults apply. 0 stands for all.
 	Calls int `json:"calls,omitempty"`
-	// Slow multiplies the service time.
+	// Slow is a factor by which calls take longer.
 	Slow float64 `json:"slow,omitempty"`
-	// Busy and Draining refuse calls without running them.
+	// Busy and Draining reject calls without processing them.
 	Busy     bool `json:"busy,omitempty"`
 	Draining bool `json:"draining,omitempty"`
-	// DieBefore closes the connection before the call runs, DieAfter when it has
-	// run but before the answer, DieMidway in the middle of the answer.
+	// DieBefore closes the connection before the call is processed, DieAfter before the response, and
+	// DieMidway within the response.
 	DieBefore bool `json:"die_before,omitempty"`
 	DieAfter  bool `json:"die_after,omitempty"`
 	DieMidway bool `json:"die_midway,omitempty"`
-	// Freeze never answers.
+	// Freeze never responds.
 	Freeze bool `json:"freeze,omitempty"`
-	// Error answers that the call ran and failed; Error500 with a status that says
-	// nothing of what ran.
+	// Error responds that the call was processed and failed, Error500 with a status that does not tell
+	// whether it was processed.
 	Error    bool `json:"error,omitempty"`
 	Error500 bool `json:"error_500,omitempty"`
-	// Foreign names what of the answer's identity is wrong: request, stage or
-	// attempt.
+	// Foreign is the part of the response's identity that is wrong: request, stage or attempt.
 	Foreign string `json:"foreign,omitempty"`
-	// Cross makes two calls get each other's answers.
+	// Cross swaps the responses of two calls.
 	Cross bool `json:"cross,omitempty"`
-	// Twice sends the answer twice, Garbage something else, Oversized far too much.
+	// Twice sends the response twice, Garbage sends invalid data and Oversized too much data.
 	Twice     bool `json:"twice,omitempty"`
 	Garbage   bool `json:"garbage,omitempty"`
 	Oversized bool `json:"oversized,omitempty"`
-	// StaleLoadMs makes load reports that old, in milliseconds.
+	// StaleLoadMs is the age of load reports in milliseconds.
 	StaleLoadMs int `json:"stale_load_ms,omitempty"`
-	// LateMs delays the answer after the call has run, in milliseconds.
+	// LateMs delays the response after the call was processed, in milliseconds.
 	LateMs int `json:"late_ms,omitempty"`
-	// DieAfterTokens and FreezeAfterTokens break a stream, SkipTokens leaves a gap.
+	// DieAfterTokens and FreezeAfterTokens interrupt a stream. SkipTokens leaves tokens out.
 	DieAfterTokens    int `json:"die_after_tokens,omitempty"`
 	FreezeAfterTokens int `json:"freeze_after_tokens,omitempty"`
 	SkipTokens        int `json:"skip_tokens,omitempty"`
 }
 
-// NextCall are faults for the next call to any of several endpoints, and for no other.
+// NextCall contains faults that apply once, to the next call to any of several endpoints.
 type NextCall struct {
 	mu     sync.Mutex
 	faults EndpointFaults
 	taken  bool
 }
 
-// NewNextCall returns faults that one call meets.
+// NewNextCall returns faults that apply to one call.
 func NewNextCall(f EndpointFaults) *NextCall { return &NextCall{faults: f} }
 
 func (n *NextCall) take() (EndpointFaults, bool) {
@@ -70,14 +69,14 @@
 	return n.faults, true
 }
 
-// SetNextCall has the endpoint's next call meet faults that it shares with others.
+// SetNextCall sets faults that the endpoint shares with others.
 func (e *Endpoint) SetNextCall(n *NextCall) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextCall = n
 }
 
-// takeFaults returns the faults for the next call. The endpoint's lock is held.
+// takeFaults returns the faults of the next call. The caller must hold the endpoint's lock.
 func (e *Endpoint) takeFaults() EndpointFaults {
 	if e.nextCall != nil {
 		shared := e.nextCall
@@ -89,7 +88,7 @@
 	return e.faults.take()
 }
 
-// take returns the faults for the next call and counts it.
+// take returns the faults of the next call and counts the call.
 func (f *EndpointFaults) take() EndpointFaults {
 	taken := *f
 	if f.Calls == 0 {
@@ -102,7 +101,7 @@
 	return taken
 }
 
-// refuse answers a call that is not to run, and tells whether it did.
+// refuse rejects a call if a fault requires it, and reports whether it did.
 func (f EndpointFaults) refuse(w http.ResponseWriter) bool {
 	if f.DieBefore {
 		panic(http.ErrAbortHandler)
@@ -122,7 +121,7 @@
 	return true
 }
 
-// forge makes the identity of an answer wrong.
+// forge falsifies the identity of a response.
 func (f EndpointFaults) forge(id *string, p *openinference.Parameters) {
 	switch f.Foreign {
 	case "request":
@@ -134,7 +133,7 @@
 	}
 }
 
-// answer writes the answer to a call that has run, with the faults.
+// answer writes the response to a processed call, with the faults applied.
 func (e *Endpoint) answer(ctx context.Context, w http.ResponseWriter, id string, resp openinference.InferResponse, f EndpointFaults) error {
 	if f.Freeze {
 		<-ctx.Done()
@@ -181,7 +180,7 @@
 	return err
 }
 
-// exchange gives this answer to the next call that crosses, and returns that call's.
+// exchange swaps a response with that of another call to which Cross applies.
 func (e *Endpoint) exchange(ctx context.Context, resp openinference.InferResponse) openinference.InferResponse {
 	select {
 	case other := <-e.crossed:
--- a/pkg/standin/instancelist.go
+++ b/pkg/standin/instancelist.go
@@ -10,7 +10,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/infra/httpsd"
 )
 
-// Instance is one entry of the list.
+// Instance is an entry of the list.
 type Instance struct {
 	Name          string `json:"name"`
 	Address       string `json:"address"`
@@ -21,7 +21,7 @@
 	ChecksTokens  bool   `json:"checks_tokens,omitempty"`
 }
 
-// InstanceList stands in for the platform's instance list.
+// InstanceList is a fake of the platform's instance list.
 type InstanceList struct {
 	mu      sync.Mutex
 	lag     time.Duration
@@ -34,7 +34,7 @@
 	body []byte
 }
 
-// NewInstanceList returns an empty list that shows changes after lag.
+// NewInstanceList returns an empty list whose changes become visible after lag.
 func NewInstanceList(lag time.Duration) *InstanceList {
 	l := &InstanceList{lag: lag, current: map[string]Instance{}}
 	l.record()
@@ -59,7 +59,7 @@
 	l.record()
 }
 
-// SetLag sets after what time changes show.
+// SetLag sets the delay after which changes become visible.
 func (l *InstanceList) SetLag(lag time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -76,7 +76,7 @@
 	l.history = append(l.history, listVersion{at: time.Now(), body: body})
 }
 
-// trim drops the versions that no longer show.
+// trim drops versions that are no longer visible.
 func (l *InstanceList) trim() {
 	for len(l.history) > 1 && time.Since(l.history[1].at) >= l.lag {
 		l.history = l.history[1:]
--- a/pkg/standin/keyvalue.go
+++ b/pkg/standin/keyvalue.go
@@ -1,6 +1,5 @@
-// Package standin has small stand-ins for what the operators' sites provide: the
-// key-value service, the instance list and endpoints. Tests, measurements and the
-// example use them; faults are switched while they run.
+// Package standin provides fakes of the key-value service, the instance list and the endpoints for tests,
+// measurements and the example. Faults can be injected while they run.
 package standin
 
 import (
@@ -13,21 +12,21 @@
 	"golang.org/x/time/rate"
 )
 
-// KeyValueFaults are the faults of the key-value service. The zero value is none.
+// KeyValueFaults are the faults of the key-value service. The zero value contains none.
 type KeyValueFaults struct {
-	// Outage refuses each call and breaks each watch.
+	// Outage rejects all calls and interrupts all watches.
 	Outage bool `json:"outage"`
-	// DelayMs delays each call, in milliseconds.
+	// DelayMs is the delay of each call in milliseconds.
 	DelayMs int `json:"delay_ms"`
-	// LoseAnswers is how many writes take effect without an answer.
+	// LoseAnswers is the number of writes that take effect without a response.
 	LoseAnswers int `json:"lose_answers"`
-	// LoseCalls is how many writes get lost before they take effect.
+	// LoseCalls is the number of writes that are lost before they take effect.
 	LoseCalls int `json:"lose_calls"`
-	// StaleReads makes reads return what was there when it was switched on.
+	// StaleReads makes reads return the state as of when the fault was set.
 	StaleReads bool `json:"stale_reads"`
 }
 
-// KeyValueCounts counts calls since the start.
+// KeyValueCounts contains the numbers of calls.
 type KeyValueCounts struct {
 	Reads   int `json:"reads"`
 	Writes  int `json:"writes"`
@@ -35,7 +34,7 @@
 	Refused int `json:"refused"`
 }
 
-// The rates of the brief: some hundred writes and about two thousand reads a second.
+// Limits in calls per second.
 const (
 	writesPerSecond = 300
 	readsPerSecond  = 2000
@@ -48,7 +47,7 @@
 	lease   int64
 }
 
-// KeyValue stands in for a key-value service with etcd's JSON gateway.
+// KeyValue is a fake key-value service with etcd's JSON gateway API.
 type KeyValue struct {
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced at each write or change of faults
@@ -104,15 +103,14 @@
 	kv.wake()
 }
 
-// Counts returns the calls so far.
+// Counts returns the numbers of calls.
 func (kv *KeyValue) Counts() KeyValueCounts {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	return kv.counts
 }
 
-// Restore puts a key back to an older value, as a service restored from a backup
-// would.
+// Restore sets a key to an older value, like a service that was restored from a backup.
 func (kv *KeyValue) Restore(key string, value []byte) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
@@ -141,7 +139,7 @@
 	return n
 }
 
-// Leases returns the number of leases that have not ended.
+// Leases returns the number of active leases.
 func (kv *KeyValue) Leases() int {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
@@ -154,7 +152,7 @@
 	kv.changed = make(chan struct{})
 }
 
-// operation works on the locked state and returns the status and the answer.
+// operation runs under the lock and returns the status and the response.
 type operation func(body []byte) (int, any)
 
 func (kv *KeyValue) read(op operation) bunrouter.HandlerFunc {
@@ -402,8 +400,8 @@
 	}
 }
 
-// after returns the newest write of a key at or after a version, and a channel that
-// is closed at the next change.
+// after returns the latest write of a key at or after a version, and a channel that is closed at the next
+// change.
 func (kv *KeyValue) after(key []byte, version int64) (event *etcdEvent, changed chan struct{}, outage bool) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
--- a/pkg/standin/models.go
+++ b/pkg/standin/models.go
@@ -10,38 +10,38 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint/openinference"
 )
 
-// Held is a model that an endpoint holds.
+// Held is a model loaded on an endpoint.
 type Held struct {
 	Name    string `json:"name"`
 	Adapter string `json:"adapter,omitempty"`
 	Version string `json:"version,omitempty"`
 }
 
-// OrderSeen is an order that an endpoint has got.
+// OrderSeen is an order that an endpoint received.
 type OrderSeen struct {
 	Model Held
 	Load  bool
 	Token int64
-	// Refused is set if the token was lower than one seen before.
+	// Refused is set if the fencing token was lower than an earlier one.
 	Refused bool
 }
 
-// models is what an endpoint holds, and the orders that it has got.
+// models contains the loaded models of an endpoint and the orders that it received.
 type models struct {
 	held   map[Held]bool
 	orders []OrderSeen
 	token  int64
 }
 
-// Orders returns the orders that the endpoint has got so far.
+// Orders returns the orders that the endpoint received.
 func (e *Endpoint) Orders() []OrderSeen {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return append([]OrderSeen(nil), e.models.orders...)
 }
 
-// SetModels sets whether the endpoint needs to be given its models, and whether it
-// checks the tokens of those who give orders.
+// SetModels sets whether models must be loaded by orders, and whether the endpoint checks the fencing
+// tokens of orders.
 func (e *Endpoint) SetModels(needs, checksTokens bool) {
 	e.mu.Lock()
 	e.settings.NeedsModels = needs
@@ -50,15 +50,15 @@
 	e.publish()
 }
 
-// Holds tells whether the endpoint holds a model.
+// Holds reports whether a model is loaded.
 func (e *Endpoint) Holds(m Held) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.models.held[m]
 }
 
-// refuseLacking answers a call of a model that an endpoint which has to be given its
-// models does not hold, and tells whether it did.
+// refuseLacking rejects a call for a model that must be loaded by an order and is not, and reports whether
+// it did.
 func (e *Endpoint) refuseLacking(w http.ResponseWriter, r bunrouter.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -100,7 +100,7 @@
 	}
 	p := body.Parameters
 	seen := OrderSeen{Model: Held{Name: r.Param("model"), Adapter: p.Adapter, Version: p.Version}, Load: load, Token: p.FencingToken}
-	// An order that has come takes effect, though the one who gave it is gone.
+	// A received order takes effect even if its sender has disconnected.
 	time.Sleep(time.Duration(e.settings.LoadMs * float64(time.Millisecond)))
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/standin/reserve.go
+++ b/pkg/standin/reserve.go
@@ -5,18 +5,17 @@
 	"syscall"
 )
 
-// reservation keeps a TCP port bound without listening: connections to it are refused,
-// and no other process is given it meanwhile.
+// reservation keeps a TCP port bound without listening, so that connections are refused and no other process
+// can use the port.
 type reservation struct{ fd int }
 
-// reserve binds an address of the form IPv4:port; nil if that fails.
+// reserve binds an address of the form IPv4:port. It returns nil if that fails.
 func reserve(address string) *reservation {
 	tcp, err := net.ResolveTCPAddr("tcp4", address)
 	if err != nil {
 		return nil
 	}
-	// Connections that were closed a moment ago keep the port for a while, unless it
-	// may be shared with them.
+	// Recently closed connections would otherwise block the port for a while.
 	for _, shared := range []int{0, 1} {
 		if r := bind(tcp, shared); r != nil {
 			return r
--- a/pkg/standin/site.go
+++ b/pkg/standin/site.go
@@ -16,18 +16,18 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
-// SiteSettings describe a whole site of stand-ins in one process.
+// SiteSettings are the settings of a site, which runs all fakes in one process.
 type SiteSettings struct {
 	KeyValue     string             `json:"key_value"`
 	InstanceList string             `json:"instance_list"`
 	Control      string             `json:"control"`
 	ListLagMs    int                `json:"list_lag_ms"`
 	Endpoints    []EndpointSettings `json:"endpoints"`
-	// Records are entries of the list behind which nothing listens.
+	// Records are entries of the list without an endpoint.
 	Records []Instance `json:"records,omitempty"`
 }
 
-// ReadSite reads the settings of a site.
+// ReadSite reads the settings of a site from a file.
 func ReadSite(path string) (SiteSettings, error) {
 	var s SiteSettings
 	data, err := os.ReadFile(path)
@@ -42,17 +42,17 @@
 	return s, nil
 }
 
-// Site is a running set of stand-ins.
+// Site is a running set of fakes.
 type Site struct {
 	KeyValue  *KeyValue
 	List      *InstanceList
 	Endpoints map[string]*Endpoint
-	// Addresses of the services that have one.
+	// Addresses of the services.
 	KeyValueAddress, ListAddress, ControlAddress string
 	servers                                      []*http.Server
 }
 
-// StartSite starts the stand-ins.
+// StartSite starts the fakes.
 func StartSite(s SiteSettings) (*Site, error) {
 	site := &Site{KeyValue: NewKeyValue(), List: NewInstanceList(time.Duration(s.ListLagMs) * time.Millisecond), Endpoints: map[string]*Endpoint{}}
 	var err error
@@ -90,7 +90,7 @@
 	return listener.Addr().String(), nil
 }
 
-// Runs returns what all endpoints have run.
+// Runs returns the calls that all endpoints have processed.
 func (s *Site) Runs() []Run {
 	var runs []Run
 	for _, e := range s.Endpoints {
@@ -99,7 +99,7 @@
 	return runs
 }
 
-// Close stops all stand-ins.
+// Close stops all fakes.
 func (s *Site) Close() {
 	for _, e := range s.Endpoints {
 		e.Kill()
@@ -110,17 +110,17 @@
 	}
 }
 
-// EndpointState is what PUT /endpoints/{name} sets.
+// EndpointState is the body of PUT /endpoints/{name}.
 type EndpointState struct {
 	Faults EndpointFaults `json:"faults"`
-	// Leaving in the list, and Refuses new calls itself.
+	// Leaving marks the endpoint as leaving in the list. Refuses makes it reject new calls.
 	Leaving bool `json:"leaving"`
 	Refuses bool `json:"refuses"`
-	// Dead closes the endpoint; false starts it again.
+	// Dead stops the endpoint; false restarts it.
 	Dead bool `json:"dead"`
 }
 
-// controlRouter serves the switches: PUT /key-value, PUT /endpoints/{name}, GET /runs
+// controlRouter serves the control API: PUT /key-value, PUT /endpoints/{name}, GET /runs
 // and GET /counts.
 func (s *Site) controlRouter() http.Handler {
 	router := bunrouter.New()
