discovery: retained orders end by either kind, and only a rewritten version is let pass

Read as a newcomer: orders of evacuation alone, from a peer that knows no roll-outs, started no time after which what was retained ends; and a configuration written anew under its version within an era, which has nothing to do with a restore, made nobody refuse any more.

--- a/pkg/discovery/evacuations.go
+++ b/pkg/discovery/evacuations.go
@@ -35,6 +35,7 @@
 // older than the view's are ignored.
 func (f *Follower) updateEvacuations(view *View, e fleet.Evacuations) bool {
 	before := view.Evacuations()
+	f.settleOrders(before.Revision, e.Revision)
 	view.listed = view.listed.WithEvacuations(e)
 	if len(e.Retained) > 0 && f.adoptsRetained(view.Evacuations().Revision, e.Revision) {
 		view.listed = view.listed.RetainEvacuations(e.Retained)
--- a/pkg/discovery/restored.go
+++ b/pkg/discovery/restored.go
@@ -136,6 +136,14 @@
 	return changes
 }
 
+// settleOrders starts the time until retained orders are dropped if orders of a later era than the known
+// ones arrive.
+func (f *Follower) settleOrders(known, told revision.Revision) {
+	if known > 0 && told.Era() > known.Era() {
+		f.settled = f.clock.After(settlePeriod)
+	}
+}
+
 // adoptsRetained reports whether this instance has to learn from a peer which orders the source has lost:
 // it started after the source was restored, and the peer did not.
 func (f *Follower) adoptsRetained(known, told revision.Revision) bool {
--- a/pkg/discovery/rollouts.go
+++ b/pkg/discovery/rollouts.go
@@ -24,9 +24,7 @@
 // the view's are ignored.
 func (f *Follower) updateRollouts(view *View, r fleet.Rollouts) bool {
 	before := view.Rollouts()
-	if r.Revision.Era() > before.Revision.Era() && before.Known() {
-		f.settled = f.clock.After(settlePeriod)
-	}
+	f.settleOrders(before.Revision, r.Revision)
 	// A newer revision alone may admit endpoints that were withheld until the orders were known.
 	view.updateSnapshots(func(s *fleet.Snapshot) *fleet.Snapshot { return s.WithRollouts(r) })
 	if len(r.Retained) > 0 && f.adoptsRetained(view.Rollouts().Revision, r.Revision) {
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -183,14 +183,14 @@
 
 // Behind reports whether requests must be refused because other instances have had a newer
 // configuration for longer than behindGrace, or at all if this instance has just started. One that was
-// only written again has the same version.
+// only written again after a restore has the same version.
 func (v *View) Behind(now time.Time) bool {
 	lacking, lacks := v.Lacking(now)
 	grace := behindGrace
 	if !v.current {
 		grace = 0
 	}
-	if version := v.announced.newest.Version; version > 0 && version == v.InForce().Version {
+	if newest, inForce := v.announced.newest, v.InForce(); newest.Version > 0 && newest.Version == inForce.Version && newest.Revision.Era() != inForce.Revision.Era() {
 		return false
 	}
 	return lacks && lacking >= grace && now.Sub(v.announced.lastHolderAt) < announcementTTL
