--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -185,6 +185,17 @@
 			Expect(m.List()[0].Revision).To(Equal(uint64(9)))
 		})
 
+		It("tell a configuration whose revision is lower than the one before, as after a restore of the source", func() {
+			first, second := beat(1, 1), beat(1, 2)
+			first.Revision, first.ConfigVersion = 1<<40|60, 89
+			second.Revision, second.ConfigVersion = 67, 97
+			m.Observe(start, first)
+			m.Changed()
+			m.Observe(start, second)
+			Expect(m.Changed()).To(BeTrue())
+			Expect(m.List()[0]).To(SatisfyAll(HaveField("Revision", uint64(67)), HaveField("ConfigVersion", uint64(97))))
+		})
+
 		It("remove a member whose address another instance uses", func() {
 			m.Observe(start, beat(1, 1))
 			other := membership.Heartbeat{From: instance("y", "a"), Sequence: 1}
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -127,13 +127,12 @@
 	left := p.oldCalls(known.order)
 	proven := known.standing(now).Exposure == fleet.Proven
 	return Report{
-		Service: known.order.Service,
-		Version: known.order.Version,
-		Order:   order,
-		At:      known.order.ListedAt(),
-		AgeMs:   now.Sub(known.knownSince).Milliseconds(),
-		State:   known.instruction.State,
-
+		Service:    known.order.Service,
+		Version:    known.order.Version,
+		Order:      order,
+		At:         known.order.ListedAt(),
+		AgeMs:      now.Sub(known.knownSince).Milliseconds(),
+		State:      known.instruction.State,
 		RecordLost: known.instruction.Recorded && known.recordLost,
 		Step:       known.instruction.Step,
 		Tally:      known.tally.clone(),
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -42,13 +42,12 @@
 func encode(b datagram, secret []byte) ([]byte, error) {
 	h := b.heartbeat
 	wire := &pb.Heartbeat{
-		Instance:      h.From.Name,
-		Incarnation:   h.From.Incarnation,
-		FailureDomain: h.From.FailureDomain,
-		PeerAddress:   h.From.PeerAddress,
-		Leaving:       h.Leaving,
-		Revision:      h.Revision,
-
+		Instance:             h.From.Name,
+		Incarnation:          h.From.Incarnation,
+		FailureDomain:        h.From.FailureDomain,
+		PeerAddress:          h.From.PeerAddress,
+		Leaving:              h.Leaving,
+		Revision:             h.Revision,
 		ConfigurationVersion: h.ConfigVersion,
 		WallMs:               b.stamp.WallMs,
 		Logical:              b.stamp.Logical,
--- a/service/peers/datagram_test.go
+++ b/service/peers/datagram_test.go
@@ -24,6 +24,8 @@
 			Sequence: 123456,
 			Division: ownership.Division{Parts: 4, Term: 2},
 			Revision: 3_504_000,
+
+			ConfigVersion: 97,
 		},
 		leaving: []control.LeavingEndpoint{{Name: "bulletin-engine-0123", Incarnation: 17}},
 		demands: []ratelimit.Demand{{Organisation: 7, PerSecond: 2.5}},
