rollout: no version is completed while the evidence is against it

What operators would have seen: a bad version is completed, its old endpoints are stopped.

Cause: every step but the last asks whether the version is suspicious.

--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -285,7 +285,7 @@
 	// Close to the deadline, calls that can resume elsewhere are not waited for, so that a single
 	// long stream does not delay the rollout.
 	movable := age >= c.schedule.drainedBy()
-	return c.step + 1, now.Sub(c.stepSince) >= fullTrafficFor && c.oldDrained(now, seen, movable)
+	return c.step + 1, now.Sub(c.stepSince) >= fullTrafficFor && !c.evidence.Suspicious() && c.oldDrained(now, seen, movable)
 }
 
 // trialPassed reports whether the trial was long enough without suspicion against the version.
--- a/pkg/rollout/model_test.go
+++ b/pkg/rollout/model_test.go
@@ -432,6 +432,17 @@
 		Expect(m.arrived).To(Equal(m.all))
 	})
 
+	It("do not complete a version that turns bad at full traffic while the evidence is against it", func() {
+		for seed := range uint64(60) {
+			m := newModel(seed, 4)
+			m.bad = behaviour{failureRate: 0.5, route: -1, after: 20}
+			m.run(time.Second, 10)
+			m.order()
+			m.run(over+2*time.Second, 10)
+			Expect(m.record.State).NotTo(Equal(rollout.Completed), "seed %d", seed)
+		}
+	})
+
 	It("send nothing to a reverted version after a restart", func() {
 		m := newModel(1, 6)
 		m.bad = badVersions[0]
