--- a/pkg/discovery/restored.go
+++ b/pkg/discovery/restored.go
@@ -18,8 +18,9 @@
 const (
 	// settlePeriod is how long after a restore the source may still list what had been removed and lack
 	// what had been written. An endpoint that ended does not renew its entry, which then expires after
-	// three heartbeats, and the operator writes lost orders again.
-	settlePeriod = 10 * time.Second
+	// three heartbeats, and the operator writes lost orders again. What was withdrawn unnoticed just before
+	// the restore remains in force for as long.
+	settlePeriod = 4 * time.Second
 	// maxCopyAge is the maximum age of a copy from which a source is restored.
 	maxCopyAge = time.Minute
 )
