--- a/pkg/discovery/model_test.go
+++ b/pkg/discovery/model_test.go
@@ -323,7 +323,7 @@
 		if e := view.Evacuations(); e.Known() && !e.Same(m.evacuated(e.Revision)) {
 			t.Fatalf("%s: evacuated domains are %v as of %s, want %v", name, e.Domains, e.Revision, m.evacuated(e.Revision).Domains)
 		}
-		if r := view.Rollouts(); r.Known() && !sameContent(r, m.rolled(r.Revision)) {
+		if r := view.Rollouts(); r.Known() && !sameListing(r, m.rolled(r.Revision)) {
 			t.Fatalf("%s: rollout orders are %v as of %s, want %v", name, r.Orders, r.Revision, m.rolled(r.Revision).Orders)
 		}
 		if inForce.Revision > 0 && view.ordersRevision() < view.DocumentAt {
@@ -351,11 +351,11 @@
 	return d.Revision.Era() == at.Era() && d.Revision <= at
 }
 
-// sameContent reports whether the same rollouts are ordered, regardless of how the orders are
-// identified.
-func sameContent(a, b fleet.Rollouts) bool {
+// sameListing reports whether the same rollouts are listed under the same revisions, regardless of how
+// the orders are identified at an instance.
+func sameListing(a, b fleet.Rollouts) bool {
 	return slices.EqualFunc(a.Orders, b.Orders, func(x, y fleet.Rollout) bool {
-		return x.Service == y.Service && x.Version == y.Version && x.OverMs == y.OverMs
+		return x.Service == y.Service && x.Version == y.Version && x.OverMs == y.OverMs && x.ListedAt() == y.ListedAt()
 	})
 }
 
