revision, fleet, discovery, rollout, quarantine: what stood twice stands once

Read again, behaviour as it was: - 'a later era than the known one' was written out at five places: one predicate of the revision.

--- a/pkg/discovery/restored.go
+++ b/pkg/discovery/restored.go
@@ -44,7 +44,7 @@
 
 // entersEra reports whether a revision of the endpoints is of a later era than the view's.
 func (v *View) entersEra(at revision.Revision) bool {
-	return v.listed.Revision > 0 && at.Era() > v.listed.Revision.Era()
+	return at.InLaterEraThan(v.listed.Revision)
 }
 
 // enterEra prepares the view for the entries of a restored source: endpoints that were leaving remain
@@ -140,7 +140,7 @@
 // settleOrders starts the time until retained orders are dropped if orders of a later era than the known
 // ones arrive.
 func (f *Follower) settleOrders(known, told revision.Revision) {
-	if known > 0 && told.Era() > known.Era() {
+	if told.InLaterEraThan(known) {
 		f.settled = f.clock.After(settlePeriod)
 	}
 }
--- a/pkg/discovery/updates.go
+++ b/pkg/discovery/updates.go
@@ -34,21 +34,22 @@
 	f.dropInvalid(view, n.state.Refused)
 	before, endpoints := view.listed.Revision, n.state.Endpoints
 	entersEra := view.entersEra(n.state.Revision)
+	var changes []fleet.Change
 	if entersEra {
 		endpoints = slices.Clone(endpoints)
 		for i, e := range endpoints {
 			endpoints[i] = keepWarmup(view.listed, e)
 		}
 		f.enterEra(view, n.state.Revision)
+		changes = differences(view.entries(), endpoints)
 	}
-	known := view.entries()
 	view.listed = view.listed.Replace(n.state.Revision, f.withholdRemoved(view, entersEra, endpoints))
 	f.confirmEndpoints(view, n.confirmedAt, n.heardAt)
 	if n.state.Revision == before {
 		return nil
 	}
 	if entersEra {
-		f.history.add(before, Changes{Revision: n.state.Revision, Endpoints: differences(known, endpoints)})
+		f.history.add(before, Changes{Revision: n.state.Revision, Endpoints: changes})
 	} else {
 		f.history.clear()
 	}
--- a/pkg/fleet/evacuations.go
+++ b/pkg/fleet/evacuations.go
@@ -51,14 +51,8 @@
 // after returns the evacuations as they follow the known ones, which keep in force what a restored
 // source lacks.
 func (e Evacuations) after(known Evacuations) Evacuations {
-	retained := known.Retained
-	switch {
-	case !known.Known():
-		retained = e.Retained
-	case e.Revision.Era() > known.Revision.Era():
-		retained = known.All()
-	}
-	e.Retained = slices.DeleteFunc(slices.Clone(retained), func(d string) bool { return contains(e.Domains, d) })
+	before := knownOrders[string]{known.Revision, known.All(), known.Retained}
+	e.Retained = before.retain(e.Revision, e.Retained, func(d string) bool { return contains(e.Domains, d) })
 	return e
 }
 
--- a/pkg/fleet/rollouts.go
+++ b/pkg/fleet/rollouts.go
@@ -104,14 +104,8 @@
 // after returns the rollouts as they follow the known ones, which keep in force what a restored source
 // lacks.
 func (r Rollouts) after(known Rollouts) Rollouts {
-	retained := known.Retained
-	switch {
-	case !known.Known():
-		retained = r.Retained
-	case r.Revision.Era() > known.Revision.Era():
-		retained = known.InForce()
-	}
-	r.Retained = slices.DeleteFunc(slices.Clone(retained), func(o Rollout) bool {
+	before := knownOrders[Rollout]{known.Revision, known.InForce(), known.Retained}
+	r.Retained = before.retain(r.Revision, r.Retained, func(o Rollout) bool {
 		_, listed := r.find(o.Service)
 		return listed
 	})
--- a/pkg/quarantine/manager.go
+++ b/pkg/quarantine/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,13 +83,17 @@
 func (m *Manager) noteObserved(d Digest) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
-	maps.DeleteFunc(m.observed, func(_ Digest, at time.Time) bool { return now.Sub(at) > storeRetention })
+	m.forgetExpired()
 	if len(m.observed) < maxRequests {
-		m.observed[d] = now
+		m.observed[d] = m.clock.Now()
 	}
 }
 
+// forgetExpired drops requests whose crashes the store no longer keeps. The caller must hold the lock.
+func (m *Manager) forgetExpired() {
+	maps.DeleteFunc(m.observed, func(_ Digest, at time.Time) bool { return m.clock.Since(at) > storeRetention })
+}
+
 // RewriteLost writes the crashes that this instance has written again, because the store was restored
 // from a copy that may lack them. It does not block.
 func (m *Manager) RewriteLost() {
@@ -101,13 +106,8 @@
 // rewrite queues the crashes that this instance has written and that the store would still keep.
 func (m *Manager) rewrite() {
 	m.mu.Lock()
-	now := m.clock.Now()
-	var digests []Digest
-	for d, at := range m.observed {
-		if now.Sub(at) <= storeRetention {
-			digests = append(digests, d)
-		}
-	}
+	m.forgetExpired()
+	digests := slices.Collect(maps.Keys(m.observed))
 	m.mu.Unlock()
 	for _, d := range digests {
 		m.enqueue(m.crashesOf(d))
--- a/pkg/revision/revision.go
+++ b/pkg/revision/revision.go
@@ -26,6 +26,9 @@
 // Number returns the number within the era, which is what the source knows the change by.
 func (r Revision) Number() uint64 { return uint64(r) & (1<<numberBits - 1) }
 
+// InLaterEraThan reports whether the source was restored between a known revision and this one.
+func (r Revision) InLaterEraThan(known Revision) bool { return known > 0 && r.Era() > known.Era() }
+
 // String returns the number, after the era and a colon unless the era is 0.
 func (r Revision) String() string {
 	number := strconv.FormatUint(r.Number(), 10)
--- a/pkg/rollout/conductor.go
+++ b/pkg/rollout/conductor.go
@@ -149,7 +149,7 @@
 // since, so that the record may be lost and has to be read and, if it is, written again. A state that
 // was recorded remains final.
 func (c *Conductor) Renew(order fleet.Rollout) bool {
-	restored := order.ListedAt().Era() > c.order.ListedAt().Era()
+	restored := order.ListedAt().InLaterEraThan(c.order.ListedAt())
 	c.order = order
 	switch {
 	case restored && c.recorded.Final():
--- a/pkg/rollout/manager.go
+++ b/pkg/rollout/manager.go
@@ -166,12 +166,13 @@
 
 // Poll sends due reports, advances the conducted rollouts and updates the view.
 func (m *Manager) Poll(ctx context.Context) {
-	orders := m.view.Rollouts().InForce()
+	rollouts := m.view.Rollouts()
+	orders := rollouts.InForce()
 	m.SetOrders(orders)
 	for _, order := range orders {
 		m.reportIfDue(ctx, order)
 	}
-	m.conduct(ctx, orders)
+	m.conduct(ctx, rollouts)
 	if standings := m.Standings(); !maps.Equal(standings, m.lastStandings) {
 		m.view.SetStandings(ctx, standings)
 		m.lastStandings = standings
@@ -273,20 +274,20 @@
 }
 
 // conduct advances all conducted rollouts and starts the accesses to their records.
-func (m *Manager) conduct(ctx context.Context, orders []fleet.Rollout) {
-	for _, c := range m.decideAll(orders) {
+func (m *Manager) conduct(ctx context.Context, rollouts fleet.Rollouts) {
+	for _, c := range m.decideAll(rollouts) {
 		m.spawn(func() { m.syncRecord(ctx, c) })
 	}
 }
 
 // decideAll advances all conducted rollouts and returns those whose record is due for an access.
-func (m *Manager) decideAll(orders []fleet.Rollout) []*conductedRollout {
+func (m *Manager) decideAll(rollouts fleet.Rollouts) []*conductedRollout {
 	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var due []*conductedRollout
 	for revision, c := range m.conducted {
-		inForce, ordered := orderFor(orders, c.Order().Service)
+		inForce, ordered := rollouts.ForService(c.Order().Service)
 		switch {
 		case !ordered:
 			c.Withdraw()
@@ -310,15 +311,6 @@
 	return due
 }
 
-func orderFor(orders []fleet.Rollout, service string) (fleet.Rollout, bool) {
-	for _, order := range orders {
-		if order.Service == service {
-			return order, true
-		}
-	}
-	return fleet.Rollout{}, false
-}
-
 // decide advances a rollout and logs the decision.
 func (m *Manager) decide(now time.Time, c *conductedRollout) {
 	seen := Observation{}
--- a/pkg/rollout/participant.go
+++ b/pkg/rollout/participant.go
@@ -106,7 +106,7 @@
 		if before == nil {
 			before = &participation{order: order, knownSince: p.clock.Now(), tally: NewTally()}
 		}
-		if order.ListedAt().Era() > before.order.ListedAt().Era() {
+		if order.ListedAt().InLaterEraThan(before.order.ListedAt()) {
 			before.recordLost = true
 		}
 		before.order = order
