pipeline: only a wait at a queue counts as a refusal caused by it

A plan whose own calls leave no time for its objective was refused and reserved its bottleneck for 400 ms, although nothing waited there. A refusal now reserves a queue only if the plan would have fitted without any wait; the forecast computes the critical path with and without waits.

The new test (20 less urgent plans after such a refusal) fails without the condition and passes with it.

--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -10,29 +10,32 @@
 const unknownStageTime = 4 * time.Second
 
 // admit forecasts the duration of a plan and admits the plan if it would finish by its due time.
-func (p *Planner) admit(part Part, plan *Plan) (forecast time.Duration, admitted bool) {
+func (p *Planner) admit(part Part, plan *Plan) (expected time.Duration, admitted bool) {
 	now := p.clock.Now()
 	left := plan.Due.Sub(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	forecast, bottleneck := p.forecast(part, plan)
+	f := p.forecast(part, plan)
 	if plan.started() {
 		p.addPlanLocked(part, plan)
-		return forecast, true
+		return f.total, true
 	}
 	lateness := p.latenessLocked(plan.Priority)
-	if forecast+lateness.allowed > left {
-		if forecast <= left {
+	if f.total+lateness.allowed > left {
+		if f.total <= left {
 			lateness.recordRefusal()
 		}
-		bottleneck.reservation.recordRefusal(now, plan.Priority)
-		return forecast, false
+		if f.unhindered+lateness.allowed <= left {
+			// Only the wait at the queue made the plan late.
+			p.backlog(f.bottleneck).reservation.recordRefusal(now, plan.Priority)
+		}
+		return f.total, false
 	}
 	if p.reserved(now, part, plan) {
-		return forecast, false
+		return f.total, false
 	}
 	p.addPlanLocked(part, plan)
-	return forecast, true
+	return f.total, true
 }
 
 // reserved reports whether a queue of the plan is reserved for more urgent plans.
@@ -101,30 +104,61 @@
 	return b
 }
 
-// forecast returns the duration of the critical path through the stages and the backlog of the
-// slowest stage. Each stage waits for the pieces queued ahead of it that remain when it starts, and
-// then takes one call.
-func (p *Planner) forecast(part Part, plan *Plan) (longest time.Duration, bottleneck *backlog) {
-	finish := make([]time.Duration, len(plan.Stages))
-	missing := plan.missing()
+// forecast is the forecast of a plan's missing stages.
+type forecast struct {
+	// total is the duration of the critical path. unhindered is the same without any wait for other
+	// pieces.
+	total, unhindered time.Duration
+	// bottleneck is the queue of the slowest stage; the zero value if no stage is missing.
+	bottleneck batch.Queue
+}
+
+// forecast returns the forecast of a plan. Each stage waits for the pieces queued ahead of it that
+// remain when it starts, and then takes one call.
+func (p *Planner) forecast(part Part, plan *Plan) forecast {
+	var f forecast
 	var slowest time.Duration
-	bottleneck = &backlog{}
-	for i, stage := range plan.Stages {
+	f.total = plan.criticalPath(func(stage, pieces int, start time.Duration) time.Duration {
+		queue := queueOf(part, plan.Stages[stage].Service)
+		duration := p.stageTime(queue, plan, pieces, start)
+		if duration > slowest {
+			slowest, f.bottleneck = duration, queue
+		}
+		return duration
+	})
+	f.unhindered = plan.criticalPath(func(stage, _ int, _ time.Duration) time.Duration {
+		return p.callTime(queueOf(part, plan.Stages[stage].Service))
+	})
+	return f
+}
+
+// criticalPath returns the duration of the critical path through the missing stages. stageTime
+// returns the duration of a stage that has the given number of missing pieces and starts after the
+// given delay.
+func (p *Plan) criticalPath(stageTime func(stage, pieces int, start time.Duration) time.Duration) time.Duration {
+	var longest time.Duration
+	finish := make([]time.Duration, len(p.Stages))
+	missing := p.missing()
+	for i, stage := range p.Stages {
 		for _, before := range stage.After {
 			finish[i] = max(finish[i], finish[before])
 		}
 		if len(missing[i]) == 0 {
 			continue
 		}
-		queue := queueOf(part, stage.Service)
-		duration := p.stageTime(queue, plan, len(missing[i]), finish[i])
-		if duration > slowest {
-			slowest, bottleneck = duration, p.backlog(queue)
-		}
-		finish[i] += duration
+		finish[i] += stageTime(i, len(missing[i]), finish[i])
 		longest = max(longest, finish[i])
 	}
-	return longest, bottleneck
+	return longest
+}
+
+// callTime returns the forecast duration of a stage without a wait.
+func (p *Planner) callTime(queue batch.Queue) time.Duration {
+	capacity := p.batcher.Capacity(queue)
+	if capacity.PerSecond <= 0 && capacity.Backoff <= 0 {
+		return unknownStageTime
+	}
+	return capacity.CallTime
 }
 
 // stageTime returns the forecast duration of a stage that starts after the given delay.
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -258,6 +258,19 @@
 		Expect(outcomeOf(run(chain("due later", 5*time.Second))).Reason).To(Equal(pipeline.Busy))
 	})
 
+	// Otherwise a plan with a long call of its own gets a queue reserved that nothing waits in.
+	It("affects no others with a plan that would be late without any wait", func() {
+		Expect(outcomeOf(run(chain("own time", 500*time.Millisecond))).Reason).To(Equal(pipeline.Busy))
+		for n := range 20 {
+			less := chain(fmt.Sprint("r", n), time.Minute)
+			less.Priority = 2
+			run(less)
+		}
+		for range 20 {
+			nextStage()
+		}
+	})
+
 	It("tracks the lateness of each priority separately", func() {
 		for n := range 40 {
 			plan := chain(fmt.Sprint("r", n), time.Minute)
