pipeline: shares by metered demand replace the reservation of queues

A reservation recorded only the rank of a refused plan: a few refusals of a rank excluded three quarters of all plans of later ranks for 0.4 s, whatever the demand. Each queue now meters the pieces requested by priority (exponential average over 1 s). While the demand exceeds the throughput, each priority gets a quarter of its demand, and the rest of the throughput is allocated by priority. A plan is admitted with the smallest of its shares, by a hash of its request ID.

Shares apply only where a plan would wait behind all admitted pieces, so that no endpoint idles while plans are excluded, and only if more than one priority is requested: otherwise no other priority loses anything, and the forecasts decide. At least half of the throughput is allocated by priority, however large the minimum shares of the others are. A plan that would be late without any wait does not count as demand. The throughput under contention is assumed to be 0.9 of that with full batches.

--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -9,51 +9,133 @@
 // unknownStageTime is the forecast of a stage without available endpoints.
 const unknownStageTime = 4 * time.Second
 
-// admit forecasts the duration of a plan and admits the plan if it would finish by its due time.
-func (p *Planner) admit(part Part, plan *Plan) (expected time.Duration, admitted bool) {
+// idleCheckPeriod is the time between checks for idle queues.
+const idleCheckPeriod = time.Second
+
+// refusal is why a plan was refused.
+type refusal string
+
+const (
+	// refusedByForecast means that the plan would miss its due time.
+	refusedByForecast refusal = "forecast"
+	// refusedByShare means that the plan exceeds the share of its priority at a contended queue.
+	refusedByShare refusal = "share"
+)
+
+// conditions are what the admission of a plan depends on.
+type conditions struct {
+	// left is the time until the plan is due. allowedLateness is by how much plans of its priority
+	// exceed their forecast.
+	left, allowedLateness time.Duration
+	forecast              forecast
+	// share is the smallest share of the plan's priority at its queues. drawn is the plan's number in
+	// [0, 1).
+	share, drawn float64
+}
+
+// decision is the outcome of admission control for a plan.
+type decision struct {
+	conditions
+	// refused is why the plan is refused; empty if it is admitted.
+	refused refusal
+}
+
+// fits reports whether a plan of the given duration would finish by its due time.
+func (c *conditions) fits(duration time.Duration) bool {
+	return duration+c.allowedLateness <= c.left
+}
+
+// decide admits a plan that would finish by its due time, subject to its share.
+func decide(c conditions) decision {
+	switch {
+	case !c.fits(c.forecast.total):
+		return decision{conditions: c, refused: refusedByForecast}
+	case c.drawn >= c.share:
+		return decision{conditions: c, refused: refusedByShare}
+	}
+	return decision{conditions: c}
+}
+
+// admit decides on a plan and adds it to the backlogs if it is admitted. A plan with completed
+// pieces is always admitted.
+func (p *Planner) admit(part Part, plan *Plan) decision {
 	now := p.clock.Now()
-	left := plan.Due.Sub(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f := p.forecast(part, plan)
+	p.dropIdle(now)
 	if plan.started() {
+		d := decision{conditions: p.conditions(now, part, plan)}
 		p.addPlanLocked(part, plan)
-		return f.total, true
+		return d
 	}
-	lateness := p.latenessLocked(plan.Priority)
-	if f.total+lateness.allowed > left {
-		if f.total <= left {
-			lateness.recordRefusal()
-		}
-		if f.unhindered+lateness.allowed <= left {
-			// Only the wait at the queue made the plan late.
-			p.backlog(f.bottleneck).reservation.recordRefusal(now, plan.Priority)
-		}
-		return f.total, false
+	d := decide(p.conditions(now, part, plan))
+	if d.refused == "" {
+		p.addPlanLocked(part, plan)
 	}
-	if p.reserved(now, part, plan) {
-		return f.total, false
+	if d.refused == refusedByForecast && d.forecast.total <= d.left {
+		p.latenessLocked(plan.Priority).recordRefusal()
 	}
-	p.addPlanLocked(part, plan)
-	return f.total, true
+	return d
 }
 
-// reserved reports whether a queue of the plan is reserved for more urgent plans.
-func (p *Planner) reserved(now time.Time, part Part, plan *Plan) bool {
-	for _, stage := range plan.Stages {
-		if stage.Pieces > 0 && p.backlog(queueOf(part, stage.Service)).reservation.excludes(now, plan) {
-			return true
+// conditions returns what the admission of a plan depends on. It records the demand of a plan that
+// has not started, unless the plan lacks time of its own: such a plan takes no throughput from those
+// that can be in time.
+func (p *Planner) conditions(now time.Time, part Part, plan *Plan) conditions {
+	c := conditions{
+		left:            plan.Due.Sub(now),
+		allowedLateness: p.latenessLocked(plan.Priority).allowed,
+		forecast:        p.forecast(part, plan),
+		share:           1,
+		drawn:           drawn(plan.Request),
+	}
+	if c.fits(c.forecast.unhindered) && !plan.started() {
+		p.recordDemand(now, part, plan)
+	}
+	for _, queue := range c.forecast.waits {
+		c.share = min(c.share, p.share(now, queue, plan.Priority))
+	}
+	return c
+}
+
+// share returns the share of a priority at a queue.
+func (p *Planner) share(now time.Time, queue batch.Queue, priority int) float64 {
+	requested := &p.backlog(queue).demand
+	admitted := shares(usableThroughput(p.batcher.Capacity(queue)), requested.rates(now))
+	if share, ok := admitted[requested.metered(priority)]; ok {
+		return share
+	}
+	return 1
+}
+
+// recordDemand records the pieces that a plan requests.
+func (p *Planner) recordDemand(now time.Time, part Part, plan *Plan) {
+	for i, pieces := range plan.missing() {
+		if len(pieces) > 0 {
+			p.backlog(queueOf(part, plan.Stages[i].Service)).demand.record(now, plan.Priority, len(pieces))
+		}
+	}
+}
+
+// dropIdle removes the queues that are neither used nor requested, once per idleCheckPeriod.
+func (p *Planner) dropIdle(now time.Time) {
+	if now.Sub(p.idleCheckedAt) < idleCheckPeriod {
+		return
+	}
+	p.idleCheckedAt = now
+	for queue, b := range p.backlogs {
+		if len(b.demand.rates(now)) == 0 && len(b.plans) == 0 {
+			delete(p.backlogs, queue)
 		}
 	}
-	return false
 }
 
 // retryAfter returns when a refused plan may be retried, based on its forecast.
-func (p *Planner) retryAfter(plan *Plan, forecast time.Duration) time.Duration {
+func (p *Planner) retryAfter(plan *Plan, d decision) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	late := forecast + p.latenessLocked(plan.Priority).allowed - plan.Due.Sub(now)
+	late := d.forecast.total + d.allowedLateness - d.left
 	return retryDelay(late, p.overload.recordRefusal(now), plan.Deadline.Sub(now))
 }
 
@@ -111,6 +193,8 @@
 	total, unhindered time.Duration
 	// bottleneck is the queue of the slowest stage; the zero value if no stage is missing.
 	bottleneck batch.Queue
+	// waits lists the queues where the plan would wait if it ran after all other pieces.
+	waits []batch.Queue
 }
 
 // forecast returns the forecast of a plan. Each stage waits for the pieces queued ahead of it that
@@ -121,6 +205,9 @@
 	f.total = plan.criticalPath(func(stage, pieces int, start time.Duration) time.Duration {
 		queue := queueOf(part, plan.Stages[stage].Service)
 		duration := p.stageTime(queue, plan, pieces, start)
+		if p.waitsBehindAll(queue, pieces, start) {
+			f.waits = append(f.waits, queue)
+		}
 		if duration > slowest {
 			slowest, f.bottleneck = duration, queue
 		}
@@ -170,7 +257,17 @@
 	if capacity.PerSecond <= 0 {
 		return unknownStageTime
 	}
-	ahead := capacity.ExternalBacklog + float64(p.backlog(queue).piecesBefore(plan)+pieces) - float64(capacity.AtOnce) - capacity.PerSecond*start.Seconds()
-	wait := time.Duration(max(0, ahead) / capacity.PerSecond * float64(time.Second))
-	return wait + capacity.CallTime
+	return waitBehind(p.backlog(queue).piecesBefore(plan)+pieces, capacity, start) + capacity.CallTime
+}
+
+// waitBehind returns the time until the last of some pieces is in a call, from the given delay on.
+func waitBehind(pieces int, capacity batch.Capacity, start time.Duration) time.Duration {
+	ahead := capacity.ExternalBacklog + float64(pieces) - float64(capacity.AtOnce) - capacity.PerSecond*start.Seconds()
+	return time.Duration(max(0, ahead) / capacity.PerSecond * float64(time.Second))
+}
+
+// waitsBehindAll reports whether a stage would wait if it ran after all admitted pieces.
+func (p *Planner) waitsBehindAll(queue batch.Queue, pieces int, start time.Duration) bool {
+	capacity := p.batcher.Capacity(queue)
+	return capacity.PerSecond > 0 && waitBehind(p.backlog(queue).pieces()+pieces, capacity, start) > 0
 }
--- a/pkg/pipeline/backlog.go
+++ b/pkg/pipeline/backlog.go
@@ -2,10 +2,11 @@
 
 import "slices"
 
-// backlog is the admitted plans with pieces pending at a queue. It is not safe for concurrent use.
+// backlog is the admitted plans with pieces pending at a queue, and the demand for it. It is not
+// safe for concurrent use.
 type backlog struct {
-	plans       []pendingPlan
-	reservation reservation
+	plans  []pendingPlan
+	demand demand
 }
 
 // pendingPlan is the number of pending pieces of one plan.
@@ -38,3 +39,12 @@
 	}
 	return pieces
 }
+
+// pieces returns the number of pending pieces.
+func (b *backlog) pieces() int {
+	pieces := 0
+	for _, w := range b.plans {
+		pieces += w.pieces
+	}
+	return pieces
+}
--- a/pkg/pipeline/overload_test.go
+++ b/pkg/pipeline/overload_test.go
@@ -104,7 +104,7 @@
 func (*simulatedBatcher) Split(batch.Ledger, int) map[int]batch.Ledger { return nil }
 func (*simulatedBatcher) TrackResults([]batch.Result)                  {}
 
-// Without reservations, less urgent plans displace urgent ones under overload. The less urgent ones
+// Without shares, less urgent plans displace urgent ones under overload. The less urgent ones
 // must not be starved either.
 func TestUrgentRequestsTakePrecedenceUnderOverload(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/pkg/pipeline/pipeline_test.go
+++ b/pkg/pipeline/pipeline_test.go
@@ -258,9 +258,12 @@
 		Expect(outcomeOf(run(chain("due later", 5*time.Second))).Reason).To(Equal(pipeline.Busy))
 	})
 
-	// Otherwise a plan with a long call of its own gets a queue reserved that nothing waits in.
-	It("affects no others with a plan that would be late without any wait", func() {
-		Expect(outcomeOf(run(chain("own time", 500*time.Millisecond))).Reason).To(Equal(pipeline.Busy))
+	// Otherwise plans with a long call of their own exclude others from a queue that nothing waits in.
+	It("affects no others with plans that would be late without any wait", func() {
+		m.capacity.PerSecond, m.capacity.AtOnce = 100, 40
+		for n := range 100 {
+			Expect(outcomeOf(run(chain(fmt.Sprint("own time", n), 500*time.Millisecond))).Reason).To(Equal(pipeline.Busy))
+		}
 		for n := range 20 {
 			less := chain(fmt.Sprint("r", n), time.Minute)
 			less.Priority = 2
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -42,8 +42,10 @@
 	clock   clockwork.Clock
 	log     *logrus.Entry
 
-	admitted *metrics.Counter
-	refused  *metrics.Counter
+	// admitted and refused count all plans; the other counters count some of these again.
+	admitted     *metrics.Counter
+	refused      *metrics.Counter
+	refusedShare *metrics.Counter
 
 	mu       sync.Mutex
 	backlogs map[batch.Queue]*backlog
@@ -51,19 +53,22 @@
 	lateness map[int]*lateness
 	overload overload
 	readers  readers
+	// idleCheckedAt is when idle queues were last removed.
+	idleCheckedAt time.Time
 }
 
 // NewPlanner returns an idle planner. It registers its counters in set.
 func NewPlanner(batcher Batcher, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Planner {
 	return &Planner{
-		batcher:  batcher,
-		clock:    clock,
-		log:      log,
-		admitted: set.NewCounter(`cobaltcroft_plans_total{outcome="admitted"}`),
-		refused:  set.NewCounter(`cobaltcroft_plans_total{outcome="refused"}`),
-		backlogs: map[batch.Queue]*backlog{},
-		lateness: map[int]*lateness{},
-		readers:  newReaders(),
+		batcher:      batcher,
+		clock:        clock,
+		log:          log,
+		admitted:     set.NewCounter(`cobaltcroft_plans_total{outcome="admitted"}`),
+		refused:      set.NewCounter(`cobaltcroft_plans_total{outcome="refused"}`),
+		refusedShare: set.NewCounter(`cobaltcroft_plans_total{outcome="refused_share"}`),
+		backlogs:     map[batch.Queue]*backlog{},
+		lateness:     map[int]*lateness{},
+		readers:      newReaders(),
 	}
 }
 
@@ -80,19 +85,14 @@
 	for _, made := range plan.Completed {
 		p.batcher.TrackResults(made)
 	}
-	forecast, admitted := p.admit(part, &plan)
-	p.log.WithFields(logrus.Fields{
-		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": forecast.Milliseconds(),
-		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "allowed_ms": p.allowedLateness(plan.Priority).Milliseconds(), "admitted": admitted, "domain": plan.Domain, "priority": plan.Priority,
-	}).Info()
-	if !admitted {
-		p.refused.Inc()
-		return Outcome{Reason: Busy, RetryAfter: p.retryAfter(&plan, forecast)}
+	decided := p.admit(part, &plan)
+	p.logDecision(part, &plan, decided)
+	if decided.refused != "" {
+		return Outcome{Reason: Busy, RetryAfter: p.retryAfter(&plan, decided)}
 	}
-	p.admitted.Inc()
 	outcome := newExecution(p, part, &plan).run(ctx)
 	if outcome.Reason == "" {
-		p.recordDuration(plan.Priority, forecast, p.clock.Since(begin))
+		p.recordDuration(plan.Priority, decided.forecast.total, p.clock.Since(begin))
 	}
 	if outcome.Reason == batch.Gone && p.clock.Now().Before(plan.Due) {
 		p.log.WithFields(logrus.Fields{"event": "plan_again", "id": plan.Request}).Info()
@@ -106,6 +106,23 @@
 	return outcome
 }
 
+// logDecision logs and counts the admission or refusal of a plan.
+func (p *Planner) logDecision(part Part, plan *Plan, d decision) {
+	p.log.WithFields(logrus.Fields{
+		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": d.forecast.total.Milliseconds(),
+		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "allowed_ms": d.allowedLateness.Milliseconds(),
+		"admitted": d.refused == "", "reason": string(d.refused), "share": d.share, "domain": plan.Domain, "priority": plan.Priority,
+	}).Info()
+	if d.refused == "" {
+		p.admitted.Inc()
+		return
+	}
+	p.refused.Inc()
+	if d.refused == refusedByShare {
+		p.refusedShare.Inc()
+	}
+}
+
 // ReaderFailed records that a request failed at the endpoint chosen for it.
 func (p *Planner) ReaderFailed(endpoint string) {
 	p.mu.Lock()
@@ -113,13 +130,6 @@
 	p.readers.recordFailure(p.clock.Now(), endpoint)
 }
 
-// allowedLateness returns by how much plans of a priority may exceed their forecast.
-func (p *Planner) allowedLateness(priority int) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.latenessLocked(priority).allowed
-}
-
 // chooseReader chooses the endpoint for a request whose stages are completed.
 func (p *Planner) chooseReader(plan *Plan, results []batch.Result) string {
 	p.mu.Lock()
