pipeline: plans without enough time of their own are served late

A plan that would be late without any wait was refused, and its retry again. It is now admitted if none of its queues is contended or without endpoints, and if its forecast, with the allowed lateness, ends by its deadline. Its pieces are due at once, so that the queue orders them after all that can be in time; they do not count as ahead of other plans in forecasts, and its duration does not count for the allowed lateness.

Existing tests that expect a refusal of a plan without enough time of its own state a deadline that equals the due time; the one of the retry delay is refused because of a wait.

--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -27,7 +27,11 @@
 	// left is the time until the plan is due. allowedLateness is by how much plans of its priority
 	// exceed their forecast.
 	left, allowedLateness time.Duration
-	forecast              forecast
+	// untilEnd is the time until the plan is of no use any more.
+	untilEnd time.Duration
+	forecast forecast
+	// contended is set if a queue of the plan is contended or has no available endpoint.
+	contended bool
 	// share is the smallest share of the plan's priority at its queues. drawn is the plan's number in
 	// [0, 1).
 	share, drawn float64
@@ -38,6 +42,8 @@
 	conditions
 	// refused is why the plan is refused; empty if it is admitted.
 	refused refusal
+	// late is set if the plan is admitted to be served late.
+	late bool
 }
 
 // fits reports whether a plan of the given duration would finish by its due time.
@@ -45,9 +51,20 @@
 	return duration+c.allowedLateness <= c.left
 }
 
-// decide admits a plan that would finish by its due time, subject to its share.
+// endsInTime reports whether the plan would finish while it is of use.
+func (c *conditions) endsInTime() bool {
+	return c.forecast.total+c.allowedLateness <= c.untilEnd
+}
+
+// insufficientTime reports whether the plan would be late without any wait.
+func (c *conditions) insufficientTime() bool { return !c.fits(c.forecast.unhindered) }
+
+// decide admits a plan that would finish by its due time, subject to its share. One that would be
+// late without any wait is served late, but not at the expense of others.
 func decide(c conditions) decision {
 	switch {
+	case c.insufficientTime() && !c.contended && c.endsInTime():
+		return decision{conditions: c, late: true}
 	case !c.fits(c.forecast.total):
 		return decision{conditions: c, refused: refusedByForecast}
 	case c.drawn >= c.share:
@@ -63,16 +80,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropIdle(now)
+	c := p.conditions(now, part, plan)
 	if plan.started() {
-		d := decision{conditions: p.conditions(now, part, plan)}
 		p.addPlanLocked(part, plan)
-		return d
+		return decision{conditions: c}
 	}
-	d := decide(p.conditions(now, part, plan))
+	d := decide(c)
 	if d.refused == "" {
 		p.addPlanLocked(part, plan)
 	}
-	if d.refused == refusedByForecast && d.forecast.total <= d.left {
+	if !d.fits(d.forecast.total) && d.forecast.total <= d.left {
 		p.latenessLocked(plan.Priority).recordRefusal()
 	}
 	return d
@@ -85,19 +102,34 @@
 	c := conditions{
 		left:            plan.Due.Sub(now),
 		allowedLateness: p.latenessLocked(plan.Priority).allowed,
+		untilEnd:        plan.Deadline.Sub(now),
 		forecast:        p.forecast(part, plan),
 		share:           1,
 		drawn:           drawn(plan.Request),
 	}
-	if c.fits(c.forecast.unhindered) && !plan.started() {
+	switch {
+	case plan.started():
+	case c.insufficientTime():
+		plan.late = true
+		c.forecast = p.forecast(part, plan)
+	default:
 		p.recordDemand(now, part, plan)
 	}
+	for _, queue := range plan.queues(part) {
+		c.contended = c.contended || p.contended(now, queue)
+	}
 	for _, queue := range c.forecast.waits {
 		c.share = min(c.share, p.share(now, queue, plan.Priority))
 	}
 	return c
 }
 
+// contended reports whether a queue is contended or has no available endpoint.
+func (p *Planner) contended(now time.Time, queue batch.Queue) bool {
+	throughput := usableThroughput(p.batcher.Capacity(queue))
+	return throughput <= 0 || contended(throughput, p.backlog(queue).demand.rates(now))
+}
+
 // share returns the share of a priority at a queue.
 func (p *Planner) share(now time.Time, queue batch.Queue, priority int) float64 {
 	requested := &p.backlog(queue).demand
--- a/pkg/pipeline/backlog.go
+++ b/pkg/pipeline/backlog.go
@@ -29,17 +29,26 @@
 }
 
 // piecesBefore returns the number of pieces that take precedence over a new plan: those of plans
-// due earlier, which run first, and those of more urgent plans, which it must not delay.
+// due earlier, which run first, and those of more urgent plans, which it must not delay. Plans that
+// are served late run after all others.
 func (b *backlog) piecesBefore(plan *Plan) int {
 	pieces := 0
 	for _, w := range b.plans {
-		if !w.plan.Due.After(plan.Due) || w.plan.Priority < plan.Priority {
+		if w.plan.precedes(plan) {
 			pieces += w.pieces
 		}
 	}
 	return pieces
 }
 
+// precedes reports whether a plan takes precedence over a new one.
+func (p *Plan) precedes(plan *Plan) bool {
+	if p.late != plan.late {
+		return plan.late
+	}
+	return !p.Due.After(plan.Due) || p.Priority < plan.Priority
+}
+
 // pieces returns the number of pending pieces.
 func (b *backlog) pieces() int {
 	pieces := 0
--- a/pkg/pipeline/backlog_test.go
+++ b/pkg/pipeline/backlog_test.go
@@ -29,6 +29,16 @@
 			t.Errorf("%s: %d pieces before it, want %d", name, got, c.want)
 		}
 	}
+	late := planOf(0, time.Millisecond)
+	late.late = true
+	b.add(late, 80)
+	if got := b.piecesBefore(planOf(2, time.Minute)); got != 70 {
+		t.Errorf("%d pieces before a plan in time, want 70 without those served late", got)
+	}
+	if got := b.piecesBefore(&Plan{Priority: 0, Due: now.Add(-time.Second), late: true}); got != 70 {
+		t.Errorf("%d pieces before a plan served late, want the 70 of all others", got)
+	}
+	b.add(late, -80)
 	b.add(soonLess, -4)
 	if got := b.piecesBefore(planOf(0, 2*time.Second)); got != 6 {
 		t.Errorf("%d pieces left, want 6", got)
--- a/pkg/pipeline/handover.go
+++ b/pkg/pipeline/handover.go
@@ -48,14 +48,19 @@
 
 // inspect queries the endpoints of a plan's stages if their state is not known.
 func (p *Planner) inspect(ctx context.Context, part Part, plan *Plan) {
+	p.batcher.Inspect(ctx, plan.queues(part))
+}
+
+// queues returns the queues of the stages that have pieces.
+func (p *Plan) queues(part Part) []batch.Queue {
 	var queues []batch.Queue
-	for _, stage := range plan.Stages {
+	for _, stage := range p.Stages {
 		queue := queueOf(part, stage.Service)
 		if stage.Pieces > 0 && !slices.Contains(queues, queue) {
 			queues = append(queues, queue)
 		}
 	}
-	p.batcher.Inspect(ctx, queues)
+	return queues
 }
 
 // dropMalformed drops results received from a peer that do not match the plan.
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -51,6 +51,9 @@
 	// Progress, if not nil, is called with the results of each completed stage except the last. It
 	// must not block.
 	Progress func(stage int, results []batch.Result) `json:"-"`
+	// late is set if the plan would be late without any wait. It runs after all plans that can be in
+	// time.
+	late bool
 }
 
 // Outcome is the result of a plan.
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -46,6 +46,7 @@
 	admitted     *metrics.Counter
 	refused      *metrics.Counter
 	refusedShare *metrics.Counter
+	late         *metrics.Counter
 
 	mu       sync.Mutex
 	backlogs map[batch.Queue]*backlog
@@ -66,6 +67,7 @@
 		admitted:     set.NewCounter(`cobaltcroft_plans_total{outcome="admitted"}`),
 		refused:      set.NewCounter(`cobaltcroft_plans_total{outcome="refused"}`),
 		refusedShare: set.NewCounter(`cobaltcroft_plans_total{outcome="refused_share"}`),
+		late:         set.NewCounter(`cobaltcroft_plans_total{outcome="late"}`),
 		backlogs:     map[batch.Queue]*backlog{},
 		lateness:     map[int]*lateness{},
 		readers:      newReaders(),
@@ -91,7 +93,7 @@
 		return Outcome{Reason: Busy, RetryAfter: p.retryAfter(&plan, decided)}
 	}
 	outcome := newExecution(p, part, &plan).run(ctx)
-	if outcome.Reason == "" {
+	if outcome.Reason == "" && !plan.late {
 		p.recordDuration(plan.Priority, decided.forecast.total, p.clock.Since(begin))
 	}
 	if outcome.Reason == batch.Gone && p.clock.Now().Before(plan.Due) {
@@ -111,16 +113,20 @@
 	p.log.WithFields(logrus.Fields{
 		"event": "plan", "id": plan.Request, "part": part.Number, "forecast_ms": d.forecast.total.Milliseconds(),
 		"left_ms": plan.Due.Sub(p.clock.Now()).Milliseconds(), "allowed_ms": d.allowedLateness.Milliseconds(),
-		"admitted": d.refused == "", "reason": string(d.refused), "share": d.share, "domain": plan.Domain, "priority": plan.Priority,
+		"admitted": d.refused == "", "reason": string(d.refused), "share": d.share, "late": d.late,
+		"domain": plan.Domain, "priority": plan.Priority,
 	}).Info()
-	if d.refused == "" {
-		p.admitted.Inc()
-		return
-	}
-	p.refused.Inc()
-	if d.refused == refusedByShare {
+	switch {
+	case d.late:
+		p.late.Inc()
+	case d.refused == refusedByShare:
 		p.refusedShare.Inc()
 	}
+	if d.refused != "" {
+		p.refused.Inc()
+		return
+	}
+	p.admitted.Inc()
 }
 
 // ReaderFailed records that a request failed at the endpoint chosen for it.
@@ -309,6 +315,11 @@
 	if e.remainingStages[i] > 1 {
 		offset = time.Duration(e.remainingStages[i]-1) * e.batcher.Capacity(queueOf(e.part, stage.Service)).CallTime
 	}
+	due := e.plan.Due.Add(-offset)
+	if now := e.clock.Now(); e.plan.late && due.After(now) {
+		// Pieces that miss their due time run after all others.
+		due = now
+	}
 	pieces := make([]batch.Piece, len(e.missing[i]))
 	for n, index := range e.missing[i] {
 		pieces[n] = batch.Piece{
@@ -319,7 +330,7 @@
 			InputBytes:     inputBytes,
 			InputsUntil:    until,
 			Bytes:          stage.Bytes,
-			Due:            e.plan.Due.Add(-offset),
+			Due:            due,
 			Deadline:       e.plan.Deadline,
 			Priority:       e.plan.Priority,
 			Domain:         domain,
