discovery: signal when the first view is loaded

A reader of the view could only poll for the first complete one. Follower.Loaded returns a channel that is closed once the view is complete and the endpoints were read. View.Complete itself is unchanged.

--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -38,6 +38,8 @@
 	log     *logrus.Entry
 	view    atomic.Pointer[View]
 	updates chan updateRequest
+	// loaded is closed when the first view is loaded. Only the goroutine of Run closes it.
+	loaded chan struct{}
 	// peerDocuments receives the documents that peers have in force.
 	peerDocuments chan peerDocumentUpdate
 	// history holds recent changes for instances that use this one as a relay.
@@ -89,6 +91,7 @@
 		clock:          clock,
 		log:            log,
 		updates:        make(chan updateRequest),
+		loaded:         make(chan struct{}),
 		peerDocuments:  make(chan peerDocumentUpdate, peerDocumentQueue),
 		history:        newHistory(),
 		documentWanted: make(chan struct{}, 1),
@@ -118,6 +121,9 @@
 // View returns the current view.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// Loaded returns a channel that is closed when the first view is loaded.
+func (f *Follower) Loaded() <-chan struct{} { return f.loaded }
+
 // LocalState returns the local state for a peer that has the endpoints of revision newerThan. The
 // endpoints are omitted unless they are newer.
 func (f *Follower) LocalState(newerThan revision.Revision) PeerState {
@@ -187,11 +193,23 @@
 		view.current = true
 	}
 	f.view.Store(&view)
+	if view.Loaded() {
+		f.signalLoaded()
+	}
 	if then != nil {
 		then()
 	}
 }
 
+// signalLoaded closes the channel of Loaded, once.
+func (f *Follower) signalLoaded() {
+	select {
+	case <-f.loaded:
+	default:
+		close(f.loaded)
+	}
+}
+
 // confirmEndpoints records that the source confirmed the listed endpoints as of at, and that it was
 // last heard from at heard.
 func (f *Follower) confirmEndpoints(view *View, at, heard time.Time) {
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -105,6 +105,9 @@
 // rollouts are known, also by the peers.
 func (v *View) Complete() bool { return v.Table != nil && v.ordersRevision() > 0 && v.peersAsked }
 
+// Loaded reports whether the view is complete and the endpoints are known.
+func (v *View) Loaded() bool { return v.Complete() && !v.Confirmed.IsZero() }
+
 // ordersRevision returns the revision of the source up to which all orders are known.
 func (v *View) ordersRevision() revision.Revision {
 	return min(v.Evacuations().Revision, v.Rollouts().Revision)
