--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -32,9 +32,12 @@
 	// MemoryMB is the memory limit of the process in millions of bytes.
 	MemoryMB int `json:"memory_mb"`
 	// StopGraceSeconds is the maximum duration of a graceful shutdown.
-	StopGraceSeconds float64         `json:"stop_grace_seconds"`
-	Retries          GatewayRetries  `json:"retries"`
-	Rollouts         GatewayRollouts `json:"rollouts"`
+	StopGraceSeconds float64 `json:"stop_grace_seconds"`
+	// StartWaitMs is how long after the start of the instance, in milliseconds, requests wait for the
+	// first view; 0 refuses them at once.
+	StartWaitMs int             `json:"start_wait_ms"`
+	Retries     GatewayRetries  `json:"retries"`
+	Rollouts    GatewayRollouts `json:"rollouts"`
 	// Log maps layers to log levels; "default" applies to all other layers.
 	Log map[string]string `json:"log"`
 }
@@ -82,6 +85,9 @@
 // StopGrace returns the maximum duration of a graceful shutdown.
 func (g Gateway) StopGrace() time.Duration { return seconds(g.StopGraceSeconds) }
 
+// StartWait returns how long after the start of the instance requests wait for the first view.
+func (g Gateway) StartWait() time.Duration { return time.Duration(g.StartWaitMs) * time.Millisecond }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // GatewayDefaults returns the values of fields that the file omits.
@@ -126,6 +132,8 @@
 	minMemoryMB = 32
 	maxMemoryMB = 1 << 20
 	maxGrace    = 600
+	// maxStartWaitMs is the longest wait for the first view in milliseconds.
+	maxStartWaitMs = 5000
 	// maxProcessors and maxLinkMbps are far above those of any machine. They detect values in the wrong
 	// unit.
 	maxProcessors = 1024
@@ -155,6 +163,7 @@
 	c.between("machine.link_mbps", g.Machine.LinkMbps, 0, maxLinkMbps)
 	c.count("memory_mb", int64(g.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.duration("stop_grace_seconds", Duration(g.StopGrace()), time.Second, maxGrace*time.Second)
+	c.count("start_wait_ms", int64(g.StartWaitMs), 0, maxStartWaitMs)
 	c.duration("retries.window_seconds", Duration(g.Retries.Window()), time.Second, maxGrace*time.Second)
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
 		c.add("retries", fmt.Sprintf("ratio %g, slack %g", g.Retries.Ratio, g.Retries.Slack), "use numbers of 0 or more")
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -16,7 +16,7 @@
 	"listen": {"requests": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": ""},
 	"peers": ["127.0.0.1:4"], "peer_token": "peers-token", "store": "127.0.0.1:5",
 	"machine": {"processor_share": 0.4, "processor_speed": 2, "link_mbps": 1000},
-	"memory_mb": 284, "stop_grace_seconds": 8, "retries": {"ratio": 0.2, "slack": 54, "window_seconds": 10}
+	"memory_mb": 284, "stop_grace_seconds": 8, "start_wait_ms": 600, "retries": {"ratio": 0.2, "slack": 54, "window_seconds": 10}
 }`
 
 var _ = Describe("settings of a gateway", func() {
@@ -24,6 +24,7 @@
 		g, err := settings.ParseGateway([]byte(strings.Replace(goodGateway, "{", `{"later": 1, `, 1)))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(g.StopGrace().Seconds()).To(Equal(8.0))
+		Expect(g.StartWait().Seconds()).To(Equal(0.6))
 		Expect(g.Retries.Window().Seconds()).To(Equal(10.0))
 	})
 
@@ -38,9 +39,11 @@
 	})
 
 	It("take the defaults where the file is silent", func() {
-		g, err := settings.ParseGateway([]byte(strings.Replace(goodGateway, `"memory_mb": 284, `, "", 1)))
+		silent := strings.NewReplacer(`"memory_mb": 284, `, "", `"start_wait_ms": 600, `, "").Replace(goodGateway)
+		g, err := settings.ParseGateway([]byte(silent))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(g.MemoryMB).To(Equal(settings.GatewayDefaults().MemoryMB))
+		Expect(g.StartWait()).To(BeZero())
 	})
 
 	DescribeTable("name field, value and remedy of a fault",
@@ -60,6 +63,8 @@
 		Entry("link", `"link_mbps": 1000`, `"link_mbps": 1e9`, `machine.link_mbps is "1e+09"`, "use 0 to"),
 		Entry("memory", `284`, `3`, `memory_mb is "3"`, "use 32 to"),
 		Entry("grace", `"stop_grace_seconds": 8`, `"stop_grace_seconds": 0`, `stop_grace_seconds is "0s"`, "use 1s to"),
+		Entry("start wait below 0", `"start_wait_ms": 600`, `"start_wait_ms": -1`, `start_wait_ms is "-1"`, "use 0 to 5000"),
+		Entry("start wait in another unit", `"start_wait_ms": 600`, `"start_wait_ms": 600000`, `start_wait_ms is "600000"`, "use 0 to 5000"),
 		Entry("retries", `"ratio": 0.2`, `"ratio": -1`, "retries is", "0 or more"),
 		Entry("not JSON", `"instance"`, `instance`, "do not parse", "docs/SETTINGS.md"),
 	)
