gateway: requests wait for the first view of an instance that has just started

Cause: after a power loss an instance refuses requests with no_configuration for 0.45 s more than it takes to load its configuration, and tells them to retry after a second. Change: a request that arrives before the first view is loaded waits for it, until start_wait_ms after the start of the instance or until its client gives up. It is then handled by a view that is read anew. Retry-After of no_configuration is 0.3 s.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -268,15 +268,21 @@
 		Quarantine: g.quarantine,
 		Rollouts:   g.rollouts.Participant,
 		Held:       g.held,
+		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
+	g.addViewGauges()
+	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
+	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts, g.permits)
+	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
+}
+
+// addViewGauges adds the gauges of what is known of the endpoints and the source.
+func (g *Gateway) addViewGauges() {
 	g.metrics.NewGauge("cobaltcroft_endpoints_resting", func() float64 { return float64(g.backoffs.Count()) })
 	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_source_older_total", func() float64 { return float64(g.follower.OlderResponses()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().All())) })
-	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts, g.permits)
-	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
 // heldLimit returns the memory limit for request and response bodies.
--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -38,6 +38,7 @@
 	begin := g.clock.Now()
 	g.log.WithFields(logrus.Fields{"event": "stopping", "signal": signal.String(), "in_flight": g.ingress.InFlight()}).Info()
 	g.stopping.begin()
+	g.executor.StopStartWait()
 	g.group.Leave()
 	g.ingress.DisableKeepAlives()
 	end := begin.Add(g.settings.StopGrace() - exitMargin)
--- a/cmd/cobaltcroftd/gateway/suite_test.go
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -47,6 +47,11 @@
 }
 
 func launch(store string, peers ...string) *instance {
+	return launchWith(func(*settings.Gateway) {}, store, peers...)
+}
+
+// launchWith starts an instance with changed settings.
+func launchWith(change func(*settings.Gateway), store string, peers ...string) *instance {
 	path := filepath.Join(GinkgoT().TempDir(), "settings.json")
 	s := settings.GatewayDefaults()
 	s.Instance = fmt.Sprintf("instance-%d", time.Now().UnixNano())
@@ -56,6 +61,7 @@
 	s.StopGraceSeconds = 4
 	s.Peers, s.PeerToken, s.Store = peers, "a shared token", store
 	s.Retries = settings.GatewayRetries{Ratio: 1, Slack: 100, WindowSeconds: 10}
+	change(&s)
 	data, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,6 +63,8 @@
 	Rollouts *rollout.Participant
 	// Held accounts for the memory of buffered responses. Optional.
 	Held *memquota.Quota
+	// StartWait lets requests wait for the first view. Optional.
+	StartWait StartWait
 }
 
 // Executor runs requests. It is safe for concurrent use.
@@ -74,6 +77,11 @@
 	// drained is closed by Drain.
 	drained chan struct{}
 	drain   sync.Once
+	// startWaiting is the number of requests that wait for the first view. startWaitStopped is closed
+	// by StopStartWait.
+	startWaiting     atomic.Int64
+	startWaitStopped chan struct{}
+	stopStartWait    sync.Once
 }
 
 // New returns an executor with the given options.
@@ -86,12 +94,16 @@
 		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
 		firstEventSeconds: o.Metrics.NewHistogram("cobaltcroft_first_event_seconds"),
 		drained:           make(chan struct{}),
+		startWaitStopped:  make(chan struct{}),
 	}
 }
 
 // Drain refuses, as not run, all requests that no endpoint is working on, now or later. It is
 // called before the instance exits.
-func (x *Executor) Drain() { x.drain.Do(func() { close(x.drained) }) }
+func (x *Executor) Drain() {
+	x.StopStartWait()
+	x.drain.Do(func() { close(x.drained) })
+}
 
 // draining reports whether Drain was called.
 func (x *Executor) draining() bool {
@@ -122,7 +134,7 @@
 	request   *Request
 	responder Responder
 	view      *discovery.View
-	// age is the age of the view when the request arrived.
+	// age is the age of the view when the request arrived or had waited for the first view.
 	age          time.Duration
 	route        *route.Route
 	service      *route.Service
@@ -161,12 +173,18 @@
 	rerunAt time.Time
 	// readInputs is set if the request reads stage results.
 	readInputs bool
+	// waitedForView is set if the request waited for the first view; startWaited is for how long.
+	waitedForView bool
+	startWaited   time.Duration
 }
 
 // Run executes a request and answers the client. The context ends when the client disconnects.
 func (x *Executor) Run(ctx context.Context, r *Request, responder Responder) {
-	view := x.View()
-	u := &run{Executor: x, request: r, responder: responder, view: view, age: view.Age(x.Clock.Now()), tried: map[string]bool{}, lastEvent: r.LastEvent}
+	u := &run{Executor: x, request: r, responder: responder, tried: map[string]bool{}, lastEvent: r.LastEvent}
+	u.useView(x.View())
+	if !u.awaitView(ctx) {
+		return
+	}
 	if refusal := u.resolve(); refusal != nil {
 		u.refuse(refusal)
 		return
@@ -334,6 +352,9 @@
 	if u.digest != (quarantine.Digest{}) {
 		fields["digest"] = u.digest.String()
 	}
+	if u.waitedForView {
+		fields["start_wait_ms"] = u.startWaited.Milliseconds()
+	}
 	if u.route != nil {
 		fields["route"] = u.route.Name
 	}
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -10,8 +10,12 @@
 
 // Status 503 guarantees that the request has not run and will not run; 502 and 504 do not.
 
+// startRetryAfter is the retry delay sent by an instance that has no configuration yet. An instance
+// normally loads it within half a second of its start, and other instances may have it already.
+const startRetryAfter = 300 * time.Millisecond
+
 func refuseNoConfiguration() *Refusal {
-	return &Refusal{http.StatusServiceUnavailable, time.Second, "no_configuration", "this instance has not loaded a configuration yet; the request has not run; retry after the delay in Retry-After"}
+	return &Refusal{http.StatusServiceUnavailable, startRetryAfter, "no_configuration", "this instance has not loaded a configuration yet; the request has not run; retry after the delay in Retry-After"}
 }
 
 func refuseNoRoute() *Refusal {
