--- a/service/handover/discovery.go
+++ b/service/handover/discovery.go
@@ -56,11 +56,12 @@
 	return known.PeerState, err
 }
 
-// Contacts implements discovery.Peers.
+// Contacts implements discovery.Peers. The configured addresses are the same for all instances and may
+// include this one, which must not take itself for a peer.
 func (k *DiscoveryPeers) Contacts() []string {
 	live := k.Live()
 	if len(live) == 0 {
-		return k.Configured
+		return slices.DeleteFunc(slices.Clone(k.Configured), func(address string) bool { return address == k.Self.PeerAddress })
 	}
 	addresses := make([]string, 0, len(live))
 	for _, m := range live {
--- a/service/handover/discovery_test.go
+++ b/service/handover/discovery_test.go
@@ -48,3 +48,13 @@
 		Expect(relayed.Changes.Endpoints[1]).To(SatisfyAll(HaveField("Endpoint.ID", "b"), HaveField("Endpoint.Name()", "b"), HaveField("Gone", true)))
 	})
 })
+
+// Guards against an instance that counts its own answer as that of a peer when it starts.
+var _ = Describe("contacts", func() {
+	It("are the configured peers without the instance itself", func() {
+		configured := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+		k := &DiscoveryPeers{Self: membership.Instance{PeerAddress: "10.0.0.2:1"}, Live: func() []membership.Member { return nil }, Configured: configured}
+		Expect(k.Contacts()).To(Equal([]string{"10.0.0.1:1", "10.0.0.3:1"}))
+		Expect(configured).To(Equal([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}))
+	})
+})
