balance: prefill time per service learnt from the instance's calls

Large prompts were refused because their prefill was estimated at 50 tokens per ms, where engines reach 92 and 140, and an instance calls one engine too rarely to learn it. The time to the first event is now a base, a time per token and one per pair of tokens, fitted per service from the first events of streams, with the previous figures as the prior. Estimate, Options, costs and the overdue check use it. Samples are divided by the slowness that the response reports; those of failing, waiting or overdue engines don't count. Responses that are not streams don't change the slowness of an engine any more, because they arrive after the last event.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -229,6 +229,7 @@
 	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.rateLimits.Count()) })
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit}, g.observeResponse)
 	g.balancer = balance.New(g.clock, g.backoffs)
+	g.balancer.Export(g.metrics)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieceBudget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.batcher = batch.New(&platform.StageCaller{Conns: g.conns, Clock: g.clock}, batchView{g.follower, g.backoffs}, g.pieceBudget, g.clock, g.metrics, g.logs.For("batch"))
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
@@ -34,8 +35,6 @@
 	suspectCost = 2 * time.Second
 	// initialLatency is the assumed latency of an endpoint without samples.
 	initialLatency = 20 * time.Millisecond
-	// prefillTokensPerSecond is the prefill rate of an engine with a slowness of 1.
-	prefillTokensPerSecond = 50_000
 	// batchCost is added for each call in flight at an engine.
 	batchCost = 2 * time.Millisecond
 )
@@ -87,6 +86,9 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
+	// models holds the prefill models of services with engines; metrics, if set, their parameters.
+	models  map[string]*prefillModel
+	metrics *metrics.Set
 	// silentUntil is when a failure domain that is suspected to be unreachable may be used
 	// normally again.
 	silentUntil map[string]time.Time
@@ -108,9 +110,9 @@
 	failures     int
 	ejection     time.Duration
 	ejectedUntil time.Time
-	// pendingPrefill is the number of uncached prompt tokens of calls that have not returned a
-	// first event.
-	pendingPrefill int
+	// pendingPrefill is the prefill time of calls that have not returned a first event, for a
+	// slowness of 1.
+	pendingPrefill time.Duration
 	// slowness is a smoothed multiplier for the expected prefill time.
 	slowness float64
 	// sampledAt is when the averages were last updated; zero if never.
@@ -123,7 +125,7 @@
 
 // New returns a balancer without observations.
 func New(clock clockwork.Clock, backoffs *notice.Backoffs) *Balancer {
-	return &Balancer{clock: clock, backoffs: backoffs, endpoints: map[string]*endpointState{}, silentUntil: map[string]time.Time{}}
+	return &Balancer{clock: clock, backoffs: backoffs, endpoints: map[string]*endpointState{}, models: map[string]*prefillModel{}, silentUntil: map[string]time.Time{}}
 }
 
 // Call is a call in flight at an endpoint.
@@ -134,11 +136,23 @@
 	Ejected   bool
 	balancer  *Balancer
 	startedAt time.Time
+	engine    bool
 	uncached  int
 	parts     []Part
-	expected  time.Duration
-	started   bool
-	ended     bool
+	// prefill is the time to prefill the uncached tokens, ahead that of the calls which had not
+	// returned a first event when this one began, and nominal the expected time to the first event,
+	// each for a slowness of 1.
+	prefill time.Duration
+	ahead   time.Duration
+	nominal time.Duration
+	// expected is the expected time to the first event.
+	expected time.Duration
+	// slowness is the one that the response reports; 1 if none. waited reports whether the endpoint
+	// had waiting requests then.
+	slowness float64
+	waited   bool
+	started  bool
+	ended    bool
 }
 
 // Pick selects an endpoint and registers the call with it. It returns nil if all candidates are
@@ -181,11 +195,14 @@
 
 func (b *Balancer) begin(now time.Time, e fleet.Endpoint, spec CallSpec) *Call {
 	s := b.state(e.ID)
-	c := &Call{Endpoint: e, Ejected: now.Before(s.ejectedUntil), balancer: b, startedAt: now, parts: spec.Parts}
+	c := &Call{Endpoint: e, Ejected: now.Before(s.ejectedUntil), balancer: b, startedAt: now, engine: spec.Engine, parts: spec.Parts, slowness: 1}
 	if spec.Engine {
+		m := b.modelOf(e.Service)
 		c.uncached = spec.tokens() - s.cache.cachedTokens(spec.Parts)
-		c.expected = prefillTime(c.uncached+s.pendingPrefill, s.slowness)
-		s.pendingPrefill += c.uncached
+		c.prefill, c.ahead = m.prefill(c.uncached), s.pendingPrefill
+		c.nominal = m.base() + c.ahead + c.prefill
+		c.expected = scale(c.nominal, s.slowness)
+		s.pendingPrefill += c.prefill
 	}
 	s.calls[c] = struct{}{}
 	if s.cold.cold(now) {
@@ -228,7 +245,7 @@
 	var d time.Duration
 	latency, slowness := s.at(now, averages)
 	if spec.Engine {
-		d = s.engineCost(spec, slowness*s.reportedSlowness(now), affinity)
+		d = s.engineCost(b.modelOf(e.Service), spec, slowness*s.reportedSlowness(now), affinity)
 	} else {
 		d = s.simpleCost(now, latency, max(spec.Slots, e.Slots, 1))
 	}
@@ -257,34 +274,35 @@
 // engineCost is the expected time to the first event at an engine. Uncached shared parts are
 // weighted by sharedPrefillFactor unless the engine is their affinity target, because other
 // engines already hold them.
-func (s *endpointState) engineCost(spec CallSpec, slowness float64, affinity bool) time.Duration {
+func (s *endpointState) engineCost(m *prefillModel, spec CallSpec, slowness float64, affinity bool) time.Duration {
 	cached := s.cache.cachedTokens(spec.Parts)
 	uncached := spec.tokens() - cached
 	shared := 0
 	if !affinity && len(spec.Parts) > 1 {
 		shared = max(0, spec.tokens()-spec.Parts[len(spec.Parts)-1].Tokens-cached)
 	}
-	return prefillTime(s.pendingPrefill+uncached+sharedPrefillFactor*shared, slowness) + time.Duration(len(s.calls))*batchCost
+	prefill := s.pendingPrefill + m.prefill(uncached) + sharedPrefillFactor*m.prefill(shared)
+	return scale(m.base()+prefill, slowness) + time.Duration(len(s.calls))*batchCost
 }
 
 // sharedPrefillFactor is the weight of repeated prefill of shared parts relative to a request's
 // own part.
 const sharedPrefillFactor = 6
 
-func prefillTime(tokens int, slowness float64) time.Duration {
-	return time.Duration(slowness * float64(tokens) / prefillTokensPerSecond * float64(time.Second))
-}
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
 
 func (s *endpointState) overdue(now time.Time) bool {
 	for c := range s.calls {
-		expected := max(s.latency, c.expected)
-		if !c.started && now.Sub(c.startedAt) > overdueFactor*expected+overdueSlack {
+		if !c.started && now.Sub(c.startedAt) > overdueAfter(max(s.latency, c.expected)) {
 			return true
 		}
 	}
 	return false
 }
 
+// overdueAfter returns after how long a call is overdue.
+func overdueAfter(expected time.Duration) time.Duration { return overdueFactor*expected + overdueSlack }
+
 // affinityTarget returns the endpoint that rendezvous hashing assigns to the shared parts of the
 // prompt, so that all instances send requests with a common prefix to the same engine. It returns
 // an empty string if there is none. The last part is never shared.
@@ -324,20 +342,40 @@
 	if !spec.Engine {
 		return s.latency, best.FailureDomain
 	}
-	return cachedFirstEvent + prefillTime(spec.tokens()-s.cache.cachedTokens(spec.Parts), s.slowness), best.FailureDomain
+	m := b.modelOf(best.Service)
+	uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
+	return scale(m.base()+m.prefill(uncached), s.slowness), best.FailureDomain
 }
 
-// cachedFirstEvent is the expected time to the first event for a fully cached prompt.
-const cachedFirstEvent = 60 * time.Millisecond
-
-// ResponseStarted records the first event of a stream, or the response header of other calls.
-func (c *Call) ResponseStarted() {
+// EventsReceived records events of a stream.
+func (c *Call) EventsReceived() {
 	b := c.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.started || c.ended {
 		return
 	}
+	if c.engine {
+		took := b.clock.Since(c.startedAt)
+		b.learnPrefill(c, took)
+		b.state(c.Endpoint.ID).recordPrefill(c, took)
+	}
+	c.responseStarted()
+}
+
+// ResponseStarted records the response of a call that is not a stream.
+func (c *Call) ResponseStarted() {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !c.started && !c.ended {
+		c.responseStarted()
+	}
+}
+
+// responseStarted updates the state of the endpoint. The caller holds the lock of the balancer.
+func (c *Call) responseStarted() {
+	b := c.balancer
 	c.started = true
 	delete(b.silentUntil, c.Endpoint.FailureDomain)
 	s := b.state(c.Endpoint.ID)
@@ -350,17 +388,23 @@
 	weight := max(sampleWeight, 1-s.freshness(now))
 	s.latency += time.Duration(weight * float64(took-s.latency))
 	s.sampledAt = now
-	s.pendingPrefill -= c.uncached
+	s.pendingPrefill -= c.prefill
 	s.cache.add(c.parts)
-	if c.expected > minPrefillSample {
-		ratio := float64(took) / float64(c.expected) * s.slowness
-		s.slowness += sampleWeight * (min(ratio, maxSlowness) - s.slowness)
-		s.slowness = max(s.slowness, minSlowness)
+}
+
+// recordPrefill updates the slowness by the time to the first event, divided by the slowness that
+// the response reports.
+func (s *endpointState) recordPrefill(c *Call, took time.Duration) {
+	if c.ahead+c.prefill < minPrefillSample {
+		return
 	}
+	ratio := float64(took) / c.slowness / float64(c.nominal)
+	s.slowness += sampleWeight * (min(ratio, maxSlowness) - s.slowness)
+	s.slowness = max(s.slowness, minSlowness)
 }
 
 const (
-	// minPrefillSample is the shortest expected prefill time that updates the slowness.
+	// minPrefillSample is the shortest prefill time that updates the slowness.
 	minPrefillSample = 20 * time.Millisecond
 	minSlowness      = 0.5
 	maxSlowness      = 20
@@ -395,7 +439,7 @@
 	s := b.state(c.Endpoint.ID)
 	delete(s.calls, c)
 	if !c.started {
-		s.pendingPrefill -= c.uncached
+		s.pendingPrefill -= c.prefill
 	}
 	now := b.clock.Now()
 	if load != nil {
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -42,4 +42,8 @@
 	defer b.mu.Unlock()
 	s := b.state(c.Endpoint.ID)
 	s.load, s.loadAt = *load, b.clock.Now()
+	c.waited = load.Waiting > 0
+	if load.Slowness > 0 {
+		c.slowness = load.Slowness
+	}
 }
