balance: speed of an engine apart from reported interference

The slowness of an engine decayed within 2 s, where an instance calls an engine once in 22 to 35 s, and estimates used it without any decay, so that one call under interference raised the estimates of that engine until the next call. Samples are now divided by the slowness that the response reports and kept for tens of seconds; an engine that reports none is treated as before. Calls that had to wait don't count. The time between events, relative to the median of the service, is a sample as well. Responses without these figures and services without an engine keep the 2 s.

--- a/pkg/balance/averages.go
+++ b/pkg/balance/averages.go
@@ -7,7 +7,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// averages holds the mean latency and slowness over the endpoints of a service.
+// averages holds the mean latency and engine slowness over the endpoints of a service.
 type averages struct {
 	latency  time.Duration
 	slowness float64
@@ -17,21 +17,34 @@
 // Without the weights, an old sample of an endpoint would pull the mean towards itself, most of
 // all with few endpoints, and delay its next use.
 func (b *Balancer) averages(now time.Time, candidates []fleet.Endpoint) averages {
-	totalWeight, latency, slowness := 0.0, 0.0, 0.0
+	var latency, slowness weightedMean
 	for i := range candidates {
 		s := b.peek(candidates[i].ID)
-		if s.sampledAt.IsZero() {
-			continue
+		if !s.sampledAt.IsZero() {
+			latency.add(float64(s.latency), s.freshness(now))
+		}
+		if !s.speed.sampledAt.IsZero() {
+			slowness.add(s.speed.slowness, s.speed.freshness(now))
 		}
-		weight := max(minWeight, s.freshness(now))
-		totalWeight += weight
-		latency += weight * float64(s.latency)
-		slowness += weight * s.slowness
 	}
-	if totalWeight == 0 {
-		return averages{latency: initialLatency, slowness: 1}
+	return averages{latency: time.Duration(latency.or(float64(initialLatency))), slowness: slowness.or(1)}
+}
+
+// weightedMean is a mean of values of different weights.
+type weightedMean struct{ sum, weight float64 }
+
+func (m *weightedMean) add(value, weight float64) {
+	weight = max(minWeight, weight)
+	m.sum += weight * value
+	m.weight += weight
+}
+
+// or returns the mean, or a default if there are no values.
+func (m *weightedMean) or(initial float64) float64 {
+	if m.weight == 0 {
+		return initial
 	}
-	return averages{latency: time.Duration(latency / totalWeight), slowness: slowness / totalWeight}
+	return m.sum / m.weight
 }
 
 // minWeight keeps stale endpoints in the mean if there are no others.
@@ -41,18 +54,20 @@
 // that was slow is tried again.
 const sampleHalfLife = 2 * time.Second
 
-// at returns the latency and slowness of the endpoint, which converge to the averages as its
-// samples age.
-func (s *endpointState) at(now time.Time, averages averages) (time.Duration, float64) {
+// latencyAt returns the latency of the endpoint, which converges to the average as its samples age.
+func (s *endpointState) latencyAt(now time.Time, averages averages) time.Duration {
 	if s.sampledAt.IsZero() {
-		return averages.latency, averages.slowness
+		return averages.latency
 	}
-	freshness := s.freshness(now)
-	latency := averages.latency + time.Duration(freshness*float64(s.latency-averages.latency))
-	return latency, averages.slowness + freshness*(s.slowness-averages.slowness)
+	return averages.latency + time.Duration(s.freshness(now)*float64(s.latency-averages.latency))
 }
 
 // freshness is the weight of the endpoint's samples: 1 when new, decaying to 0.
 func (s *endpointState) freshness(now time.Time) float64 {
-	return math.Exp2(-float64(now.Sub(s.sampledAt)) / float64(sampleHalfLife))
+	return decay(now.Sub(s.sampledAt), sampleHalfLife)
+}
+
+// decay returns the weight of a value of an age.
+func decay(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
 }
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -113,9 +113,8 @@
 	// pendingPrefill is the prefill time of calls that have not returned a first event, for a
 	// slowness of 1.
 	pendingPrefill time.Duration
-	// slowness is a smoothed multiplier for the expected prefill time.
-	slowness float64
-	// sampledAt is when the averages were last updated; zero if never.
+	speed          engineSpeed
+	// sampledAt is when the latency was last updated; zero if never.
 	sampledAt time.Time
 	cache     *promptCache
 	load      Load
@@ -147,9 +146,11 @@
 	nominal time.Duration
 	// expected is the expected time to the first event.
 	expected time.Duration
-	// slowness is the one that the response reports; 1 if none. waited reports whether the endpoint
-	// had waiting requests then.
+	pace     pace
+	// slowness is the one that the response reports, if reported is set, or 1. waited reports whether
+	// the endpoint had waiting requests then.
 	slowness float64
+	reported bool
 	waited   bool
 	started  bool
 	ended    bool
@@ -168,7 +169,7 @@
 	if call := b.pickPreferred(now, candidates, spec); call != nil {
 		return call
 	}
-	best, _ := b.best(now, candidates, spec)
+	best := b.best(now, candidates, spec, b.averages(now, candidates))
 	if best == nil {
 		return nil
 	}
@@ -176,11 +177,10 @@
 }
 
 // best returns the candidate with the lowest cost, or nil.
-func (b *Balancer) best(now time.Time, candidates []fleet.Endpoint, spec CallSpec) (*fleet.Endpoint, float64) {
+func (b *Balancer) best(now time.Time, candidates []fleet.Endpoint, spec CallSpec, averages averages) *fleet.Endpoint {
 	var best *fleet.Endpoint
 	bestCost := math.MaxFloat64
 	affinity := b.affinityTarget(now, candidates, spec)
-	averages := b.averages(now, candidates)
 	for i := range candidates {
 		e := &candidates[i]
 		if spec.Exclude[e.ID] {
@@ -190,7 +190,7 @@
 			best, bestCost = e, cost
 		}
 	}
-	return best, bestCost
+	return best
 }
 
 func (b *Balancer) begin(now time.Time, e fleet.Endpoint, spec CallSpec) *Call {
@@ -201,7 +201,7 @@
 		c.uncached = spec.tokens() - s.cache.cachedTokens(spec.Parts)
 		c.prefill, c.ahead = m.prefill(c.uncached), s.pendingPrefill
 		c.nominal = m.base() + c.ahead + c.prefill
-		c.expected = scale(c.nominal, s.slowness)
+		c.expected = scale(c.nominal, s.speed.slowness)
 		s.pendingPrefill += c.prefill
 	}
 	s.calls[c] = struct{}{}
@@ -221,7 +221,7 @@
 }
 
 func newEndpointState() *endpointState {
-	return &endpointState{calls: map[*Call]struct{}{}, latency: initialLatency, slowness: 1, cache: newPromptCache()}
+	return &endpointState{calls: map[*Call]struct{}{}, latency: initialLatency, speed: engineSpeed{slowness: 1}, cache: newPromptCache()}
 }
 
 // defaultState is the state of endpoints that were never called. It must not be modified.
@@ -243,11 +243,11 @@
 func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, spec CallSpec, averages averages, affinity bool) float64 {
 	s := b.peek(e.ID)
 	var d time.Duration
-	latency, slowness := s.at(now, averages)
 	if spec.Engine {
-		d = s.engineCost(b.modelOf(e.Service), spec, slowness*s.reportedSlowness(now), affinity)
+		slowness := s.speed.at(now, averages.slowness) * s.reportedSlowness(now)
+		d = s.engineCost(b.modelOf(e.Service), spec, slowness, affinity)
 	} else {
-		d = s.simpleCost(now, latency, max(spec.Slots, e.Slots, 1))
+		d = s.simpleCost(now, s.latencyAt(now, averages), max(spec.Slots, e.Slots, 1))
 	}
 	if spec.Domain != "" && e.FailureDomain != spec.Domain {
 		d += crossDomainCost + spec.DomainCost
@@ -334,7 +334,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	best, _ := b.best(now, b.usable(now, candidates, spec), spec)
+	candidates = b.usable(now, candidates, spec)
+	averages := b.averages(now, candidates)
+	best := b.best(now, candidates, spec, averages)
 	if best == nil {
 		return 0, spec.Domain
 	}
@@ -344,21 +346,30 @@
 	}
 	m := b.modelOf(best.Service)
 	uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
-	return scale(m.base()+m.prefill(uncached), s.slowness), best.FailureDomain
+	return scale(m.base()+m.prefill(uncached), s.speed.at(now, averages.slowness)), best.FailureDomain
 }
 
-// EventsReceived records events of a stream.
-func (c *Call) EventsReceived() {
+// EventsReceived records a number of events of a stream.
+func (c *Call) EventsReceived(events int) {
 	b := c.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.started || c.ended {
+	if c.ended {
 		return
 	}
+	now := b.clock.Now()
+	if !c.started {
+		c.firstEvent(now)
+	}
+	c.pace.add(now, events)
+}
+
+// firstEvent records the first event of a stream. The caller holds the lock of the balancer.
+func (c *Call) firstEvent(now time.Time) {
 	if c.engine {
-		took := b.clock.Since(c.startedAt)
-		b.learnPrefill(c, took)
-		b.state(c.Endpoint.ID).recordPrefill(c, took)
+		took := now.Sub(c.startedAt)
+		c.balancer.learnPrefill(c, took)
+		c.balancer.state(c.Endpoint.ID).recordPrefill(now, c, took)
 	}
 	c.responseStarted()
 }
@@ -392,24 +403,6 @@
 	s.cache.add(c.parts)
 }
 
-// recordPrefill updates the slowness by the time to the first event, divided by the slowness that
-// the response reports.
-func (s *endpointState) recordPrefill(c *Call, took time.Duration) {
-	if c.ahead+c.prefill < minPrefillSample {
-		return
-	}
-	ratio := float64(took) / c.slowness / float64(c.nominal)
-	s.slowness += sampleWeight * (min(ratio, maxSlowness) - s.slowness)
-	s.slowness = max(s.slowness, minSlowness)
-}
-
-const (
-	// minPrefillSample is the shortest prefill time that updates the slowness.
-	minPrefillSample = 20 * time.Millisecond
-	minSlowness      = 0.5
-	maxSlowness      = 20
-)
-
 // Outcome is the result of a call for the endpoint's health.
 type Outcome int
 
@@ -442,6 +435,9 @@
 		s.pendingPrefill -= c.prefill
 	}
 	now := b.clock.Now()
+	if c.engine && c.pace.measured() {
+		s.speed.add(now, b.modelFor(c.Endpoint.Service).relativePace(c.pace.interval()), speedHalfLife)
+	}
 	if load != nil {
 		s.load, s.loadAt = *load, now
 	}
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// loadTTL is how long a reported load is used.
@@ -27,8 +24,7 @@
 	if s.load.Slowness <= 0 {
 		return 1
 	}
-	weight := math.Exp2(-float64(now.Sub(s.loadAt)) / float64(slownessHalfLife))
-	return 1 + weight*(s.load.Slowness-1)
+	return 1 + decay(now.Sub(s.loadAt), slownessHalfLife)*(s.load.Slowness-1)
 }
 
 // RecordLoad records the load in a response header, which may precede the end of the response by
@@ -44,6 +40,6 @@
 	s.load, s.loadAt = *load, b.clock.Now()
 	c.waited = load.Waiting > 0
 	if load.Slowness > 0 {
-		c.slowness = load.Slowness
+		c.slowness, c.reported = load.Slowness, true
 	}
 }
--- a/pkg/balance/options.go
+++ b/pkg/balance/options.go
@@ -39,7 +39,7 @@
 	for i, k := range chosen {
 		s := b.peek(k.endpoint.ID)
 		uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
-		options[i] = Option{Endpoint: *k.endpoint, Cost: time.Duration(k.cost * float64(time.Millisecond)), Reading: scale(b.modelOf(k.endpoint.Service).prefill(uncached), s.slowness)}
+		options[i] = Option{Endpoint: *k.endpoint, Cost: time.Duration(k.cost * float64(time.Millisecond)), Reading: scale(b.modelOf(k.endpoint.Service).prefill(uncached), s.speed.at(now, averages.slowness))}
 	}
 	return options
 }
--- a/pkg/balance/prefill.go
+++ b/pkg/balance/prefill.go
@@ -20,6 +20,8 @@
 	next [sizeClasses]int
 	// overdue counts the overdue samples since the last one that was not.
 	overdue int
+	// eventInterval is the median time between events; 0 if not known.
+	eventInterval time.Duration
 }
 
 const (
@@ -98,6 +100,16 @@
 	return prefillPrior
 }
 
+// modelFor returns the prefill model of a service for updates.
+func (b *Balancer) modelFor(service string) *prefillModel {
+	m := b.models[service]
+	if m == nil {
+		m = newPrefillModel()
+		b.models[service] = m
+	}
+	return m
+}
+
 // Export registers the parameters of the prefill models in set as they are learnt.
 func (b *Balancer) Export(set *metrics.Set) {
 	b.mu.Lock()
@@ -112,11 +124,7 @@
 	if c.ahead > 0 || c.waited || s.failures > 0 || c.Ejected {
 		return
 	}
-	m := b.models[c.Endpoint.Service]
-	if m == nil {
-		m = newPrefillModel()
-		b.models[c.Endpoint.Service] = m
-	}
+	m := b.modelFor(c.Endpoint.Service)
 	took = time.Duration(float64(took) / c.slowness)
 	if !m.countOverdue(took > overdueAfter(c.nominal)) {
 		return
--- a/pkg/balance/prefill_test.go
+++ b/pkg/balance/prefill_test.go
@@ -50,7 +50,7 @@
 		c := b.Pick(all, spec)
 		c.RecordLoad(load)
 		clock.Advance(after)
-		c.EventsReceived()
+		c.EventsReceived(1)
 		c.End(balance.Succeeded, nil)
 	}
 
@@ -147,7 +147,7 @@
 				b.Pick(all[:1], prompt(400)).End(balance.Failed, nil)
 				c := b.Pick(all[:1], prompt(6_610))
 				clock.Advance(firstEvent(100, 3, 6_610))
-				c.EventsReceived()
+				c.EventsReceived(1)
 				c.End(balance.Canceled, nil)
 			}
 		})
@@ -156,8 +156,8 @@
 			for range 10 {
 				first, second := b.Pick(all[:1], prompt(largest)), b.Pick(all[:1], prompt(400))
 				clock.Advance(firstEvent(100, 1, largest))
-				second.EventsReceived()
-				first.EventsReceived()
+				second.EventsReceived(1)
+				first.EventsReceived(1)
 				first.End(balance.Succeeded, nil)
 				second.End(balance.Succeeded, nil)
 			}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -22,7 +22,7 @@
 	for {
 		data, err := events.next()
 		if len(data) > 0 {
-			call.EventsReceived()
+			call.EventsReceived(bytes.Count(data, eventSeparator))
 			u.eventsReceived()
 			if !u.forwardEvents(answer, data, events.lastID) {
 				call.End(balance.Canceled, nil)
