balance, pipeline: a planner's table of engines

Planners chose among engines by the costs that each instance reported, although an instance calls one engine of many rarely and doesn't see the streams of the others. A planner now keeps the speed, the interference and the streams in flight of each engine, from placements and from observations of the instances, and chooses by the expected time to the first event and the pauses of the streams there; no engine gets more streams than its slots while another has a free one. Plans without the speed and slots of engines are planned as before, and nothing is sent yet. Instances offer random engines after the best ones, up to 8.

--- a/pkg/balance/averages.go
+++ b/pkg/balance/averages.go
@@ -64,10 +64,10 @@
 
 // freshness is the weight of the endpoint's samples: 1 when new, decaying to 0.
 func (s *endpointState) freshness(now time.Time) float64 {
-	return decay(now.Sub(s.sampledAt), sampleHalfLife)
+	return Decay(now.Sub(s.sampledAt), sampleHalfLife)
 }
 
-// decay returns the weight of a value of an age.
-func decay(age, halfLife time.Duration) float64 {
+// Decay returns the weight of a value of an age.
+func Decay(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -57,6 +57,8 @@
 	// Engine reports whether the endpoints are model engines. Parts is the prompt in order.
 	Engine bool
 	Parts  []Part
+	// Request is the ID of the request; empty if its end is not to be reported to planners.
+	Request string
 	// Slots is the number of calls that an endpoint runs concurrently.
 	Slots int
 	// Cold limits the requests to endpoints that are warming up.
@@ -89,6 +91,8 @@
 	// models holds the prefill models of services with engines; metrics, if set, their parameters.
 	models  map[string]*prefillModel
 	metrics *metrics.Set
+	// observed is what is reported to the planners of stages.
+	observed observationLog
 	// silentUntil is when a failure domain that is suspected to be unreachable may be used
 	// normally again.
 	silentUntil map[string]time.Time
@@ -113,13 +117,19 @@
 	// pendingPrefill is the prefill time of calls that have not returned a first event, for a
 	// slowness of 1.
 	pendingPrefill time.Duration
-	speed          engineSpeed
+	speed          EngineSpeed
+	// sample is the last sample of the speed that is free of interference.
+	sample   float64
+	sampleAt time.Time
 	// sampledAt is when the latency was last updated; zero if never.
 	sampledAt time.Time
 	cache     *promptCache
 	load      Load
 	loadAt    time.Time
-	cold      coldState
+	// view is the last view of a planner of stages.
+	view   EngineView
+	viewAt time.Time
+	cold   coldState
 }
 
 // New returns a balancer without observations.
@@ -147,6 +157,8 @@
 	// expected is the expected time to the first event.
 	expected time.Duration
 	pace     pace
+	// key identifies the request in observations; 0 if its end is not reported.
+	key uint32
 	// slowness is the one that the response reports, if reported is set, or 1. waited reports whether
 	// the endpoint had waiting requests then.
 	slowness float64
@@ -198,10 +210,11 @@
 	c := &Call{Endpoint: e, Ejected: now.Before(s.ejectedUntil), balancer: b, startedAt: now, engine: spec.Engine, parts: spec.Parts, slowness: 1}
 	if spec.Engine {
 		m := b.modelOf(e.Service)
+		c.key = StreamKey(spec.Request)
 		c.uncached = spec.tokens() - s.cache.cachedTokens(spec.Parts)
 		c.prefill, c.ahead = m.prefill(c.uncached), s.pendingPrefill
 		c.nominal = m.base() + c.ahead + c.prefill
-		c.expected = scale(c.nominal, s.speed.slowness)
+		c.expected = scale(c.nominal, s.knownSlowness(now, s.speed.slowness))
 		s.pendingPrefill += c.prefill
 	}
 	s.calls[c] = struct{}{}
@@ -221,7 +234,7 @@
 }
 
 func newEndpointState() *endpointState {
-	return &endpointState{calls: map[*Call]struct{}{}, latency: initialLatency, speed: engineSpeed{slowness: 1}, cache: newPromptCache()}
+	return &endpointState{calls: map[*Call]struct{}{}, latency: initialLatency, speed: EngineSpeed{slowness: 1}, cache: newPromptCache()}
 }
 
 // defaultState is the state of endpoints that were never called. It must not be modified.
@@ -239,23 +252,35 @@
 // ejectedCost outweighs all other costs, so that ejected endpoints are used only as a last resort.
 const ejectedCost = 1e9
 
+const (
+	// minJitter distributes calls over endpoints of equal cost.
+	minJitter = time.Millisecond
+	// engineJitter is the jitter relative to the cost of an engine. Smaller differences are within
+	// the error of the estimates, but would make all instances prefer the same engines.
+	engineJitter = 0.1
+)
+
 // cost is the expected latency of the call at an endpoint in milliseconds, including penalties.
 func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, spec CallSpec, averages averages, affinity bool) float64 {
 	s := b.peek(e.ID)
 	var d time.Duration
 	if spec.Engine {
-		slowness := s.speed.at(now, averages.slowness) * s.reportedSlowness(now)
-		d = s.engineCost(b.modelOf(e.Service), spec, slowness, affinity)
+		slowness := s.costSlowness(now, averages)
+		d = s.engineCost(now, b.modelOf(e.Service), spec, slowness, affinity)
 	} else {
 		d = s.simpleCost(now, s.latencyAt(now, averages), max(spec.Slots, e.Slots, 1))
 	}
+	jitter := minJitter
+	if spec.Engine {
+		jitter = max(jitter, scale(d, engineJitter))
+	}
 	if spec.Domain != "" && e.FailureDomain != spec.Domain {
 		d += crossDomainCost + spec.DomainCost
 	}
 	if s.overdue(now) || now.Before(b.silentUntil[e.FailureDomain]) {
 		d += suspectCost
 	}
-	cost := float64(d)/float64(time.Millisecond) + rand.Float64()
+	cost := float64(d+scale(jitter, rand.Float64())) / float64(time.Millisecond)
 	if now.Before(s.ejectedUntil) {
 		cost += ejectedCost
 	}
@@ -274,7 +299,7 @@
 // engineCost is the expected time to the first event at an engine. Uncached shared parts are
 // weighted by sharedPrefillFactor unless the engine is their affinity target, because other
 // engines already hold them.
-func (s *endpointState) engineCost(m *prefillModel, spec CallSpec, slowness float64, affinity bool) time.Duration {
+func (s *endpointState) engineCost(now time.Time, m *prefillModel, spec CallSpec, slowness float64, affinity bool) time.Duration {
 	cached := s.cache.cachedTokens(spec.Parts)
 	uncached := spec.tokens() - cached
 	shared := 0
@@ -282,7 +307,7 @@
 		shared = max(0, spec.tokens()-spec.Parts[len(spec.Parts)-1].Tokens-cached)
 	}
 	prefill := s.pendingPrefill + m.prefill(uncached) + sharedPrefillFactor*m.prefill(shared)
-	return scale(m.base()+prefill, slowness) + time.Duration(len(s.calls))*batchCost
+	return scale(m.base()+prefill, slowness) + time.Duration(s.streamsAt(now))*batchCost
 }
 
 // sharedPrefillFactor is the weight of repeated prefill of shared parts relative to a request's
@@ -346,7 +371,7 @@
 	}
 	m := b.modelOf(best.Service)
 	uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
-	return scale(m.base()+m.prefill(uncached), s.speed.at(now, averages.slowness)), best.FailureDomain
+	return scale(m.base()+m.prefill(uncached), s.knownSlowness(now, averages.slowness)), best.FailureDomain
 }
 
 // EventsReceived records a number of events of a stream.
@@ -370,6 +395,7 @@
 		took := now.Sub(c.startedAt)
 		c.balancer.learnPrefill(c, took)
 		c.balancer.state(c.Endpoint.ID).recordPrefill(now, c, took)
+		c.balancer.observed.add(now, c.Endpoint.ID, 0)
 	}
 	c.responseStarted()
 }
@@ -435,8 +461,11 @@
 		s.pendingPrefill -= c.prefill
 	}
 	now := b.clock.Now()
+	if c.key != 0 {
+		b.observed.add(now, c.Endpoint.ID, c.key)
+	}
 	if c.engine && c.pace.measured() {
-		s.speed.add(now, b.modelFor(c.Endpoint.Service).relativePace(c.pace.interval()), speedHalfLife)
+		s.recordSpeed(now, b.modelFor(c.Endpoint.Service).relativePace(c.pace.interval()), speedHalfLife)
 	}
 	if load != nil {
 		s.load, s.loadAt = *load, now
--- a/pkg/balance/load.go
+++ b/pkg/balance/load.go
@@ -24,7 +24,7 @@
 	if s.load.Slowness <= 0 {
 		return 1
 	}
-	return 1 + decay(now.Sub(s.loadAt), slownessHalfLife)*(s.load.Slowness-1)
+	return 1 + Decay(now.Sub(s.loadAt), slownessHalfLife)*(s.load.Slowness-1)
 }
 
 // RecordLoad records the load in a response header, which may precede the end of the response by
--- a/pkg/balance/options.go
+++ b/pkg/balance/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,10 +16,14 @@
 	Cost time.Duration
 	// Reading is the share of Cost that is prompt prefill.
 	Reading time.Duration
+	// Slowness is the slowness of an engine that Cost and Reading assume, relative to its service.
+	Slowness float64
 }
 
-// Options returns up to most endpoints in order of cost: the best ones overall and the best of
-// each other failure domain. Ejected endpoints are omitted.
+// Options returns up to most endpoints: in order of cost, the best ones overall and the best of
+// each other failure domain. Ejected endpoints are omitted. For engines, random ones follow: those
+// that seem best to one instance are not much better than others, and the planner, which knows the
+// streams of all instances, would have to place too many requests on them.
 func (b *Balancer) Options(candidates []fleet.Endpoint, spec CallSpec, most int) []Option {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -27,23 +32,35 @@
 	affinity := b.affinityTarget(now, candidates, spec)
 	averages := b.averages(now, candidates)
 	var best topPerDomain
+	var others randomSample
 	for i := range candidates {
 		e := &candidates[i]
 		if spec.Exclude[e.ID] || now.Before(b.peek(e.ID).ejectedUntil) {
 			continue
 		}
-		best.add(e, b.cost(now, e, spec, averages, e.ID == affinity))
+		k := candidate{e, b.cost(now, e, spec, averages, e.ID == affinity)}
+		best.add(k)
+		if spec.Engine {
+			others.add(k, most)
+		}
 	}
-	chosen := diversify(best.sorted(), most)
+	chosen := fill(diversify(best.sorted(), most), others.kept, most)
 	options := make([]Option, len(chosen))
 	for i, k := range chosen {
-		s := b.peek(k.endpoint.ID)
-		uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
-		options[i] = Option{Endpoint: *k.endpoint, Cost: time.Duration(k.cost * float64(time.Millisecond)), Reading: scale(b.modelOf(k.endpoint.Service).prefill(uncached), s.speed.at(now, averages.slowness))}
+		options[i] = Option{Endpoint: *k.endpoint, Cost: milliseconds(k.cost)}
+		b.describePrefill(now, &options[i], spec, averages)
 	}
 	return options
 }
 
+// describePrefill sets the figures of an option that depend on the speed of the engine.
+func (b *Balancer) describePrefill(now time.Time, o *Option, spec CallSpec, averages averages) {
+	s := b.peek(o.Endpoint.ID)
+	uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
+	o.Slowness = s.costSlowness(now, averages)
+	o.Reading = scale(b.modelOf(o.Endpoint.Service).prefill(uncached), o.Slowness)
+}
+
 type candidate struct {
 	endpoint *fleet.Endpoint
 	cost     float64
@@ -53,20 +70,21 @@
 // sorting all candidates.
 type topPerDomain map[string][]candidate
 
-func (o *topPerDomain) add(e *fleet.Endpoint, cost float64) {
+func (o *topPerDomain) add(k candidate) {
 	if *o == nil {
 		*o = topPerDomain{}
 	}
-	list := (*o)[e.FailureDomain]
+	domain := k.endpoint.FailureDomain
+	list := (*o)[domain]
 	at := len(list)
-	for at > 0 && cost < list[at-1].cost {
+	for at > 0 && k.cost < list[at-1].cost {
 		at--
 	}
 	if at == topOptions {
 		return
 	}
-	list = slices.Insert(list, at, candidate{e, cost})
-	(*o)[e.FailureDomain] = list[:min(len(list), topOptions)]
+	list = slices.Insert(list, at, k)
+	(*o)[domain] = list[:min(len(list), topOptions)]
 }
 
 // sorted returns the kept endpoints in order of cost.
@@ -96,6 +114,32 @@
 	return selected
 }
 
+// randomSample keeps a random sample of the candidates.
+type randomSample struct {
+	kept []candidate
+	seen int
+}
+
+func (r *randomSample) add(k candidate, most int) {
+	r.seen++
+	if len(r.kept) < most {
+		r.kept = append(r.kept, k)
+	} else if at := rand.IntN(r.seen); at < most {
+		r.kept[at] = k
+	}
+}
+
+// fill appends others to the selected candidates, up to most.
+func fill(selected, others []candidate, most int) []candidate {
+	for _, k := range others {
+		same := func(s candidate) bool { return s.endpoint == k.endpoint }
+		if len(selected) < most && !slices.ContainsFunc(selected, same) {
+			selected = append(selected, k)
+		}
+	}
+	return selected
+}
+
 // pickPreferred registers the call with the preferred endpoint, or returns nil if that is
 // excluded, ejected or has an overdue call.
 func (b *Balancer) pickPreferred(now time.Time, candidates []fleet.Endpoint, spec CallSpec) *Call {
--- a/pkg/balance/speed.go
+++ b/pkg/balance/speed.go
@@ -12,9 +12,9 @@
 	speedHalfLife = 30 * time.Second
 )
 
-// engineSpeed is the speed of an engine apart from the interference that it reports, which changes
-// within a second.
-type engineSpeed struct {
+// EngineSpeed is the speed of an engine apart from the interference that it reports, which changes
+// within a second. The zero value is an engine without samples.
+type EngineSpeed struct {
 	// slowness is the smoothed time of the engine relative to the model of its service.
 	slowness float64
 	// halfLife is that of the deviation of slowness from the mean.
@@ -23,25 +23,25 @@
 	sampledAt time.Time
 }
 
-// add adds a sample of the slowness. The sample takes at least the weight that older samples have
+// Add adds a sample of the slowness. The sample takes at least the weight that older samples have
 // lost.
-func (e *engineSpeed) add(now time.Time, sample float64, halfLife time.Duration) {
+func (e *EngineSpeed) Add(now time.Time, sample float64, halfLife time.Duration) {
 	weight := max(sampleWeight, 1-e.freshness(now))
 	e.slowness += weight * (min(maxSlowness, max(minSlowness, sample)) - e.slowness)
 	e.halfLife, e.sampledAt = halfLife, now
 }
 
-// at returns the slowness, which converges to the mean as the samples age.
-func (e *engineSpeed) at(now time.Time, mean float64) float64 {
+// At returns the slowness, which converges to the mean as the samples age.
+func (e *EngineSpeed) At(now time.Time, mean float64) float64 {
 	return mean + e.freshness(now)*(e.slowness-mean)
 }
 
 // freshness is the weight of the samples: 1 when new, decaying to 0.
-func (e *engineSpeed) freshness(now time.Time) float64 {
-	if e.sampledAt.IsZero() {
+func (e *EngineSpeed) freshness(now time.Time) float64 {
+	if e.sampledAt.IsZero() || e.halfLife == 0 {
 		return 0
 	}
-	return decay(now.Sub(e.sampledAt), e.halfLife)
+	return Decay(now.Sub(e.sampledAt), e.halfLife)
 }
 
 // recordPrefill updates the slowness by the time to the first event, divided by the slowness that
@@ -55,5 +55,36 @@
 	if c.reported {
 		halfLife = speedHalfLife
 	}
-	s.speed.add(now, float64(took)/c.slowness/float64(c.nominal), halfLife)
+	s.recordSpeed(now, float64(took)/c.slowness/float64(c.nominal), halfLife)
 }
+
+// recordSpeed adds a sample, and keeps it for the next report if it is free of interference.
+func (s *endpointState) recordSpeed(now time.Time, sample float64, halfLife time.Duration) {
+	s.speed.Add(now, sample, halfLife)
+	if halfLife == speedHalfLife {
+		s.sample, s.sampleAt = sample, now
+	}
+}
+
+// knownSlowness is the slowness for estimates: that of a recent view, or that of the samples.
+func (s *endpointState) knownSlowness(now time.Time, mean float64) float64 {
+	if now.Sub(s.viewAt) < ObservationTTL {
+		return min(maxSlowness, max(minSlowness, s.view.Slowness))
+	}
+	return s.speed.At(now, mean)
+}
+
+// costSlowness is the slowness for the choice of an engine. A sample counts only for a short time
+// and in part: each instance would otherwise return to the few engines that it knows to be fast,
+// without knowing the streams of the others there.
+func (s *endpointState) costSlowness(now time.Time, averages averages) float64 {
+	slowness := averages.slowness
+	if !s.speed.sampledAt.IsZero() {
+		weight := costSpeedWeight * Decay(now.Sub(s.speed.sampledAt), sampleHalfLife)
+		slowness += weight * (s.speed.slowness - averages.slowness)
+	}
+	return slowness * s.reportedSlowness(now)
+}
+
+// costSpeedWeight is the weight of an engine's speed in the choice of an instance.
+const costSpeedWeight = 0.2
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -93,7 +93,7 @@
 }
 
 // maxReaders limits the endpoints offered to the planner.
-const maxReaders = 6
+const maxReaders = 8
 
 // readers returns the engines that may run the request, as estimated by this instance.
 func (u *run) readers(candidates []fleet.Endpoint) []pipeline.Reader {
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -45,6 +45,8 @@
 	admitted *metrics.Counter
 	refused  *metrics.Counter
 
+	observations observationCounters
+
 	mu       sync.Mutex
 	backlogs map[batch.Queue]*backlog
 	// lateness is keyed by request priority.
@@ -64,6 +66,8 @@
 		backlogs: map[batch.Queue]*backlog{},
 		lateness: map[int]*lateness{},
 		readers:  newReaders(),
+
+		observations: newObservationCounters(set),
 	}
 }
 
@@ -123,8 +127,10 @@
 // chooseReader chooses the endpoint for a request whose stages are completed.
 func (p *Planner) chooseReader(plan *Plan, results []batch.Result) string {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.readers.choose(p.clock.Now(), plan.Readers, results)
+	chosen, costs := p.readers.choose(p.clock.Now(), plan.Request, plan.Readers, results)
+	p.mu.Unlock()
+	p.logChoice(plan.Request, chosen, costs)
+	return chosen
 }
 
 // execution is the state of a running plan.
--- a/pkg/pipeline/readers.go
+++ b/pkg/pipeline/readers.go
@@ -16,6 +16,11 @@
 	// reading.
 	CostMs    int64 `json:"cost_ms"`
 	ReadingMs int64 `json:"reading_ms"`
+	// Slots is the number of streams that the endpoint runs concurrently; 0 if not known. Slowness
+	// is the time of the endpoint relative to others of its service that CostMs and ReadingMs
+	// assume; 0 from earlier versions, whose costs are used as they are.
+	Slots    int     `json:"slots,omitempty"`
+	Slowness float64 `json:"slowness,omitempty"`
 }
 
 // transferCostPerByte is the assumed time to transfer one byte of a result between failure domains.
@@ -27,6 +32,7 @@
 type readers struct {
 	busyUntil map[string]time.Time
 	failures  map[string]failureCount
+	engines   engineTable
 }
 
 // failureCount is the number of failures reported for an endpoint, with a half-life of
@@ -50,7 +56,7 @@
 }
 
 func newReaders() readers {
-	return readers{busyUntil: map[string]time.Time{}, failures: map[string]failureCount{}}
+	return readers{busyUntil: map[string]time.Time{}, failures: map[string]failureCount{}, engines: newEngineTable()}
 }
 
 // recordFailure records that a request failed at an endpoint.
@@ -63,25 +69,44 @@
 	}
 }
 
+// readerCost is the cost of an option.
+type readerCost struct {
+	endpoint string
+	// full reports whether the endpoint has no free slot.
+	full bool
+	cost time.Duration
+}
+
+// before reports whether an option is chosen rather than another one: those with a free slot come
+// first.
+func (c readerCost) before(other readerCost) bool {
+	if c.full != other.full {
+		return other.full
+	}
+	return c.cost < other.cost
+}
+
 // choose returns the endpoint with the lowest cost for a request and adds the request to its load;
-// empty if there are no options.
-func (r *readers) choose(now time.Time, options []Reader, results []batch.Result) string {
-	var best *Reader
-	var least time.Duration
+// empty if there are no options. It also returns the cost of each option.
+func (r *readers) choose(now time.Time, request string, options []Reader, results []batch.Result) (string, []readerCost) {
+	costs := make([]readerCost, len(options))
+	best := -1
 	for i := range options {
-		cost := r.cost(now, &options[i], results)
-		if best == nil || cost < least {
-			best, least = &options[i], cost
+		costs[i] = r.cost(now, &options[i], results)
+		if best < 0 || costs[i].before(costs[best]) {
+			best = i
 		}
 	}
-	if best == nil {
-		return ""
+	if best < 0 {
+		return "", nil
 	}
-	r.busyUntil[best.Endpoint] = now.Add(r.wait(now, best) + time.Duration(best.ReadingMs)*time.Millisecond)
-	return best.Endpoint
+	chosen := &options[best]
+	r.busyUntil[chosen.Endpoint] = now.Add(r.wait(now, chosen) + r.engines.occupation(now, chosen))
+	r.engines.place(now, chosen.Endpoint, request)
+	return chosen.Endpoint, costs
 }
 
-func (r *readers) cost(now time.Time, option *Reader, results []batch.Result) time.Duration {
+func (r *readers) cost(now time.Time, option *Reader, results []batch.Result) readerCost {
 	cost := time.Duration(option.CostMs)*time.Millisecond + r.wait(now, option)
 	cost += time.Duration(r.failures[option.Endpoint].decayed(now) * float64(failurePenalty))
 	for _, result := range results {
@@ -89,7 +114,8 @@
 			cost += time.Duration(result.Bytes) * transferCostPerByte
 		}
 	}
-	return cost
+	correction, full := r.engines.correction(now, option, r.wait(now, option))
+	return readerCost{endpoint: option.Endpoint, full: full, cost: cost + correction}
 }
 
 // wait returns how long an endpoint is occupied by other requests.
