handover, api, gateway: exchange observations of engines with plans

Planners had no figures for their tables of engines. Both fields are optional, so that earlier versions are served as before; plans without an engine exchange nothing. Views of engines that were not offered are dropped.

The tests of handover and of the daemon pass.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -246,6 +246,8 @@
 		Batcher:        g.batcher,
 		EndpointCounts: g.supply,
 		Regions:        g.regions,
+		Engines:        g.balancer,
+		KnownEndpoint:  g.knownEndpoint,
 		Clock:          g.clock,
 		Log:            g.logs.For("handover"),
 	})
@@ -388,6 +390,12 @@
 	}
 }
 
+// knownEndpoint reports whether an endpoint exists.
+func (g *Gateway) knownEndpoint(id string) bool {
+	_, ok := g.follower.View().Fleet.Endpoint(id)
+	return ok
+}
+
 // sweep drops connections to and statistics of endpoints that no longer exist, and rechecks the
 // ownership of partitions.
 func (g *Gateway) sweep() {
--- a/pkg/balance/observations.go
+++ b/pkg/balance/observations.go
@@ -27,8 +27,9 @@
 // EngineView is the state of an engine as the planner of stages sees it.
 type EngineView struct {
 	Endpoint string `json:"endpoint"`
-	// Slowness is the time of the engine relative to the model of its service, without interference.
-	Slowness float64 `json:"slowness"`
+	// Slowness is the time of the engine relative to the model of its service, without interference;
+	// 0 if not known.
+	Slowness float64 `json:"slowness,omitempty"`
 	// Streams is the number of streams in flight.
 	Streams int `json:"streams"`
 }
@@ -52,7 +53,7 @@
 
 // Valid reports whether the figures are possible.
 func (v *EngineView) Valid() bool {
-	return v.Endpoint != "" && validCount(v.Streams) && validSlowness(v.Slowness) && v.Slowness > 0
+	return v.Endpoint != "" && validCount(v.Streams) && validSlowness(v.Slowness)
 }
 
 func validCount(n int) bool { return n >= 0 && n <= maxCount }
@@ -143,7 +144,7 @@
 	o := Observation{Endpoint: newest.endpoint, AgeMs: now.Sub(newest.at).Milliseconds()}
 	if now.Sub(s.loadAt) < ObservationTTL {
 		o.AgeMs = now.Sub(s.loadAt).Milliseconds()
-		o.Running, o.Waiting, o.Slots, o.Slowness = s.load.Running, s.load.Waiting, s.load.Slots, round(s.load.Slowness)
+		o.Running, o.Waiting, o.Slots, o.Slowness = s.load.Running, s.load.Waiting, s.load.Slots, Round(s.load.Slowness)
 	}
 	return o
 }
@@ -154,12 +155,12 @@
 		o.Ended = append(o.Ended, entry.key)
 	}
 	if s.sampleAt.Equal(entry.at) {
-		o.Sample = round(s.sample)
+		o.Sample = Round(s.sample)
 	}
 }
 
-// round limits a factor to two decimals, which keeps messages short.
-func round(f float64) float64 { return math.Round(f*100) / 100 }
+// Round limits a factor to two decimals, which keeps messages short.
+func Round(f float64) float64 { return math.Round(f*100) / 100 }
 
 // LearnEngines applies the view of a planner of stages to the engines that it was offered.
 func (b *Balancer) LearnEngines(views []EngineView) {
--- a/pkg/balance/speed.go
+++ b/pkg/balance/speed.go
@@ -36,6 +36,9 @@
 	return mean + e.freshness(now)*(e.slowness-mean)
 }
 
+// Known reports whether the engine has samples.
+func (e *EngineSpeed) Known() bool { return !e.sampledAt.IsZero() }
+
 // freshness is the weight of the samples: 1 when new, decaying to 0.
 func (e *EngineSpeed) freshness(now time.Time) float64 {
 	if e.sampledAt.IsZero() || e.halfLife == 0 {
@@ -68,7 +71,7 @@
 
 // knownSlowness is the slowness for estimates: that of a recent view, or that of the samples.
 func (s *endpointState) knownSlowness(now time.Time, mean float64) float64 {
-	if now.Sub(s.viewAt) < ObservationTTL {
+	if s.view.Slowness > 0 && now.Sub(s.viewAt) < ObservationTTL {
 		return min(maxSlowness, max(minSlowness, s.view.Slowness))
 	}
 	return s.speed.At(now, mean)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -165,6 +165,7 @@
 		Domain:  u.Domain,
 		Exclude: u.tried,
 		Engine:  u.service.Engine != nil,
+		Request: u.request.ID,
 		Parts:   u.request.Parts,
 		Cold:    balance.ColdLimit{PerSecond: u.service.ColdPerSecond, IsOwner: u.Sponsors},
 	}
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -107,6 +107,8 @@
 			Domain:    option.Endpoint.FailureDomain,
 			CostMs:    option.Cost.Milliseconds(),
 			ReadingMs: option.Reading.Milliseconds(),
+			Slots:     max(u.service.Engine.Slots, option.Endpoint.Slots),
+			Slowness:  option.Slowness,
 		})
 	}
 	return readers
--- a/pkg/pipeline/engines.go
+++ b/pkg/pipeline/engines.go
@@ -216,7 +216,11 @@
 	var views []balance.EngineView
 	for i := range options {
 		if e := t.engines[options[i].Endpoint]; e != nil {
-			views = append(views, balance.EngineView{Endpoint: options[i].Endpoint, Slowness: e.speed.At(now, t.meanSlowness), Streams: t.streams(now, e)})
+			view := balance.EngineView{Endpoint: options[i].Endpoint, Streams: t.streams(now, e)}
+			if e.speed.Known() {
+				view.Slowness = balance.Round(e.speed.At(now, t.meanSlowness))
+			}
+			views = append(views, view)
 		}
 	}
 	return views
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -168,6 +169,9 @@
 	// Division is the division that the caller uses; its term is 0 if none has been agreed. Older
 	// versions do not set it and count the endpoints themselves.
 	Division ownership.Division `json:"division,omitzero"`
+	// Observations is what the caller has observed of engines since its last call, newest first.
+	// Older versions do not set it.
+	Observations []balance.Observation `json:"observations,omitempty"`
 }
 
 // RunResponse is the response to MethodRun.
@@ -177,6 +181,9 @@
 	Owner ownership.Claim `json:"owner"`
 	// Division is the division that supersedes the caller's; zero if the caller's is current.
 	Division ownership.Division `json:"division,omitzero"`
+	// Engines is the called instance's view of the engines offered in the plan. Older versions do not
+	// set it.
+	Engines []balance.EngineView `json:"engines,omitempty"`
 }
 
 // Progress reports a completed stage of a plan. It has no response.
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -159,6 +159,7 @@
 	call.Plan.Deadline = now.Add(time.Duration(call.DeadlineMs) * time.Millisecond)
 	call.Plan.Completed = withExpiryTimes(call.Plan.Completed, now)
 	call.Plan.Progress = h.router.progressReporter(call.ProgressAddress, call.Call)
+	h.planner.Observe(call.Observations, h.router.engines.known)
 	return h.router.serve(ctx, call)
 }
 
--- a/service/handover/router.go
+++ b/service/handover/router.go
@@ -42,6 +42,7 @@
 	// transferring is set while a part is being transferred.
 	transferring atomic.Bool
 	busy         busyRegions
+	engines      engineExchange
 }
 
 var _ gateway.Stages = (*Router)(nil)
@@ -80,6 +81,10 @@
 	// EndpointCounts returns the endpoint counts. Regions maps failure domains to regions.
 	EndpointCounts func() ownership.EndpointCounts
 	Regions        ownership.Regions
+	// Engines holds what this instance has observed of engines, and KnownEndpoint reports whether an
+	// endpoint exists. Both may be nil.
+	Engines       EngineObserver
+	KnownEndpoint func(id string) bool
 	// SendHeartbeat triggers a heartbeat after this instance changed an owner or the division. If
 	// nil, the change goes out with the next regular heartbeat.
 	SendHeartbeat func()
@@ -98,6 +103,7 @@
 		log:      o.Log,
 		progress: newProgress(),
 		busy:     busyRegions{until: map[string]time.Time{}},
+		engines:  engineExchange{observer: o.Engines, known: o.KnownEndpoint},
 	}
 	r.owners.leaving, r.owners.regions = o.Leaving, o.Regions
 	broadcast := o.SendHeartbeat
@@ -132,7 +138,7 @@
 		// The owner may be outside the regions that the request is restricted to.
 		whole := pipeline.Part{Of: 1}
 		r.planner.Resume(whole)
-		return r.planner.Run(ctx, whole, plan)
+		return r.runHere(ctx, whole, plan)
 	}
 	var refused pipeline.Outcome
 	for at, region := range r.divisions.regionsFor(plan.Request) {
@@ -234,7 +240,7 @@
 			}
 			r.planner.Resume(part)
 		}
-		outcome := r.planner.Run(ctx, part, plan)
+		outcome := r.runHere(ctx, part, plan)
 		if outcome.Reason != batch.Moved || ctx.Err() != nil || r.partChanged(part, &plan) {
 			return outcome
 		}
@@ -277,7 +283,9 @@
 		r.claim(part, "asked_by_peer")
 		r.planner.Resume(part)
 	}
-	return r.response(call, r.planner.Run(ctx, part, plan)), nil
+	ran := r.response(call, r.planner.Run(ctx, part, plan))
+	ran.Engines = r.planner.Engines(plan.Readers)
+	return ran, nil
 }
 
 // response adds the current owner of the part to an outcome, and the current division if the
@@ -301,6 +309,7 @@
 	call.Owner, _ = r.claims.holder(part)
 	call.ProgressAddress = r.owners.self.PeerAddress
 	call.Division = r.divisions.current()
+	call.Observations = r.engines.observations(address, &plan)
 	r.progress.begin(call.Call, &plan)
 	var ran api.RunResponse
 	err := r.client.Call(ctx, address, api.MethodRun, call, &ran)
@@ -319,6 +328,7 @@
 	r.owners.clearSuspicion(address)
 	r.divisions.merge(ran.Division, "told_with_answer")
 	r.claims.merge([]ownership.Claim{ran.Owner}, "told_with_answer")
+	r.engines.learn(&plan, ran.Engines)
 	ran.Planner = address
 	ran.Completed = withExpiryTimes(ran.Completed, r.clock.Now())
 	return ran.Outcome, nil
