--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -235,22 +235,7 @@
 	g.batcher = batch.New(&platform.StageCaller{Conns: g.conns, Clock: g.clock}, batchView{g.follower, g.backoffs}, g.pieceBudget, g.clock, g.metrics, g.logs.For("batch"))
 	g.batcher.SetRegions(g.regions)
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
-	g.router = handover.NewRouter(handover.Options{
-		Self:           self,
-		Live:           g.group.Live,
-		Leaving:        g.group.Leaving,
-		SendHeartbeat:  g.group.NotifyAll,
-		Contacts:       s.Peers,
-		Client:         g.client,
-		Planner:        planner,
-		Batcher:        g.batcher,
-		EndpointCounts: g.supply,
-		Regions:        g.regions,
-		Engines:        g.balancer,
-		KnownEndpoint:  g.knownEndpoint,
-		Clock:          g.clock,
-		Log:            g.logs.For("handover"),
-	})
+	g.router = handover.NewRouter(g.routerOptions(self, planner))
 	rolloutPeers := &handover.RolloutPeers{Client: g.client, Instance: self, Live: g.group.Live}
 	g.rollouts = rollout.NewManager(rolloutView{g.follower}, rolloutPeers, g.store, s.Rollouts.Share, g.clock, g.logs.For("rollout"))
 	g.executor = pkggateway.New(pkggateway.Options{
@@ -282,6 +267,26 @@
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
+// routerOptions returns the options of the router of plans.
+func (g *Gateway) routerOptions(self membership.Instance, planner *pipeline.Planner) handover.Options {
+	return handover.Options{
+		Self:           self,
+		Live:           g.group.Live,
+		Leaving:        g.group.Leaving,
+		SendHeartbeat:  g.group.NotifyAll,
+		Contacts:       g.settings.Peers,
+		Client:         g.client,
+		Planner:        planner,
+		Batcher:        g.batcher,
+		EndpointCounts: g.supply,
+		Regions:        g.regions,
+		Engines:        g.balancer,
+		KnownEndpoint:  g.knownEndpoint,
+		Clock:          g.clock,
+		Log:            g.logs.For("handover"),
+	}
+}
+
 // heldLimit returns the memory limit for request and response bodies.
 func heldLimit(s settings.Gateway) int64 {
 	return int64(heldLimitRatio * megabyte * float64(s.MemoryMB))
