balance: look up the prefill model once per choice

A choice among 6,500 engines took longer because the model was looked up and ages were computed for each engine.

--- a/pkg/balance/averages.go
+++ b/pkg/balance/averages.go
@@ -7,10 +7,12 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
-// averages holds the mean latency and engine slowness over the endpoints of a service.
+// averages holds the mean latency and engine slowness over the endpoints of a service, and its
+// prefill model.
 type averages struct {
 	latency  time.Duration
 	slowness float64
+	model    *prefillModel
 }
 
 // averages returns the means over the called endpoints, weighted by the age of their samples.
@@ -27,7 +29,11 @@
 			slowness.add(s.speed.slowness, s.speed.freshness(now))
 		}
 	}
-	return averages{latency: time.Duration(latency.or(float64(initialLatency))), slowness: slowness.or(1)}
+	model := prefillPrior
+	if len(candidates) > 0 {
+		model = b.modelOf(candidates[0].Service)
+	}
+	return averages{latency: time.Duration(latency.or(float64(initialLatency))), slowness: slowness.or(1), model: model}
 }
 
 // weightedMean is a mean of values of different weights.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -266,7 +266,7 @@
 	var d time.Duration
 	if spec.Engine {
 		slowness := s.costSlowness(now, averages)
-		d = s.engineCost(now, b.modelOf(e.Service), spec, slowness, affinity)
+		d = s.engineCost(now, averages.model, spec, slowness, affinity)
 	} else {
 		d = s.simpleCost(now, s.latencyAt(now, averages), max(spec.Slots, e.Slots, 1))
 	}
--- a/pkg/balance/observations.go
+++ b/pkg/balance/observations.go
@@ -181,10 +181,10 @@
 // streamsAt returns the number of streams at an engine as far as it is known.
 func (s *endpointState) streamsAt(now time.Time) int {
 	n := len(s.calls)
-	if now.Sub(s.loadAt) < loadTTL {
+	if !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadTTL {
 		n = max(n, s.load.Running+s.load.Waiting)
 	}
-	if now.Sub(s.viewAt) < streamsTTL {
+	if !s.viewAt.IsZero() && now.Sub(s.viewAt) < streamsTTL {
 		n = max(n, s.view.Streams)
 	}
 	return n
