--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -229,25 +229,13 @@
 	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.rateLimits.Count()) })
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit}, g.observeResponse)
 	g.balancer = balance.New(g.clock, g.backoffs)
+	g.balancer.Export(g.metrics)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieceBudget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.batcher = batch.New(&platform.StageCaller{Conns: g.conns, Clock: g.clock}, batchView{g.follower, g.backoffs}, g.pieceBudget, g.clock, g.metrics, g.logs.For("batch"))
 	g.batcher.SetRegions(g.regions)
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
-	g.router = handover.NewRouter(handover.Options{
-		Self:           self,
-		Live:           g.group.Live,
-		Leaving:        g.group.Leaving,
-		SendHeartbeat:  g.group.NotifyAll,
-		Contacts:       s.Peers,
-		Client:         g.client,
-		Planner:        planner,
-		Batcher:        g.batcher,
-		EndpointCounts: g.supply,
-		Regions:        g.regions,
-		Clock:          g.clock,
-		Log:            g.logs.For("handover"),
-	})
+	g.router = handover.NewRouter(g.routerOptions(self, planner))
 	rolloutPeers := &handover.RolloutPeers{Client: g.client, Instance: self, Live: g.group.Live}
 	g.rollouts = rollout.NewManager(rolloutView{g.follower}, rolloutPeers, g.store, s.Rollouts.Share, g.clock, g.logs.For("rollout"))
 	g.executor = pkggateway.New(pkggateway.Options{
@@ -285,6 +273,26 @@
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().All())) })
 }
 
+// routerOptions returns the options of the router of plans.
+func (g *Gateway) routerOptions(self membership.Instance, planner *pipeline.Planner) handover.Options {
+	return handover.Options{
+		Self:           self,
+		Live:           g.group.Live,
+		Leaving:        g.group.Leaving,
+		SendHeartbeat:  g.group.NotifyAll,
+		Contacts:       g.settings.Peers,
+		Client:         g.client,
+		Planner:        planner,
+		Batcher:        g.batcher,
+		EndpointCounts: g.supply,
+		Regions:        g.regions,
+		Engines:        g.balancer,
+		KnownEndpoint:  g.knownEndpoint,
+		Clock:          g.clock,
+		Log:            g.logs.For("handover"),
+	}
+}
+
 // heldLimit returns the memory limit for request and response bodies.
 func heldLimit(s settings.Gateway) int64 {
 	return int64(heldLimitRatio * megabyte * float64(s.MemoryMB))
@@ -393,6 +401,12 @@
 	}
 }
 
+// knownEndpoint reports whether an endpoint exists.
+func (g *Gateway) knownEndpoint(id string) bool {
+	_, ok := g.follower.View().Fleet.Endpoint(id)
+	return ok
+}
+
 // sweep drops connections to and statistics of endpoints that no longer exist, and rechecks the
 // ownership of partitions.
 func (g *Gateway) sweep() {
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
@@ -34,8 +35,6 @@
 	suspectCost = 2 * time.Second
 	// initialLatency is the assumed latency of an endpoint without samples.
 	initialLatency = 20 * time.Millisecond
-	// prefillTokensPerSecond is the prefill rate of an engine with a slowness of 1.
-	prefillTokensPerSecond = 50_000
 	// batchCost is added for each call in flight at an engine.
 	batchCost = 2 * time.Millisecond
 )
@@ -58,6 +57,8 @@
 	// Engine reports whether the endpoints are model engines. Parts is the prompt in order.
 	Engine bool
 	Parts  []Part
+	// Request is the ID of the request; empty if its end is not to be reported to planners.
+	Request string
 	// Slots is the number of calls that an endpoint runs concurrently.
 	Slots int
 	// Cold limits the requests to endpoints that are warming up.
@@ -87,6 +88,11 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
+	// models holds the prefill models of services with engines; metrics, if set, their parameters.
+	models  map[string]*prefillModel
+	metrics *metrics.Set
+	// observed is what is reported to the planners of stages.
+	observed observationLog
 	// silentUntil is when a failure domain that is suspected to be unreachable may be used
 	// normally again.
 	silentUntil map[string]time.Time
@@ -108,22 +114,27 @@
 	failures     int
 	ejection     time.Duration
 	ejectedUntil time.Time
-	// pendingPrefill is the number of uncached prompt tokens of calls that have not returned a
-	// first event.
-	pendingPrefill int
-	// slowness is a smoothed multiplier for the expected prefill time.
-	slowness float64
-	// sampledAt is when the averages were last updated; zero if never.
+	// pendingPrefill is the prefill time of calls that have not returned a first event, for a
+	// slowness of 1.
+	pendingPrefill time.Duration
+	speed          EngineSpeed
+	// sample is the last sample of the speed that is free of interference.
+	sample   float64
+	sampleAt time.Time
+	// sampledAt is when the latency was last updated; zero if never.
 	sampledAt time.Time
 	cache     *promptCache
 	load      Load
 	loadAt    time.Time
-	cold      coldState
+	// view is the last view of a planner of stages.
+	view   EngineView
+	viewAt time.Time
+	cold   coldState
 }
 
 // New returns a balancer without observations.
 func New(clock clockwork.Clock, backoffs *notice.Backoffs) *Balancer {
-	return &Balancer{clock: clock, backoffs: backoffs, endpoints: map[string]*endpointState{}, silentUntil: map[string]time.Time{}}
+	return &Balancer{clock: clock, backoffs: backoffs, endpoints: map[string]*endpointState{}, models: map[string]*prefillModel{}, silentUntil: map[string]time.Time{}}
 }
 
 // Call is a call in flight at an endpoint.
@@ -134,11 +145,27 @@
 	Ejected   bool
 	balancer  *Balancer
 	startedAt time.Time
+	engine    bool
 	uncached  int
 	parts     []Part
-	expected  time.Duration
-	started   bool
-	ended     bool
+	// prefill is the time to prefill the uncached tokens, ahead that of the calls which had not
+	// returned a first event when this one began, and nominal the expected time to the first event,
+	// each for a slowness of 1.
+	prefill time.Duration
+	ahead   time.Duration
+	nominal time.Duration
+	// expected is the expected time to the first event.
+	expected time.Duration
+	pace     pace
+	// key identifies the request in observations; 0 if its end is not reported.
+	key uint32
+	// slowness is the one that the response reports, if reported is set, or 1. waited reports whether
+	// the endpoint had waiting requests then.
+	slowness float64
+	reported bool
+	waited   bool
+	started  bool
+	ended    bool
 }
 
 // Pick selects an endpoint and registers the call with it. It returns nil if all candidates are
@@ -154,7 +181,7 @@
 	if call := b.pickPreferred(now, candidates, spec); call != nil {
 		return call
 	}
-	best, _ := b.best(now, candidates, spec)
+	best := b.best(now, candidates, spec, b.averages(now, candidates))
 	if best == nil {
 		return nil
 	}
@@ -162,11 +189,10 @@
 }
 
 // best returns the candidate with the lowest cost, or nil.
-func (b *Balancer) best(now time.Time, candidates []fleet.Endpoint, spec CallSpec) (*fleet.Endpoint, float64) {
+func (b *Balancer) best(now time.Time, candidates []fleet.Endpoint, spec CallSpec, averages averages) *fleet.Endpoint {
 	var best *fleet.Endpoint
 	bestCost := math.MaxFloat64
 	affinity := b.affinityTarget(now, candidates, spec)
-	averages := b.averages(now, candidates)
 	for i := range candidates {
 		e := &candidates[i]
 		if spec.Exclude[e.ID] {
@@ -176,16 +202,20 @@
 			best, bestCost = e, cost
 		}
 	}
-	return best, bestCost
+	return best
 }
 
 func (b *Balancer) begin(now time.Time, e fleet.Endpoint, spec CallSpec) *Call {
 	s := b.state(e.ID)
-	c := &Call{Endpoint: e, Ejected: now.Before(s.ejectedUntil), balancer: b, startedAt: now, parts: spec.Parts}
+	c := &Call{Endpoint: e, Ejected: now.Before(s.ejectedUntil), balancer: b, startedAt: now, engine: spec.Engine, parts: spec.Parts, slowness: 1}
 	if spec.Engine {
+		m := b.modelOf(e.Service)
+		c.key = StreamKey(spec.Request)
 		c.uncached = spec.tokens() - s.cache.cachedTokens(spec.Parts)
-		c.expected = prefillTime(c.uncached+s.pendingPrefill, s.slowness)
-		s.pendingPrefill += c.uncached
+		c.prefill, c.ahead = m.prefill(c.uncached), s.pendingPrefill
+		c.nominal = m.base() + c.ahead + c.prefill
+		c.expected = scale(c.nominal, s.knownSlowness(now, s.speed.slowness))
+		s.pendingPrefill += c.prefill
 	}
 	s.calls[c] = struct{}{}
 	if s.cold.cold(now) {
@@ -204,7 +234,7 @@
 }
 
 func newEndpointState() *endpointState {
-	return &endpointState{calls: map[*Call]struct{}{}, latency: initialLatency, slowness: 1, cache: newPromptCache()}
+	return &endpointState{calls: map[*Call]struct{}{}, latency: initialLatency, speed: EngineSpeed{slowness: 1}, cache: newPromptCache()}
 }
 
 // defaultState is the state of endpoints that were never called. It must not be modified.
@@ -222,15 +252,27 @@
 // ejectedCost outweighs all other costs, so that ejected endpoints are used only as a last resort.
 const ejectedCost = 1e9
 
+const (
+	// minJitter distributes calls over endpoints of equal cost.
+	minJitter = time.Millisecond
+	// engineJitter is the jitter relative to the cost of an engine. Smaller differences are within
+	// the error of the estimates, but would make all instances prefer the same engines.
+	engineJitter = 0.1
+)
+
 // cost is the expected latency of the call at an endpoint in milliseconds, including penalties.
 func (b *Balancer) cost(now time.Time, e *fleet.Endpoint, spec CallSpec, averages averages, affinity bool) float64 {
 	s := b.peek(e.ID)
 	var d time.Duration
-	latency, slowness := s.at(now, averages)
 	if spec.Engine {
-		d = s.engineCost(spec, slowness*s.reportedSlowness(now), affinity)
+		slowness := s.costSlowness(now, averages)
+		d = s.engineCost(now, averages.model, spec, slowness, affinity)
 	} else {
-		d = s.simpleCost(now, latency, max(spec.Slots, e.Slots, 1))
+		d = s.simpleCost(now, s.latencyAt(now, averages), max(spec.Slots, e.Slots, 1))
+	}
+	jitter := minJitter
+	if spec.Engine {
+		jitter = max(jitter, scale(d, engineJitter))
 	}
 	if spec.Domain != "" && e.FailureDomain != spec.Domain {
 		d += crossDomainCost + spec.DomainCost
@@ -238,7 +280,7 @@
 	if s.overdue(now) || now.Before(b.silentUntil[e.FailureDomain]) {
 		d += suspectCost
 	}
-	cost := float64(d)/float64(time.Millisecond) + rand.Float64()
+	cost := float64(d+scale(jitter, rand.Float64())) / float64(time.Millisecond)
 	if now.Before(s.ejectedUntil) {
 		cost += ejectedCost
 	}
@@ -257,34 +299,35 @@
 // engineCost is the expected time to the first event at an engine. Uncached shared parts are
 // weighted by sharedPrefillFactor unless the engine is their affinity target, because other
 // engines already hold them.
-func (s *endpointState) engineCost(spec CallSpec, slowness float64, affinity bool) time.Duration {
+func (s *endpointState) engineCost(now time.Time, m *prefillModel, spec CallSpec, slowness float64, affinity bool) time.Duration {
 	cached := s.cache.cachedTokens(spec.Parts)
 	uncached := spec.tokens() - cached
 	shared := 0
 	if !affinity && len(spec.Parts) > 1 {
 		shared = max(0, spec.tokens()-spec.Parts[len(spec.Parts)-1].Tokens-cached)
 	}
-	return prefillTime(s.pendingPrefill+uncached+sharedPrefillFactor*shared, slowness) + time.Duration(len(s.calls))*batchCost
+	prefill := s.pendingPrefill + m.prefill(uncached) + sharedPrefillFactor*m.prefill(shared)
+	return scale(m.base()+prefill, slowness) + time.Duration(s.streamsAt(now))*batchCost
 }
 
 // sharedPrefillFactor is the weight of repeated prefill of shared parts relative to a request's
 // own part.
 const sharedPrefillFactor = 6
 
-func prefillTime(tokens int, slowness float64) time.Duration {
-	return time.Duration(slowness * float64(tokens) / prefillTokensPerSecond * float64(time.Second))
-}
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
 
 func (s *endpointState) overdue(now time.Time) bool {
 	for c := range s.calls {
-		expected := max(s.latency, c.expected)
-		if !c.started && now.Sub(c.startedAt) > overdueFactor*expected+overdueSlack {
+		if !c.started && now.Sub(c.startedAt) > overdueAfter(max(s.latency, c.expected)) {
 			return true
 		}
 	}
 	return false
 }
 
+// overdueAfter returns after how long a call is overdue.
+func overdueAfter(expected time.Duration) time.Duration { return overdueFactor*expected + overdueSlack }
+
 // affinityTarget returns the endpoint that rendezvous hashing assigns to the shared parts of the
 // prompt, so that all instances send requests with a common prefix to the same engine. It returns
 // an empty string if there is none. The last part is never shared.
@@ -316,7 +359,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	best, _ := b.best(now, b.usable(now, candidates, spec), spec)
+	candidates = b.usable(now, candidates, spec)
+	averages := b.averages(now, candidates)
+	best := b.best(now, candidates, spec, averages)
 	if best == nil {
 		return 0, spec.Domain
 	}
@@ -324,20 +369,50 @@
 	if !spec.Engine {
 		return s.latency, best.FailureDomain
 	}
-	return cachedFirstEvent + prefillTime(spec.tokens()-s.cache.cachedTokens(spec.Parts), s.slowness), best.FailureDomain
+	m := b.modelOf(best.Service)
+	uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
+	return scale(m.base()+m.prefill(uncached), s.knownSlowness(now, averages.slowness)), best.FailureDomain
 }
 
-// cachedFirstEvent is the expected time to the first event for a fully cached prompt.
-const cachedFirstEvent = 60 * time.Millisecond
+// EventsReceived records a number of events of a stream.
+func (c *Call) EventsReceived(events int) {
+	b := c.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.ended {
+		return
+	}
+	now := b.clock.Now()
+	if !c.started {
+		c.firstEvent(now)
+	}
+	c.pace.add(now, events)
+}
 
-// ResponseStarted records the first event of a stream, or the response header of other calls.
+// firstEvent records the first event of a stream. The caller holds the lock of the balancer.
+func (c *Call) firstEvent(now time.Time) {
+	if c.engine {
+		took := now.Sub(c.startedAt)
+		c.balancer.learnPrefill(c, took)
+		c.balancer.state(c.Endpoint.ID).recordPrefill(now, c, took)
+		c.balancer.observed.add(now, c.Endpoint.ID, 0)
+	}
+	c.responseStarted()
+}
+
+// ResponseStarted records the response of a call that is not a stream.
 func (c *Call) ResponseStarted() {
 	b := c.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.started || c.ended {
-		return
+	if !c.started && !c.ended {
+		c.responseStarted()
 	}
+}
+
+// responseStarted updates the state of the endpoint. The caller holds the lock of the balancer.
+func (c *Call) responseStarted() {
+	b := c.balancer
 	c.started = true
 	delete(b.silentUntil, c.Endpoint.FailureDomain)
 	s := b.state(c.Endpoint.ID)
@@ -350,85 +425,8 @@
 	weight := max(sampleWeight, 1-s.freshness(now))
 	s.latency += time.Duration(weight * float64(took-s.latency))
 	s.sampledAt = now
-	s.pendingPrefill -= c.uncached
+	s.pendingPrefill -= c.prefill
 	s.cache.add(c.parts)
-	if c.expected > minPrefillSample {
-		ratio := float64(took) / float64(c.expected) * s.slowness
-		s.slowness += sampleWeight * (min(ratio, maxSlowness) - s.slowness)
-		s.slowness = max(s.slowness, minSlowness)
-	}
-}
-
-const (
-	// minPrefillSample is the shortest expected prefill time that updates the slowness.
-	minPrefillSample = 20 * time.Millisecond
-	minSlowness      = 0.5
-	maxSlowness      = 20
-)
-
-// Outcome is the result of a call for the endpoint's health.
-type Outcome int
-
-// Call outcomes.
-const (
-	// Succeeded: the endpoint completed the call.
-	Succeeded Outcome = iota
-	// Refused: the endpoint rejected the call.
-	Refused
-	// Unreachable: the connection failed.
-	Unreachable
-	// Failed: the response was an error, incomplete or missing.
-	Failed
-	// Canceled: the call ended for reasons unrelated to the endpoint.
-	Canceled
-)
-
-// End unregisters the call. The load is the one reported with the response, or nil.
-func (c *Call) End(outcome Outcome, load *Load) {
-	b := c.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c.ended {
-		return
-	}
-	c.ended = true
-	s := b.state(c.Endpoint.ID)
-	delete(s.calls, c)
-	if !c.started {
-		s.pendingPrefill -= c.uncached
-	}
-	now := b.clock.Now()
-	if load != nil {
-		s.load, s.loadAt = *load, now
-	}
-	if outcome == Unreachable && now.Sub(c.startedAt) >= minSilence {
-		b.silentUntil[c.Endpoint.FailureDomain] = now.Add(silenceDuration)
-	}
-	s.recordOutcome(now, outcome)
-}
-
-func (s *endpointState) recordOutcome(now time.Time, outcome Outcome) {
-	switch outcome {
-	case Succeeded:
-		s.failures, s.ejection = 0, 0
-	case Unreachable:
-		s.eject(now)
-	case Failed:
-		if s.failures++; s.failures >= failuresToEject {
-			s.eject(now)
-		}
-	case Refused:
-		s.ejectedUntil = now.Add(refusalEjection)
-	case Canceled:
-	}
-}
-
-// refusalEjection is the ejection time after a rejected call.
-const refusalEjection = 100 * time.Millisecond
-
-func (s *endpointState) eject(now time.Time) {
-	s.ejection = min(maxEjection, max(minEjection, 2*s.ejection))
-	s.ejectedUntil = now.Add(s.ejection)
 }
 
 // Backoff is the time until the first of the endpoints accepts calls again, or 0 if one does now.
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -93,7 +93,7 @@
 }
 
 // maxReaders limits the endpoints offered to the planner.
-const maxReaders = 6
+const maxReaders = 8
 
 // readers returns the engines that may run the request, as estimated by this instance.
 func (u *run) readers(candidates []fleet.Endpoint) []pipeline.Reader {
@@ -107,6 +107,8 @@
 			Domain:    option.Endpoint.FailureDomain,
 			CostMs:    option.Cost.Milliseconds(),
 			ReadingMs: option.Reading.Milliseconds(),
+			Slots:     max(u.service.Engine.Slots, option.Endpoint.Slots),
+			Slowness:  option.Slowness,
 		})
 	}
 	return readers
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -48,6 +48,8 @@
 	refusedShare *metrics.Counter
 	late         *metrics.Counter
 
+	observations observationCounters
+
 	mu       sync.Mutex
 	backlogs map[batch.Queue]*backlog
 	// lateness is keyed by request priority.
@@ -71,6 +73,8 @@
 		backlogs:     map[batch.Queue]*backlog{},
 		lateness:     map[int]*lateness{},
 		readers:      newReaders(),
+
+		observations: newObservationCounters(set),
 	}
 }
 
@@ -139,8 +143,10 @@
 // chooseReader chooses the endpoint for a request whose stages are completed.
 func (p *Planner) chooseReader(plan *Plan, results []batch.Result) string {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.readers.choose(p.clock.Now(), plan.Readers, results)
+	chosen, costs := p.readers.choose(p.clock.Now(), plan.Request, plan.Readers, results)
+	p.mu.Unlock()
+	p.logChoice(plan.Request, chosen, costs)
+	return chosen
 }
 
 // execution is the state of a running plan.
