route, platform: figures for transfers of cached prompt parts

Absent fields leave the figures at 0, which disables transfers; negative ones are faults of the configuration, listed by route.Compile.

--- a/pkg/route/config.go
+++ b/pkg/route/config.go
@@ -103,6 +103,11 @@
 	Slots int
 	// Tokens is the memory, in tokens, for running requests and cached prompt prefixes.
 	Tokens int64
+	// TokenBytes is the size of one token in the KV cache. LinkMbps is the rate, in megabits per
+	// second, at which an engine transfers cached prompt parts to another one. Parts are fetched
+	// from other engines only if both are set.
+	TokenBytes float64
+	LinkMbps   float64
 }
 
 // Service is a group of interchangeable endpoints.
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -85,6 +85,16 @@
 		Entry("stage that reads itself", route.Route{Prefix: "/", Targets: target, Stages: []route.Stage{{Service: "p", After: []int{0}}}}, "does not come before"),
 	)
 
+	DescribeTable("rejects a negative transfer figure of an engine, which would make every transfer look free",
+		func(e route.Engine, fault string) {
+			_, err := route.Compile(route.Config{Version: 7, Services: []route.Service{{Name: "s", Engine: &e}}})
+			Expect(problem.KindOf(err)).To(Equal(problem.Invalid))
+			Expect(err).To(MatchError(SatisfyAll(ContainSubstring("version 7"), ContainSubstring(`service "s"`), ContainSubstring(fault))))
+		},
+		Entry("bytes per token", route.Engine{TokenBytes: -1, LinkMbps: 1}, "bytes per KV-cache token -1 is negative"),
+		Entry("link", route.Engine{TokenBytes: 1, LinkMbps: -0.5}, "link rate -0.5 is negative"),
+	)
+
 	It("reports which requests may be retried", func() {
 		Expect((&route.Route{Kind: route.Idempotent}).Repeatable()).To(BeTrue())
 		Expect((&route.Route{Kind: route.AtMostOnce}).Repeatable()).To(BeFalse())
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -39,6 +39,9 @@
 		t.services[config.Services[i].Name] = &config.Services[i]
 	}
 	var faults []string
+	for i := range config.Services {
+		faults = append(faults, validateService(&config.Services[i])...)
+	}
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		faults = append(faults, t.validateRoute(r)...)
@@ -61,6 +64,21 @@
 	return t, nil
 }
 
+func validateService(s *Service) []string {
+	if s.Engine == nil {
+		return nil
+	}
+	var faults []string
+	check := func(name string, value float64) {
+		if value < 0 {
+			faults = append(faults, fmt.Sprintf("service %q: engine %s %v is negative", s.Name, name, value))
+		}
+	}
+	check("bytes per KV-cache token", s.Engine.TokenBytes)
+	check("link rate", s.Engine.LinkMbps)
+	return faults
+}
+
 func (t *Table) validateRoute(r *Route) []string {
 	var faults []string
 	add := func(format string, args ...any) {
