balance: choice of the engine from which shared prompt parts are fetched

A call to an engine other than the affinity target of its shared parts names the target as the source if at least 256 shared tokens are not expected at the engine and the target can serve. Estimates and options count the transfer as well. Without the figures of a transfer the choice is unchanged.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -67,6 +66,10 @@
 	// IsolationKey, if not empty, selects an endpoint with few calls in flight by a hash of the
 	// key. It is set for requests that may crash their endpoint.
 	IsolationKey string
+	// Fetch describes how engines fetch shared parts from each other. The zero value disables it.
+	Fetch Fetch
+	// source is the endpoint from which engines can fetch the shared parts; nil if there is none.
+	source *fleet.Endpoint
 }
 
 func (s CallSpec) tokens() int {
@@ -131,7 +134,10 @@
 	Endpoint fleet.Endpoint
 	// Ejected reports whether the endpoint was ejected when selected, because no other was
 	// available.
-	Ejected   bool
+	Ejected bool
+	// Source is the endpoint from which the engine should fetch shared parts of the prompt before
+	// prefill; nil if none.
+	Source    *fleet.Endpoint
 	balancer  *Balancer
 	startedAt time.Time
 	uncached  int
@@ -147,7 +153,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	candidates = b.usable(now, candidates, spec)
+	candidates, spec = b.prepare(now, candidates, spec)
 	if e := b.isolated(now, candidates, spec); e != nil {
 		return b.begin(now, *e, spec)
 	}
@@ -183,8 +189,9 @@
 	s := b.state(e.ID)
 	c := &Call{Endpoint: e, Ejected: now.Before(s.ejectedUntil), balancer: b, startedAt: now, parts: spec.Parts}
 	if spec.Engine {
-		c.uncached = spec.tokens() - s.cache.cachedTokens(spec.Parts)
-		c.expected = prefillTime(c.uncached+s.pendingPrefill, s.slowness)
+		work := s.promptWork(spec, &e)
+		c.uncached, c.Source = work.prefill, work.source
+		c.expected = prefillTime(c.uncached+s.pendingPrefill, s.slowness) + work.transfer
 		s.pendingPrefill += c.uncached
 	}
 	s.calls[c] = struct{}{}
@@ -227,9 +234,12 @@
 	s := b.peek(e.ID)
 	var d time.Duration
 	latency, slowness := s.at(now, averages)
-	if spec.Engine {
+	switch {
+	case spec.canFetch(e):
+		d = s.fetchingCost(spec, slowness*s.reportedSlowness(now), affinity)
+	case spec.Engine:
 		d = s.engineCost(spec, slowness*s.reportedSlowness(now), affinity)
-	} else {
+	default:
 		d = s.simpleCost(now, latency, max(spec.Slots, e.Slots, 1))
 	}
 	if spec.Domain != "" && e.FailureDomain != spec.Domain {
@@ -292,18 +302,14 @@
 	if !spec.Engine || len(spec.Parts) < 2 {
 		return ""
 	}
-	text := append(make([]byte, 0, hashBufferSize), spec.Parts[len(spec.Parts)-2].ID+"/"...)
-	target, highest := "", uint64(0)
-	for i := range candidates {
-		id := candidates[i].ID
-		if now.Before(b.peek(id).ejectedUntil) {
-			continue
-		}
-		if weight := xxhash.Sum64(append(text, id...)); target == "" || weight > highest {
-			target, highest = id, weight
-		}
+	if spec.source != nil {
+		return spec.source.ID
+	}
+	target := highestRanked(candidates, spec, func(id string) bool { return now.Before(b.peek(id).ejectedUntil) })
+	if target == nil {
+		return ""
 	}
-	return target
+	return target.ID
 }
 
 // hashBufferSize is the capacity of the buffer for hash inputs, which avoids an allocation per
@@ -316,7 +322,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	best, _ := b.best(now, b.usable(now, candidates, spec), spec)
+	candidates, spec = b.prepare(now, candidates, spec)
+	best, _ := b.best(now, candidates, spec)
 	if best == nil {
 		return 0, spec.Domain
 	}
@@ -324,7 +331,8 @@
 	if !spec.Engine {
 		return s.latency, best.FailureDomain
 	}
-	return cachedFirstEvent + prefillTime(spec.tokens()-s.cache.cachedTokens(spec.Parts), s.slowness), best.FailureDomain
+	work := s.promptWork(spec, best)
+	return cachedFirstEvent + prefillTime(work.prefill, s.slowness) + work.transfer, best.FailureDomain
 }
 
 // cachedFirstEvent is the expected time to the first event for a fully cached prompt.
--- /dev/null
+++ b/pkg/balance/fetch.go
@@ -0,0 +1,152 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+)
+
+// An engine can fetch the shared parts of a prompt from another engine that has them cached, which
+// takes a few milliseconds where prefill takes tens. The source is the affinity target of the
+// parts: all instances agree on it without exchanging what engines have cached, and send requests
+// there first. A source that does not have the parts costs nothing but the prefill.
+
+const (
+	// minFetchTokens is the least number of shared tokens that an engine fetches. A smaller transfer
+	// costs more than the prefill.
+	minFetchTokens = 256
+	// fetchOverhead is the time of a transfer apart from that of its bytes.
+	fetchOverhead = 2 * time.Millisecond
+	// maxTransfer bounds the expected time of a transfer, so that extreme figures of the
+	// configuration do not overflow a duration.
+	maxTransfer = 10 * time.Second
+	bitsPerByte = 8
+	// bitsPerMegabit converts link rates.
+	bitsPerMegabit = 1e6
+)
+
+// Fetch describes the transfer of cached prompt parts between engines. The zero value disables it.
+type Fetch struct {
+	// TokenBytes is the size of one token in the KV cache.
+	TokenBytes float64
+	// LinkMbps is the rate of an engine's link in megabits per second.
+	LinkMbps float64
+}
+
+func (f Fetch) enabled() bool { return f.TokenBytes > 0 && f.LinkMbps > 0 }
+
+// transferTime is the expected time to fetch a number of tokens.
+func (f Fetch) transferTime(tokens int) time.Duration {
+	bits := float64(tokens) * f.TokenBytes * bitsPerByte
+	seconds := bits / (f.LinkMbps * bitsPerMegabit)
+	return fetchOverhead + time.Duration(min(seconds, maxTransfer.Seconds())*float64(time.Second))
+}
+
+// sharedTokens is the number of tokens in the shared parts, which are all but the last.
+func (s CallSpec) sharedTokens() int {
+	if len(s.Parts) < 2 {
+		return 0
+	}
+	return s.tokens() - s.Parts[len(s.Parts)-1].Tokens
+}
+
+// missingShared is the number of shared tokens at an engine that has a number of tokens cached.
+func (s CallSpec) missingShared(cached int) int { return max(0, s.sharedTokens()-cached) }
+
+// canFetch reports whether an endpoint is the source or may fetch from it. Engines of different
+// versions may not be able to read each other's KV cache.
+func (s CallSpec) canFetch(e *fleet.Endpoint) bool {
+	return s.source != nil && e.Version == s.source.Version
+}
+
+// prepare returns the candidates that may be called now, and the spec with its source.
+func (b *Balancer) prepare(now time.Time, candidates []fleet.Endpoint, spec CallSpec) ([]fleet.Endpoint, CallSpec) {
+	usable := b.usable(now, candidates, spec)
+	spec.source = b.fetchSource(now, candidates, spec)
+	return usable, spec
+}
+
+// fetchSource returns the endpoint from which others can fetch the shared parts of a call, or nil.
+// It considers all candidates, also those that this instance avoids at present: if it avoids the
+// affinity target, the next endpoint in order is not the one where other instances send the parts.
+func (b *Balancer) fetchSource(now time.Time, candidates []fleet.Endpoint, spec CallSpec) *fleet.Endpoint {
+	if !spec.Engine || !spec.Fetch.enabled() || spec.IsolationKey != "" || spec.sharedTokens() < minFetchTokens {
+		return nil
+	}
+	target := highestRanked(candidates, spec, func(string) bool { return false })
+	if target == nil || spec.Exclude[target.ID] || !b.canServeFetch(now, target) {
+		return nil
+	}
+	return target
+}
+
+// canServeFetch reports whether an endpoint is expected to answer other engines without delay and
+// to have parts cached.
+func (b *Balancer) canServeFetch(now time.Time, e *fleet.Endpoint) bool {
+	s := b.peek(e.ID)
+	switch {
+	case now.Before(s.ejectedUntil), s.overdue(now), s.cold.cold(now):
+		return false
+	case b.backoffs.Remaining(e.ID) > 0, now.Before(b.silentUntil[e.FailureDomain]):
+		return false
+	}
+	return true
+}
+
+// highestRanked returns the endpoint that rendezvous hashing ranks first for the last shared part of
+// the prompt, or nil if all are skipped.
+func highestRanked(candidates []fleet.Endpoint, spec CallSpec, skip func(id string) bool) *fleet.Endpoint {
+	text := append(make([]byte, 0, hashBufferSize), spec.Parts[len(spec.Parts)-2].ID+"/"...)
+	var first *fleet.Endpoint
+	highest := uint64(0)
+	for i := range candidates {
+		e := &candidates[i]
+		if skip(e.ID) {
+			continue
+		}
+		if weight := xxhash.Sum64(append(text, e.ID...)); first == nil || weight > highest {
+			first, highest = e, weight
+		}
+	}
+	return first
+}
+
+// fetchingCost is the engineCost of a call with a source. Missing shared tokens cost their transfer.
+// At the source they cost nothing: it is where they are expected to be cached, and if they are not,
+// every other engine has to prefill them as well.
+func (s *endpointState) fetchingCost(spec CallSpec, slowness float64, isSource bool) time.Duration {
+	cached := s.cache.cachedTokens(spec.Parts)
+	missing := spec.missingShared(cached)
+	prefill := prefillTime(s.pendingPrefill+spec.tokens()-cached-missing, slowness)
+	cost := prefill + time.Duration(len(s.calls))*batchCost
+	if missing > 0 && !isSource {
+		cost += spec.Fetch.transferTime(missing)
+	}
+	return cost
+}
+
+// promptWork is what an engine is expected to do for a prompt before the first event.
+type promptWork struct {
+	// prefill is the number of tokens that it computes.
+	prefill int
+	// source is the endpoint from which it fetches others first, or nil.
+	source *fleet.Endpoint
+	// transfer is the time that the fetch takes.
+	transfer time.Duration
+}
+
+// promptWork returns the expected work of an engine for a call.
+func (s *endpointState) promptWork(spec CallSpec, e *fleet.Endpoint) promptWork {
+	cached := s.cache.cachedTokens(spec.Parts)
+	work := promptWork{prefill: spec.tokens() - cached}
+	missing := spec.missingShared(cached)
+	if !spec.canFetch(e) || e.ID == spec.source.ID || missing < minFetchTokens {
+		return work
+	}
+	work.prefill -= missing
+	work.source = spec.source
+	work.transfer = spec.Fetch.transferTime(missing)
+	return work
+}
--- /dev/null
+++ b/pkg/balance/fetch_test.go
@@ -0,0 +1,214 @@
+package balance_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+)
+
+var _ = Describe("shared prompt parts that engines can fetch", func() {
+	var (
+		clock    *clockwork.FakeClock
+		backoffs *notice.Backoffs
+		b        *balance.Balancer
+		all      []fleet.Endpoint
+		// home is the affinity target of the prompt, and other an engine of the same failure domain.
+		home, other fleet.Endpoint
+	)
+
+	// prompt has 5,500 shared tokens, whose transfer takes 3.1 ms, and 1,000 of its own.
+	prompt := func(subject string) balance.CallSpec {
+		return balance.CallSpec{
+			Engine: true,
+			Parts:  []balance.Part{{ID: "system", Tokens: 500}, {ID: subject, Tokens: 5000}, {ID: "own", Tokens: 1000}},
+			Fetch:  balance.Fetch{TokenBytes: 1000, LinkMbps: 40_000},
+		}
+	}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		backoffs = noBackoffs(clock)
+		b = balance.New(clock, backoffs)
+		all = nil
+		for n := range 8 {
+			all = append(all, fleet.Endpoint{ID: fmt.Sprint("e", n), FailureDomain: fmt.Sprint("zone-", n%2), Version: "v1", Slots: 4})
+		}
+		home = balance.New(clock, noBackoffs(clock)).Pick(all, prompt("s")).Endpoint
+		other = all[slices.IndexFunc(all, func(e fleet.Endpoint) bool { return e.ID != home.ID && e.FailureDomain == home.FailureDomain })]
+	})
+
+	update := func(id string, change func(*fleet.Endpoint)) {
+		change(&all[slices.IndexFunc(all, func(e fleet.Endpoint) bool { return e.ID == id })])
+	}
+	finish := func(c *balance.Call) {
+		c.ResponseStarted()
+		c.End(balance.Succeeded, nil)
+	}
+
+	// sourceAt returns the ID of the source of a call at an endpoint, empty if it names none.
+	sourceAt := func(e fleet.Endpoint, spec balance.CallSpec) string {
+		GinkgoHelper()
+		spec.Prefer = e.ID
+		c := b.Pick(all, spec)
+		defer c.End(balance.Canceled, nil)
+		if spec.IsolationKey == "" {
+			Expect(c.Endpoint.ID).To(Equal(e.ID))
+		}
+		if c.Source == nil {
+			return ""
+		}
+		return c.Source.ID
+	}
+
+	It("are fetched from their affinity target, which all instances agree on", func() {
+		Expect(sourceAt(other, prompt("s"))).To(Equal(home.ID))
+		b = balance.New(clock, noBackoffs(clock))
+		Expect(sourceAt(other, prompt("s"))).To(Equal(home.ID))
+	})
+
+	DescribeTable("name no source when",
+		func(change func(spec *balance.CallSpec)) {
+			spec := prompt("s")
+			change(&spec)
+			Expect(sourceAt(other, spec)).To(BeEmpty())
+		},
+		Entry("the target is ejected", func(*balance.CallSpec) {
+			b.Pick([]fleet.Endpoint{home}, balance.CallSpec{}).End(balance.Unreachable, nil)
+		}),
+		Entry("the target asked to back off", func(*balance.CallSpec) { backoffs.Start(home.ID, time.Second) }),
+		Entry("the target has an overdue call", func(*balance.CallSpec) {
+			b.Pick([]fleet.Endpoint{home}, balance.CallSpec{})
+			clock.Advance(5 * time.Second)
+		}),
+		Entry("the target is cold, so that nothing is cached there", func(spec *balance.CallSpec) {
+			update(home.ID, func(e *fleet.Endpoint) { e.ColdMs, e.ColdRevision = 1000, 1 })
+			spec.Cold.PerSecond = 10
+		}),
+		Entry("the failure domain of the target is suspected to be unreachable", func(spec *balance.CallSpec) {
+			c := b.Pick([]fleet.Endpoint{{ID: "sibling", FailureDomain: home.FailureDomain}}, balance.CallSpec{})
+			clock.Advance(300 * time.Millisecond)
+			c.End(balance.Unreachable, nil)
+		}),
+		Entry("the target has another version, whose cache may not be readable", func(*balance.CallSpec) {
+			update(home.ID, func(e *fleet.Endpoint) { e.Version = "v2" })
+		}),
+		Entry("the target was tried already", func(spec *balance.CallSpec) { spec.Exclude = map[string]bool{home.ID: true} }),
+		Entry("the request may crash its endpoint", func(spec *balance.CallSpec) { spec.IsolationKey = "suspect" }),
+		Entry("the size of a token is not configured", func(spec *balance.CallSpec) { spec.Fetch.TokenBytes = 0 }),
+		Entry("the link is not configured", func(spec *balance.CallSpec) { spec.Fetch.LinkMbps = 0 }),
+		Entry("the only part is not shared", func(spec *balance.CallSpec) { spec.Parts = spec.Parts[:1] }),
+		Entry("the prompt is unknown", func(spec *balance.CallSpec) { spec.Parts = nil }),
+		Entry("the shared parts are too small", func(spec *balance.CallSpec) { spec.Parts[0].Tokens, spec.Parts[1].Tokens = 200, 55 }),
+		Entry("the engine is expected to have the shared parts", func(spec *balance.CallSpec) {
+			finish(b.Pick([]fleet.Endpoint{other}, *spec))
+			spec.Parts[2].ID = "another"
+		}),
+		Entry("the engine is expected to miss only a small part", func(spec *balance.CallSpec) {
+			finish(b.Pick([]fleet.Endpoint{other}, prompt("s")))
+			spec.Parts[1].Tokens += 255
+		}),
+	)
+
+	It("name no source at their affinity target", func() {
+		Expect(sourceAt(home, prompt("s"))).To(BeEmpty())
+	})
+
+	It("are fetched from 256 tokens, of which the first part counts like the others", func() {
+		spec := prompt("s")
+		spec.Parts[0].Tokens, spec.Parts[1].Tokens = 200, 56
+		Expect(sourceAt(other, spec)).To(Equal(home.ID))
+	})
+
+	// Guards against transfers from an endpoint that is gone, leaves or must not hold the prompt: the
+	// candidates of a call are ready and in the allowed regions.
+	It("are fetched only from candidates", func() {
+		all = slices.DeleteFunc(all, func(e fleet.Endpoint) bool { return e.ID == home.ID })
+		next := balance.New(clock, noBackoffs(clock)).Pick(all, prompt("s")).Endpoint
+		for _, e := range all {
+			Expect(sourceAt(e, prompt("s"))).To(Equal(map[bool]string{false: next.ID}[e.ID == next.ID]))
+		}
+	})
+
+	// Guards against parts being spread at random because a transfer is cheap: a source that was never
+	// asked has nothing to fetch.
+	It("go first to the engine where they would go without transfers", func() {
+		for n := range 20 {
+			spec := prompt(fmt.Sprint("s", n))
+			chosen := balance.New(clock, noBackoffs(clock)).Pick(all, spec).Endpoint.ID
+			spec.Fetch = balance.Fetch{}
+			Expect(balance.New(clock, noBackoffs(clock)).Pick(all, spec).Endpoint.ID).To(Equal(chosen))
+		}
+	})
+
+	It("go to another engine while their affinity target is busy with a prompt", func() {
+		spec := prompt("s")
+		finish(b.Pick(all, spec))
+		b.Pick([]fleet.Endpoint{home}, balance.CallSpec{Engine: true, Parts: []balance.Part{{ID: "long", Tokens: 5000}}})
+		without := spec
+		without.Fetch = balance.Fetch{}
+		c := b.Pick(all, without)
+		Expect(c.Endpoint.ID).To(Equal(home.ID), "repeated prefill outweighs the wait")
+		c.End(balance.Canceled, nil)
+		c = b.Pick(all, spec)
+		Expect(c.Endpoint.ID).NotTo(Equal(home.ID))
+		Expect(c.Source.ID).To(Equal(home.ID))
+		finish(c)
+		Expect(sourceAt(c.Endpoint, spec)).To(BeEmpty(), "the engine has the parts now")
+	})
+
+	options := func(spec balance.CallSpec) map[string]balance.Option {
+		found := map[string]balance.Option{}
+		for _, o := range b.Options(all, spec, len(all)) {
+			found[o.Endpoint.ID] = o
+		}
+		return found
+	}
+
+	It("count as transfer instead of prefill in the expected times", func() {
+		all = []fleet.Endpoint{home, other}
+		o := options(prompt("s"))[other.ID]
+		const own, transfer = 20 * time.Millisecond, 3100 * time.Microsecond
+		Expect(o.Reading).To(BeNumerically("~", own+transfer, time.Microsecond))
+		Expect(o.Cost).To(BeNumerically("~", own+transfer, time.Millisecond))
+		b.Pick([]fleet.Endpoint{home}, balance.CallSpec{Engine: true, Parts: []balance.Part{{ID: "long", Tokens: 50_000}}})
+		estimate, _ := b.Estimate(all, prompt("s"))
+		Expect(estimate).To(BeNumerically("~", 60*time.Millisecond+own+transfer, time.Microsecond))
+	})
+
+	DescribeTable("cost as much as without transfers while",
+		func(change func(spec *balance.CallSpec)) {
+			// The number of options depends on random costs if there are several failure domains.
+			all = slices.DeleteFunc(all, func(e fleet.Endpoint) bool { return e.FailureDomain != home.FailureDomain })
+			spec := prompt("s")
+			change(&spec)
+			with := b.Options(all, spec, len(all))
+			spec.Fetch = balance.Fetch{}
+			without := b.Options(all, spec, len(all))
+			Expect(with).To(HaveLen(2))
+			Expect(without).To(HaveLen(2))
+			for i, o := range with {
+				Expect(o.Cost).To(BeNumerically("~", without[i].Cost, time.Millisecond))
+			}
+		},
+		Entry("the affinity target cannot serve as source", func(*balance.CallSpec) { backoffs.Start(home.ID, time.Second) }),
+		Entry("the shared parts are too small", func(spec *balance.CallSpec) { spec.Parts[0].Tokens, spec.Parts[1].Tokens = 200, 55 }),
+		Entry("the endpoints are no engines", func(spec *balance.CallSpec) { spec.Engine = false }),
+	)
+
+	// Guards against an overflow that would make a transfer look free.
+	It("stay at their affinity target if a transfer would take forever", func() {
+		spec := prompt("s")
+		spec.Fetch = balance.Fetch{TokenBytes: 1e300, LinkMbps: 1e-300}
+		Expect(b.Pick(all, spec).Endpoint.ID).To(Equal(home.ID))
+		all = []fleet.Endpoint{home, other}
+		Expect(options(spec)[other.ID].Reading).To(BeNumerically(">", time.Second))
+	})
+})
--- a/pkg/balance/options.go
+++ b/pkg/balance/options.go
@@ -13,7 +13,7 @@
 	Endpoint fleet.Endpoint
 	// Cost is the expected latency of the call including penalties.
 	Cost time.Duration
-	// Reading is the share of Cost that is prompt prefill.
+	// Reading is the share of Cost that is prompt prefill or the transfer of prompt parts.
 	Reading time.Duration
 }
 
@@ -23,7 +23,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	candidates = b.usable(now, candidates, spec)
+	candidates, spec = b.prepare(now, candidates, spec)
 	affinity := b.affinityTarget(now, candidates, spec)
 	averages := b.averages(now, candidates)
 	var best topPerDomain
@@ -38,8 +38,8 @@
 	options := make([]Option, len(chosen))
 	for i, k := range chosen {
 		s := b.peek(k.endpoint.ID)
-		uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
-		options[i] = Option{Endpoint: *k.endpoint, Cost: time.Duration(k.cost * float64(time.Millisecond)), Reading: prefillTime(uncached, s.slowness)}
+		work := s.promptWork(spec, k.endpoint)
+		options[i] = Option{Endpoint: *k.endpoint, Cost: time.Duration(k.cost * float64(time.Millisecond)), Reading: prefillTime(work.prefill, s.slowness) + work.transfer}
 	}
 	return options
 }
