gateway, platform: calls name the engine to fetch prompt parts from

The first attempt of a request passes the source of the balancer on as Kv-Fetch: IP:PORT; later attempts name none. Lines of attempts have fetched_from, and cobaltcroft_prompt_fetches_total counts the calls. The header is removed from clients' requests as before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -167,9 +167,20 @@
 		Engine:  u.service.Engine != nil,
 		Parts:   u.request.Parts,
 		Cold:    balance.ColdLimit{PerSecond: u.service.ColdPerSecond, IsOwner: u.Sponsors},
+		Fetch:   u.fetch(),
 	}
 }
 
+// fetch returns how engines fetch shared prompt parts from each other. Only the first endpoint tried
+// fetches any, so that a transfer that fails or hangs affects a request once at most.
+func (u *run) fetch() balance.Fetch {
+	engine := u.service.Engine
+	if engine == nil || u.attempts > 0 || len(u.tried) > 0 {
+		return balance.Fetch{}
+	}
+	return balance.Fetch{TokenBytes: engine.TokenBytes, LinkMbps: engine.LinkMbps}
+}
+
 // outbound returns the request metadata for the endpoint.
 func (u *run) outbound(call *balance.Call) Outbound {
 	o := Outbound{
@@ -184,6 +195,9 @@
 	if u.service.Engine != nil {
 		o.Urgency = u.priority()
 	}
+	if call.Source != nil {
+		o.FetchFrom = call.Source.Address
+	}
 	if u.events > 0 {
 		o.LastEvent = u.lastEvent
 	}
@@ -237,7 +251,7 @@
 		u.endSample(ctx, outcome, 0)
 		return outcome
 	}
-	u.attempts++
+	u.recordSent(call)
 	defer answer.Body.Close()
 	verdict := u.Dialect.Verdict(answer.Status, answer.Header)
 	outcome := u.handleResponse(ctx, call, answer, verdict)
@@ -246,6 +260,14 @@
 	return outcome
 }
 
+// recordSent counts an attempt that may have reached the endpoint.
+func (u *run) recordSent(call *balance.Call) {
+	u.attempts++
+	if call.Source != nil {
+		u.promptFetches.Inc()
+	}
+}
+
 func (u *run) sendFailed(ctx context.Context, call *balance.Call, begin time.Time, err error) attemptResult {
 	outcome := connBrokenResult(ctx)
 	result := balance.Failed
@@ -255,7 +277,7 @@
 	case httpconn.NotSent(err):
 		outcome, result = resultUnreachable, balance.Unreachable
 	default:
-		u.attempts++
+		u.recordSent(call)
 	}
 	if ctx.Err() != nil && u.Clock.Since(begin) < u.route.Objective {
 		result = balance.Canceled
@@ -273,6 +295,9 @@
 	if call.Ejected {
 		fields["left_out"] = true
 	}
+	if call.Source != nil {
+		fields["fetched_from"] = call.Source.ID
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -71,6 +71,8 @@
 	// a stream.
 	requestSeconds    *metrics.Histogram
 	firstEventSeconds *metrics.Histogram
+	// promptFetches is the number of calls that named an engine to fetch prompt parts from.
+	promptFetches *metrics.Counter
 	// drained is closed by Drain.
 	drained chan struct{}
 	drain   sync.Once
@@ -85,6 +87,7 @@
 		Options:           o,
 		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
 		firstEventSeconds: o.Metrics.NewHistogram("cobaltcroft_first_event_seconds"),
+		promptFetches:     o.Metrics.NewCounter("cobaltcroft_prompt_fetches_total"),
 		drained:           make(chan struct{}),
 	}
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -48,6 +48,9 @@
 	Urgency int
 	// Inputs are the handles of the stage results that the request reads.
 	Inputs []string
+	// FetchFrom is the IP:port of the engine from which shared prompt parts are fetched; empty if
+	// none.
+	FetchFrom string
 	// LastEvent is the ID of the last forwarded event if a stream is resumed; empty to use the
 	// client's.
 	LastEvent string
