--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/fetch_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+var _ = Describe("requests whose prompts share parts", func() {
+	const forgedSource = "127.0.0.1:1"
+	var (
+		d *platformtest.Deployment
+		i *instance
+		// home is the engine to which the prompts go first.
+		home *platformtest.Engine
+	)
+
+	ask := func() string {
+		GinkgoHelper()
+		id := newID()
+		r := i.request(http.MethodPost, "stream", id, "")
+		r.Header.Set("Cobaltcroft-Prefix-Hash", "system:300,subject:2000,"+id+":100")
+		r.Header.Set("Kv-Fetch", forgedSource)
+		Expect(send(r)).To(HaveField("Status", http.StatusOK))
+		return id
+	}
+
+	BeforeEach(func() {
+		d = deploy(3)
+		i = start(d.Address())
+		id := ask()
+		at := slices.IndexFunc(d.Engines, func(e *platformtest.Engine) bool {
+			return slices.ContainsFunc(e.Runs(), func(r platformtest.Run) bool { return r.ID == id })
+		})
+		home = d.Engines[at]
+		Expect(home.Fetches()).To(BeEmpty())
+	})
+
+	It("name the engine that has them to the others, and the calls are counted", func() {
+		for _, e := range d.EnginesOf("model") {
+			e.SetTiming(200*time.Millisecond, time.Millisecond)
+		}
+		var group sync.WaitGroup
+		for range 12 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				ask()
+			})
+		}
+		group.Wait()
+		fetches := 0
+		for _, e := range d.EnginesOf("model") {
+			for _, f := range e.Fetches() {
+				Expect(f.Source).To(Equal(home.Address()))
+				fetches++
+			}
+			Expect(e.Violations()).To(BeEmpty())
+		}
+		Expect(fetches).To(BeNumerically(">", 0))
+		Expect(home.Fetches()).To(BeEmpty())
+		Expect(i.get("/metrics")).To(ContainSubstring(fmt.Sprintf("cobaltcroft_prompt_fetches_total %d\n", fetches)))
+	})
+
+	// Guards against a second failure by the same source.
+	It("name none after a failure", func() {
+		home.QueueFaults(platformtest.RejectNotRun)
+		id := ask()
+		Expect(home.RequestCount()).To(Equal(2))
+		Expect(d.Runs("model", id)).To(HaveLen(1))
+		for _, e := range d.EnginesOf("model") {
+			Expect(e.Fetches()).To(BeEmpty())
+		}
+	})
+})
