gateway: test that an attempt after a failure names no source

The former test passed without the rule, since the rejected engine was both the affinity target and excluded. Engines other than the target now reject, so that the next attempt could name the target again; without the rule the test fails.

--- a/cmd/cobaltcroftd/gateway/fetch_test.go
+++ b/cmd/cobaltcroftd/gateway/fetch_test.go
@@ -32,6 +32,17 @@
 		return id
 	}
 
+	askTogether := func(n int) {
+		var group sync.WaitGroup
+		for range n {
+			group.Go(func() {
+				defer GinkgoRecover()
+				ask()
+			})
+		}
+		group.Wait()
+	}
+
 	BeforeEach(func() {
 		d = deploy(3)
 		i = start(d.Address())
@@ -47,14 +58,7 @@
 		for _, e := range d.EnginesOf("model") {
 			e.SetTiming(200*time.Millisecond, time.Millisecond)
 		}
-		var group sync.WaitGroup
-		for range 12 {
-			group.Go(func() {
-				defer GinkgoRecover()
-				ask()
-			})
-		}
-		group.Wait()
+		askTogether(12)
 		fetches := 0
 		for _, e := range d.EnginesOf("model") {
 			for _, f := range e.Fetches() {
@@ -68,14 +72,27 @@
 		Expect(i.get("/metrics")).To(ContainSubstring(fmt.Sprintf("cobaltcroft_prompt_fetches_total %d\n", fetches)))
 	})
 
-	// Guards against a second failure by the same source.
+	// Guards against a second failure by the same source: both other engines reject requests, which
+	// then reach the busy home.
 	It("name none after a failure", func() {
-		home.QueueFaults(platformtest.RejectNotRun)
-		id := ask()
-		Expect(home.RequestCount()).To(Equal(2))
-		Expect(d.Runs("model", id)).To(HaveLen(1))
+		home.SetTiming(200*time.Millisecond, time.Millisecond)
 		for _, e := range d.EnginesOf("model") {
-			Expect(e.Fetches()).To(BeEmpty())
+			if e != home {
+				e.SetDefaultFault(platformtest.RejectNotRun)
+			}
+		}
+		for range 5 {
+			askTogether(12)
+			// A rejection excludes an engine for 100 ms.
+			time.Sleep(120 * time.Millisecond)
+		}
+		fetches := map[string]int{}
+		for _, e := range d.EnginesOf("model") {
+			for _, f := range e.Fetches() {
+				fetches[f.RequestID]++
+			}
 		}
+		Expect(fetches).NotTo(BeEmpty())
+		Expect(fetches).To(HaveEach(1))
 	})
 })
--- a/pkg/balance/fetch_test.go
+++ b/pkg/balance/fetch_test.go
@@ -92,7 +92,7 @@
 			update(home.ID, func(e *fleet.Endpoint) { e.ColdMs, e.ColdRevision = 1000, 1 })
 			spec.Cold.PerSecond = 10
 		}),
-		Entry("the failure domain of the target is suspected to be unreachable", func(spec *balance.CallSpec) {
+		Entry("the failure domain of the target is suspected to be unreachable", func(*balance.CallSpec) {
 			c := b.Pick([]fleet.Endpoint{{ID: "sibling", FailureDomain: home.FailureDomain}}, balance.CallSpec{})
 			clock.Advance(300 * time.Millisecond)
 			c.End(balance.Unreachable, nil)
