balance: fetching does not change the choice of the engine

While missing shared tokens cost their transfer in the choice, requests stayed in their failure domain, so that the affinity targets were seldom visited and had nothing to fetch.

The choice uses engineCost in all cases; fetchingCost is gone. The source and the expected time of a chosen call are unchanged.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -234,12 +234,9 @@
 	s := b.peek(e.ID)
 	var d time.Duration
 	latency, slowness := s.at(now, averages)
-	switch {
-	case spec.canFetch(e):
-		d = s.fetchingCost(spec, slowness*s.reportedSlowness(now), affinity)
-	case spec.Engine:
+	if spec.Engine {
 		d = s.engineCost(spec, slowness*s.reportedSlowness(now), affinity)
-	default:
+	} else {
 		d = s.simpleCost(now, latency, max(spec.Slots, e.Slots, 1))
 	}
 	if spec.Domain != "" && e.FailureDomain != spec.Domain {
@@ -266,7 +263,8 @@
 
 // engineCost is the expected time to the first event at an engine. Uncached shared parts are
 // weighted by sharedPrefillFactor unless the engine is their affinity target, because other
-// engines already hold them.
+// engines already hold them. This also applies to parts that can be fetched: if requests stayed away
+// from the affinity target because a transfer is cheap, the target would have nothing to fetch.
 func (s *endpointState) engineCost(spec CallSpec, slowness float64, affinity bool) time.Duration {
 	cached := s.cache.cachedTokens(spec.Parts)
 	uncached := spec.tokens() - cached
--- a/pkg/balance/fetch.go
+++ b/pkg/balance/fetch.go
@@ -114,20 +114,6 @@
 	return first
 }
 
-// fetchingCost is the engineCost of a call with a source. Missing shared tokens cost their transfer.
-// At the source they cost nothing: it is where they are expected to be cached, and if they are not,
-// every other engine has to prefill them as well.
-func (s *endpointState) fetchingCost(spec CallSpec, slowness float64, isSource bool) time.Duration {
-	cached := s.cache.cachedTokens(spec.Parts)
-	missing := spec.missingShared(cached)
-	prefill := prefillTime(s.pendingPrefill+spec.tokens()-cached-missing, slowness)
-	cost := prefill + time.Duration(len(s.calls))*batchCost
-	if missing > 0 && !isSource {
-		cost += spec.Fetch.transferTime(missing)
-	}
-	return cost
-}
-
 // promptWork is what an engine is expected to do for a prompt before the first event.
 type promptWork struct {
 	// prefill is the number of tokens that it computes.
