--- a/pkg/balance/options.go
+++ b/pkg/balance/options.go
@@ -14,7 +14,7 @@
 	Endpoint fleet.Endpoint
 	// Cost is the expected latency of the call including penalties.
 	Cost time.Duration
-	// Reading is the share of Cost that is prompt prefill.
+	// Reading is the share of Cost that is prompt prefill or the transfer of prompt parts.
 	Reading time.Duration
 	// Slowness is the slowness of an engine that Cost and Reading assume, relative to its service.
 	Slowness float64
@@ -28,7 +28,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	candidates = b.usable(now, candidates, spec)
+	candidates, spec = b.prepare(now, candidates, spec)
 	affinity := b.affinityTarget(now, candidates, spec)
 	averages := b.averages(now, candidates)
 	var best topPerDomain
@@ -56,9 +56,9 @@
 // describePrefill sets the figures of an option that depend on the speed of the engine.
 func (b *Balancer) describePrefill(now time.Time, o *Option, spec CallSpec, averages averages) {
 	s := b.peek(o.Endpoint.ID)
-	uncached := spec.tokens() - s.cache.cachedTokens(spec.Parts)
+	work := s.promptWork(spec, &o.Endpoint)
 	o.Slowness = s.costSlowness(now, averages)
-	o.Reading = scale(b.modelOf(o.Endpoint.Service).prefill(uncached), o.Slowness)
+	o.Reading = scale(b.modelOf(o.Endpoint.Service).prefill(work.prefill), o.Slowness) + work.transfer
 }
 
 type candidate struct {
--- a/pkg/balance/prefill.go
+++ b/pkg/balance/prefill.go
@@ -118,10 +118,11 @@
 }
 
 // learnPrefill adds a call that has returned its first event to the model of its service. Calls
-// that had to wait, or whose engine has failed recently, say nothing about the prefill time.
+// that had to wait or to fetch parts, or whose engine has failed recently, say nothing about the
+// prefill time.
 func (b *Balancer) learnPrefill(c *Call, took time.Duration) {
 	s := b.state(c.Endpoint.ID)
-	if c.ahead > 0 || c.waited || s.failures > 0 || c.Ejected {
+	if c.ahead > 0 || c.waited || c.Source != nil || s.failures > 0 || c.Ejected {
 		return
 	}
 	m := b.modelFor(c.Endpoint.Service)
