--- a/pkg/balance/fetch_test.go
+++ b/pkg/balance/fetch_test.go
@@ -207,7 +207,7 @@
 		Entry("the affinity target is busy", func(*balance.CallSpec) {
 			b.Pick([]fleet.Endpoint{home}, balance.CallSpec{Engine: true, Parts: []balance.Part{{ID: "long", Tokens: 5000}}})
 		}),
-		Entry("the other engine has the first part", func(spec *balance.CallSpec) {
+		Entry("the other engine has the first part", func(*balance.CallSpec) {
 			finish(b.Pick([]fleet.Endpoint{other}, prompt("another")))
 		}),
 		Entry("the affinity target cannot serve as source", func(*balance.CallSpec) { backoffs.Start(home.ID, time.Second) }),
