balance: prompt parts are fetched from the engine recorded to have most

The affinity target is that of the last shared part, so that a request at its target still lacks the first part there and had no source: the target itself was the only one.

The source is now the usable endpoint where this instance has recorded the longest prefix of the shared parts, if that is at least 256 tokens longer than at the chosen engine; rendezvous hashing of the last shared part decides between equal ones. If there is none, it is the affinity target as before. The exclusions are the same for both. Records are those of endpointState.cache, so that they fall away with the endpoint, and nothing is indexed. The choice of the engine is unchanged.

The test of each exclusion now runs for both kinds of source.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -68,8 +68,10 @@
 	IsolationKey string
 	// Fetch describes how engines fetch shared parts from each other. The zero value disables it.
 	Fetch Fetch
-	// source is the endpoint from which engines can fetch the shared parts; nil if there is none.
+	// source is the affinity target if engines can fetch the shared parts from it, otherwise nil.
 	source *fleet.Endpoint
+	// holders are the endpoints that are known to have shared parts that engines can fetch.
+	holders []holder
 }
 
 func (s CallSpec) tokens() int {
--- a/pkg/balance/fetch.go
+++ b/pkg/balance/fetch.go
@@ -9,9 +9,11 @@
 )
 
 // An engine can fetch the shared parts of a prompt from another engine that has them cached, which
-// takes a few milliseconds where prefill takes tens. The source is the affinity target of the
-// parts: all instances agree on it without exchanging what engines have cached, and send requests
-// there first. A source that does not have the parts costs nothing but the prefill.
+// takes a few milliseconds where prefill takes tens. The source is the engine where this instance has
+// recorded the longest prefix of them (holders.go). If it has recorded none, the source is the
+// affinity target of the parts: all instances agree on it without exchanging what engines have
+// cached, and send requests there first. A source that does not have the parts costs nothing but the
+// prefill.
 
 const (
 	// minFetchTokens is the least number of shared tokens that an engine fetches. A smaller transfer
@@ -55,26 +57,31 @@
 // missingShared is the number of shared tokens at an engine that has a number of tokens cached.
 func (s CallSpec) missingShared(cached int) int { return max(0, s.sharedTokens()-cached) }
 
-// canFetch reports whether an endpoint is the source or may fetch from it. Engines of different
-// versions may not be able to read each other's KV cache.
-func (s *CallSpec) canFetch(e *fleet.Endpoint) bool {
-	return s.source != nil && e.Version == s.source.Version
+// fetches reports whether an engine may fetch shared parts for a call.
+func (s CallSpec) fetches() bool {
+	return s.Engine && s.Fetch.enabled() && s.IsolationKey == "" && s.sharedTokens() >= minFetchTokens
 }
 
-// prepare returns the candidates that may be called now, and the spec with its source.
+// canFetch reports whether an engine may fetch from another. Engines of different versions may not be
+// able to read each other's KV cache.
+func canFetch(e, source *fleet.Endpoint) bool {
+	return e.ID != source.ID && e.Version == source.Version
+}
+
+// prepare returns the candidates that may be called now, and the spec with its possible sources.
 func (b *Balancer) prepare(now time.Time, candidates []fleet.Endpoint, spec CallSpec) ([]fleet.Endpoint, CallSpec) {
 	usable := b.usable(now, candidates, spec)
-	spec.source = b.fetchSource(now, candidates, spec)
+	if spec.fetches() {
+		spec.source = b.fetchSource(now, candidates, spec)
+		spec.holders = b.fetchHolders(now, usable, spec)
+	}
 	return usable, spec
 }
 
-// fetchSource returns the endpoint from which others can fetch the shared parts of a call, or nil.
-// It considers all candidates, also those that this instance avoids at present: if it avoids the
+// fetchSource returns the affinity target of the shared parts of a call if others can fetch from it,
+// or nil. It considers all candidates, also those that this instance avoids at present: if it avoids the
 // affinity target, the next endpoint in order is not the one where other instances send the parts.
 func (b *Balancer) fetchSource(now time.Time, candidates []fleet.Endpoint, spec CallSpec) *fleet.Endpoint {
-	if !spec.Engine || !spec.Fetch.enabled() || spec.IsolationKey != "" || spec.sharedTokens() < minFetchTokens {
-		return nil
-	}
 	target := b.highestRanked(candidates, spec, time.Time{})
 	if target == nil || spec.Exclude[target.ID] || !b.canServeFetch(now, target) {
 		return nil
@@ -95,11 +102,16 @@
 	return true
 }
 
+// rankPrefix is the input of rendezvous hashing for the last shared part, apart from the endpoint ID.
+func (s CallSpec) rankPrefix() []byte {
+	return append(make([]byte, 0, hashBufferSize), s.Parts[len(s.Parts)-2].ID+"/"...)
+}
+
 // highestRanked returns the endpoint that rendezvous hashing ranks first for the last shared part of
 // the prompt, or nil if there is none. It skips endpoints that are ejected at a time, none if that is
 // zero.
 func (b *Balancer) highestRanked(candidates []fleet.Endpoint, spec CallSpec, at time.Time) *fleet.Endpoint {
-	text := append(make([]byte, 0, hashBufferSize), spec.Parts[len(spec.Parts)-2].ID+"/"...)
+	text := spec.rankPrefix()
 	var first *fleet.Endpoint
 	highest := uint64(0)
 	for i := range candidates {
@@ -128,12 +140,24 @@
 func (s *endpointState) promptWork(spec CallSpec, e *fleet.Endpoint) promptWork {
 	cached := s.cache.cachedTokens(spec.Parts)
 	work := promptWork{prefill: spec.tokens() - cached}
-	missing := spec.missingShared(cached)
-	if !spec.canFetch(e) || e.ID == spec.source.ID || missing < minFetchTokens {
+	source, tokens := spec.sourceFor(e, cached)
+	if tokens < minFetchTokens {
 		return work
 	}
-	work.prefill -= missing
-	work.source = spec.source
-	work.transfer = spec.Fetch.transferTime(missing)
+	work.prefill -= tokens
+	work.source = source
+	work.transfer = spec.Fetch.transferTime(tokens)
 	return work
 }
+
+// sourceFor returns the endpoint from which an engine that has a number of tokens cached fetches
+// shared parts, and the number of tokens that it would fetch, which may be too few for a transfer.
+func (s *CallSpec) sourceFor(e *fleet.Endpoint, cached int) (*fleet.Endpoint, int) {
+	if h := s.longestHolder(e); h != nil && h.tokens-cached >= minFetchTokens {
+		return h.endpoint, h.tokens - cached
+	}
+	if s.source == nil || !canFetch(e, s.source) {
+		return nil, 0
+	}
+	return s.source, s.missingShared(cached)
+}
