balance: a long prompt is fetched from its affinity target

An engine recorded with the first part alone was preferred to the affinity target, which is expected to have all shared parts: of 5,382 shared tokens some 500 would have been fetched. The target comes first unless an engine is recorded with all of them; at the target itself the longest recorded prefix is fetched.

--- a/pkg/balance/fetch.go
+++ b/pkg/balance/fetch.go
@@ -152,12 +152,15 @@
 
 // sourceFor returns the endpoint from which an engine that has a number of tokens cached fetches
 // shared parts, and the number of tokens that it would fetch, which may be too few for a transfer.
+// The affinity target is expected to have all shared parts; of the others that is known only from
+// the calls of this instance, which many engines have received for the first part alone.
 func (s *CallSpec) sourceFor(e *fleet.Endpoint, cached int) (*fleet.Endpoint, int) {
-	if h := s.longestHolder(e); h != nil && h.tokens-cached >= minFetchTokens {
-		return h.endpoint, h.tokens - cached
+	h := s.longestHolder(e)
+	if s.source != nil && canFetch(e, s.source) && (h == nil || h.tokens < s.sharedTokens()) {
+		return s.source, s.missingShared(cached)
 	}
-	if s.source == nil || !canFetch(e, s.source) {
+	if h == nil {
 		return nil, 0
 	}
-	return s.source, s.missingShared(cached)
+	return h.endpoint, max(0, h.tokens-cached)
 }
