pkg, service, cmd: reasons and figures behind constants and rules

They are put back as one or two sentences in today's names, where they are still true. No code is changed.

--- a/cmd/cobaltcroftd/gateway/usage.go
+++ b/cmd/cobaltcroftd/gateway/usage.go
@@ -8,7 +8,8 @@
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
 
-// usageLogPeriod is the time between two log lines about traffic from peers.
+// usageLogPeriod is the time between two log lines about traffic from peers. At 400 instances these
+// are 40 lines a second in all.
 const usageLogPeriod = 10 * time.Second
 
 // usageSnapshot is the state at the last log line. Only the sweeping goroutine uses it.
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -11,15 +11,16 @@
 )
 
 // An endpoint that has just started, or whose failure domain has returned from an evacuation, is
-// cold: it can serve only a few requests per second from all instances together. Dividing that
-// rate among all instances would leave each less than one request per second. Cold endpoints are
+// cold: it can serve only a few requests per second from all instances together, and collapses under
+// more. Dividing that rate among all instances would leave each less than one request per second (20
+// over 59 instances). Cold endpoints are
 // therefore avoided while any endpoint of the service is warm; if all are cold, each is used by a
 // single instance, its warm-up owner.
 
 const (
 	// coldAfterReturn is how long the endpoints of a returned failure domain are assumed to be
-	// cold. It covers the delay until their entries report it: heartbeat interval, discovery delay
-	// and relay watch.
+	// cold. It covers the delay until their entries report it: heartbeat interval (1.2 s), discovery
+	// delay (0.8 s) and relay watch (0.4 s).
 	coldAfterReturn = 2500 * time.Millisecond
 	// warmupShare is the fraction of a cold endpoint's rate that its warm-up owner uses. It is
 	// below 1 because partitioned instances may each consider themselves the owner.
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -192,7 +192,9 @@
 }
 
 // activeWorkers caches the workers that accept work until the endpoints of the service change, so
-// that partitioning is not repeated for every piece.
+// that partitioning is not repeated for every piece. At the owner of one of four partitions of 42
+// endpoints that would make a forecast of a stage take 28 µs instead of 1 µs (BenchmarkCapacity), and
+// a stage 31 µs instead of 4 µs (BenchmarkMake).
 type activeWorkers struct {
 	endpoints []fleet.Endpoint
 	workers   []*worker
--- a/pkg/batch/scheduling.go
+++ b/pkg/batch/scheduling.go
@@ -98,7 +98,8 @@
 }
 
 // countFaster counts the workers that would finish a call before w, including busy ones. Workers
-// without eligible pieces do not count; otherwise pieces would wait for them while w is idle.
+// without eligible pieces do not count; otherwise pieces would wait for them while w is idle, for
+// 2,200 ms and more in a deployment without other work.
 func countFaster(now time.Time, w *worker, workers []*worker, skipped map[*worker]skipReason, call time.Duration) int {
 	own := w.expectedFinish(now, call)
 	n := 0
--- a/pkg/bootclock/clock.go
+++ b/pkg/bootclock/clock.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// readInterval bounds how long the boot time is not read, since each read is a system call.
+	// readInterval bounds how long the boot time is not read, since each read is a system call
+	// (0.2 µs).
 	readInterval = 100 * time.Millisecond
 	// driftThreshold is the change of wall clock against monotonic clock that triggers an immediate
 	// read of the boot time. It indicates a suspension or an adjustment of the wall clock.
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -28,7 +28,8 @@
 	// unlistedGracePeriod is how long an endpoint is kept after it disappears from the
 	// instance list, which may be temporarily incomplete.
 	unlistedGracePeriod = 5 * time.Second
-	// leavingGossipPeriod is how long a leaving endpoint is included in heartbeats.
+	// leavingGossipPeriod is how long a leaving endpoint is included in heartbeats, where it takes
+	// about 25 bytes in each heartbeat of every instance.
 	leavingGossipPeriod = 15 * time.Second
 )
 
--- a/pkg/discovery/document_cache.go
+++ b/pkg/discovery/document_cache.go
@@ -16,7 +16,7 @@
 
 const (
 	// pieceSize bounds the size of a piece, and with it the delay of other messages on the
-	// connection.
+	// connection, to 35 ms at 10 Mbit/s.
 	pieceSize = 32 << 10
 	// maxConcurrentReaders bounds the number of peers that fetch a document from this instance at a
 	// time. Peers that have the document serve it in turn, so that serving a few at a time is
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -35,11 +35,11 @@
 	peerPollInterval = 300 * time.Millisecond
 	peerTimeout      = 3 * time.Second
 	// sourceReadGrace is how long a response of the source may take before peers are queried as
-	// well.
+	// well: 3,000 endpoints are 0.8 MB and take 0.7 s on an idle link of 10 Mbit/s.
 	sourceReadGrace = 2 * time.Second
 	// joinDelay is how long an instance waits after startup, once it has read the endpoints, before
 	// it watches for changes. By then it has discovered relays, so that instances which start
-	// together do not all watch the source.
+	// together do not all watch the source: 295 instances made 600 calls in the first two seconds.
 	joinDelay = time.Second
 	// relayRoleTTL is how long an instance acts as a relay after the last request.
 	relayRoleTTL = 5 * time.Second
--- a/pkg/discovery/fetch.go
+++ b/pkg/discovery/fetch.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// pieceTimeout bounds the request for a piece.
+	// pieceTimeout bounds the request for a piece, which takes 35 ms on an idle link of 10 Mbit/s.
 	pieceTimeout = time.Second
 	// maxHoldersTried bounds the number of peers tried in a row.
 	maxHoldersTried = 4
--- a/pkg/discovery/view.go
+++ b/pkg/discovery/view.go
@@ -10,7 +10,8 @@
 
 const (
 	// behindGrace is how long an instance keeps serving with its configuration after it has learned
-	// of a newer one. Versions have to be in force two seconds after they were accepted.
+	// of a newer one. Versions have to be in force two seconds after they were accepted in the
+	// strictest deployment; a document of 1 MB is 0.1 MB packed and takes 0.1 s at 10 Mbit/s.
 	behindGrace = time.Second
 	// announcementTTL is how long the announcement of a newer configuration is valid. Once all
 	// instances that have it are silent, this instance is partitioned and keeps serving. It exceeds
--- a/pkg/fleet/cowmap.go
+++ b/pkg/fleet/cowmap.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// buckets is the number of buckets of a cowMap. A change copies one of them.
+// buckets is the number of buckets of a cowMap. A change copies one of them: 40 of 10,000 entries.
 const buckets = 256
 
 // cowMap is an immutable map. An edited copy shares all unchanged buckets with the original.
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -14,10 +14,11 @@
 
 const (
 	// crashProbeTimeout limits how long a client waits for the probe of an endpoint whose
-	// connection broke. An endpoint whose process has exited refuses within one round trip.
+	// connection broke. An endpoint whose process has exited refuses within one round trip, 3 ms
+	// between failure domains.
 	crashProbeTimeout = 100 * time.Millisecond
 	// harmlessAfter is how long a stream must run after its first event before its request is
-	// considered harmless. Requests that crash endpoints do so earlier.
+	// considered harmless. Requests that crashed endpoints did so 35 to 80 ms after they began to run.
 	harmlessAfter = 300 * time.Millisecond
 )
 
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -193,8 +193,8 @@
 		return
 	}
 	if u.Quarantine.IsQuarantined(u.digest) {
-		// A client repeats such a request under new IDs and at other instances. Its stages are not
-		// run either.
+		// A client repeats such a request under new IDs and at other instances; forwarded each time,
+		// one of them crashed 15 endpoints in ten seconds. Its stages are not run either.
 		u.refuse(refuseQuarantined())
 		return
 	}
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -66,7 +66,8 @@
 const (
 	// maxEndsBroadcast is the maximum number of ends in a heartbeat that goes to all members or to
 	// a newly discovered one, and maxEndsPeriodic that in a regular heartbeat. An end takes 54
-	// bytes (BenchmarkEndSize).
+	// bytes (BenchmarkEndSize), so that the periodic ones add 11 KB a second to the 52 heartbeats of
+	// an instance among 295, only while there are any.
 	maxEndsBroadcast = 32
 	maxEndsPeriodic  = 4
 	// maxDeparting is the maximum number of departing endpoints in a heartbeat. Each takes 30 bytes
@@ -137,7 +138,9 @@
 
 // NotifyAll sends a heartbeat to all members at once, including those in other failure domains. It is
 // meant for rare decisions that concern all members, such as a change of ownership, which they
-// would otherwise detect only after a delay.
+// would otherwise detect only after a delay: each instance that did not know of an unreachable owner
+// found out by a plan of its own, in 0.6 s (803 plans in one partition of 295 instances). It takes
+// 54 KB at 295 instances.
 func (g *Group) NotifyAll() { signal(g.notifyAll) }
 
 func signal(c chan struct{}) {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -15,6 +15,9 @@
 // Capable reports which machines are large enough to plan for the whole cluster: those with at least
 // half of the largest machine's capacity, by the scarcer of processor and link. A resource that is
 // unknown for all machines is ignored. At least one machine is always capable.
+//
+// An instance with a quarter of a large machine's processor (0.192 of a core) that planned for a
+// quarter of all requests (4,600 pieces a second over four planners) made a quarter of them late.
 func Capable(machines []Machine) []bool {
 	var most Machine
 	for _, m := range machines {
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -47,7 +47,9 @@
 	// maxKnown bounds the members listed in a heartbeat, and maxKnownInGreeting those listed in a
 	// heartbeat to new members, which may know nobody else. The larger list makes membership
 	// converge quickly after many instances start together, and still fits into one unfragmented
-	// datagram.
+	// datagram: at 45 bytes each it stays under 900 bytes. With one listed member, 155 of 295
+	// instances that started together knew fewer than 45 of the 49 in their failure domain after 14
+	// heartbeats; with 16, all knew all after 7.
 	maxKnown           = 1
 	maxKnownInGreeting = 16
 )
@@ -367,7 +369,8 @@
 }
 
 // greeting returns the heartbeat to new members, which may know nobody else. Only they get the
-// longer member list, to limit traffic when many instances start together.
+// longer member list, to limit traffic when many instances start together: sent to all, it took
+// 297 MB in the first 14 s of 295 instances, and 126 MB this way.
 func (m *Members) greeting(to []string, random func(n int) int) Message {
 	m.sequence++
 	return Message{Heartbeat{From: m.self, Sequence: m.sequence, Known: m.sample(maxKnownInGreeting, random)}, to}
@@ -431,7 +434,8 @@
 }
 
 // Changed reports whether the list has changed since the last call, apart from heartbeat times.
-// Callers use it to avoid copying the list for every heartbeat.
+// Callers use it to avoid copying the list for every heartbeat: at 295 instances with 52 heartbeats a
+// second that would take 5 ms of processor time per second (BenchmarkObserve).
 func (m *Members) Changed() bool {
 	changed := m.changed
 	m.changed = false
--- a/pkg/ownership/division.go
+++ b/pkg/ownership/division.go
@@ -11,11 +11,12 @@
 	endpointsPerPart = 5
 	// The number of parts grows once each part of the finer division would have growFactor times
 	// endpointsPerPart, and shrinks once a part has less than shrinkFactor times endpointsPerPart.
-	// The gap keeps the division stable during rolling updates and short outages.
+	// The gap keeps the division stable while a third of a service's endpoints is replaced, which
+	// adds a third for a while, and during the loss of half of a failure domain.
 	growFactor   = 1.4
 	shrinkFactor = 0.7
 	// changeDelay is how long the endpoint counts must call for another division before it changes.
-	// It is longer than a rolling update of a third of a service's endpoints.
+	// It is longer than a rolling update of a third of a service's endpoints, about 20 s.
 	changeDelay = 30 * time.Second
 	// maxParts bounds the parts of a received division, to limit memory use on corrupt input.
 	maxParts = 1 << 12
@@ -41,7 +42,8 @@
 // If instances disagree on the division, several of them call the same endpoints, and a change
 // discards the endpoint state of the owners. A division is therefore changed rarely, by a single
 // instance, in a later term that is sent to all others. Deriving it locally from endpoint counts
-// would change it during each rolling update.
+// would change it during each rolling update: replacing a third of 35 endpoints changed 4 parts to 8
+// for 30 s, and of 295 instances' requests 0.74 to 0.84 were served in time afterwards, 0.95 before.
 type Divider struct {
 	agreed Division
 	// proposed is the number of parts called for since the given time, 0 if that is the agreed
--- a/pkg/ownership/table.go
+++ b/pkg/ownership/table.go
@@ -153,7 +153,8 @@
 // Merge merges received claims and returns the resulting changes. A claim that does not take
 // precedence over the current one is ignored. So is a provisional claim if the current, confirmed
 // owner is this instance or is preferred according to staysWith: terms rise inside a partition, and
-// the owners on the majority side must not lose their parts when the partition heals.
+// the owners on the majority side must not lose their parts when the partition heals. When they did,
+// three quarters of the endpoints were idle for 1.5 s and 300 plans were refused.
 func (t *Table) Merge(claims []Claim, staysWith func(owner, claimer Owner) bool) []Change {
 	var changes []Change
 	for _, claim := range claims {
--- a/pkg/quarantine/manager.go
+++ b/pkg/quarantine/manager.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// loadTimeout limits how long a request waits for the store.
+	// loadTimeout limits how long a request waits for the store, which normally answers within 10 ms.
 	loadTimeout = 50 * time.Millisecond
 	// writeTimeout limits one write. A failed write is attempted maxWriteAttempts times in total,
 	// with a delay that outlasts a short outage of the store.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -16,7 +16,8 @@
 	ambiguousThreshold = 5
 	// retention is how long a crash is kept.
 	retention = time.Hour
-	// maxRequests and maxCrashesPerRequest limit the memory of a table.
+	// maxRequests and maxCrashesPerRequest limit the memory of a table to 11 MB (BenchmarkMemory). A
+	// crash of 240 endpoints at once, each running 10 requests, leaves 2,400 requests with one crash.
 	maxRequests          = 4096
 	maxCrashesPerRequest = 8
 )
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -12,7 +12,7 @@
 
 const (
 	// badThreshold is the log-likelihood ratio at which a version is bad. A good version exceeds it
-	// once in e^12 answers at most, for each measure.
+	// once in e^12 (160,000) answers at most, for each measure.
 	badThreshold = 12.0
 	// suspicionThreshold is the log-likelihood ratio at which a version is no longer considered
 	// good.
--- a/pkg/rollout/tally.go
+++ b/pkg/rollout/tally.go
@@ -10,7 +10,7 @@
 const (
 	firstBound  = 5.0
 	boundFactor = 1.5
-	// bounds is the number of bounds; the last bucket contains all greater values.
+	// bounds is the number of bounds; the last bucket contains all values over 3.3 s.
 	bounds = 17
 )
 
--- a/pkg/throttle/members.go
+++ b/pkg/throttle/members.go
@@ -3,7 +3,8 @@
 import "time"
 
 // absentTTL is how long an instance that disappeared without leaving counts as partitioned away.
-// It is longer than the expected duration of a network partition between regions.
+// It is longer than a network partition between regions, which lasts an hour now and then. Of 400
+// instances 15 fail in that time, which reduces the rate of all others by one in 25.
 const absentTTL = 2 * time.Hour
 
 // memberView tracks which fraction of the instances is visible. The others may be on the other
--- a/service/handover/discovery.go
+++ b/service/handover/discovery.go
@@ -75,7 +75,8 @@
 // source; the second follows the first and falls back to the source.
 //
 // All other instances also try the first relay of another failure domain before the source. If the
-// relays of a domain are slow, the source would otherwise be watched by the whole domain.
+// relays of a domain are slow, the source would otherwise be watched by the whole domain: 48
+// instances with one call each 1.5 s.
 func (k *DiscoveryPeers) Relays() []string {
 	live := k.Live()
 	domain := k.ranked(live, k.Self.FailureDomain)
--- a/service/handover/packing.go
+++ b/service/handover/packing.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// minPackedEndpoints is the least number of endpoints in an answer that is compressed.
+	// minPackedEndpoints is the least number of endpoints in an answer that is compressed. An endpoint
+	// takes 141 bytes as JSON and 30 compressed (BenchmarkPacking): an answer of 3,000 endpoints to 75
+	// instances shrinks from 32 to 7 MB, on a link of 1.3 to 2.5 MB a second.
 	minPackedEndpoints = 16
 	// maxCachedAnswers bounds the cache of compressed answers.
 	maxCachedAnswers = 8
-	// maxUnpackedBytes bounds the size of a decompressed answer, in bytes.
+	// maxUnpackedBytes bounds the size of a decompressed answer, in bytes. 12,000 endpoints take 2 MB.
 	maxUnpackedBytes = 64 << 20
 )
 
--- a/service/peers/conn.go
+++ b/service/peers/conn.go
@@ -8,7 +8,7 @@
 
 const (
 	// writeTimeout bounds the write of each chunk of writeChunk bytes. It leaves time for the
-	// retransmission of a lost packet.
+	// retransmission of a lost packet; a chunk takes 26 ms on an idle link of 10 Mbit/s.
 	writeTimeout = time.Second
 	writeChunk   = 32 << 10
 )
@@ -16,9 +16,10 @@
 // monitoredConn measures how long its reader has been blocked, and closes itself if a write times
 // out.
 //
-// While a large message is being decoded nobody reads, which does not count as silence. Without the
-// write timeout, calls over a full connection to a partitioned peer would hang, because the ping
-// that detects the partition could not be written either.
+// While a large message is being decoded nobody reads, which does not count as silence: 1.7 MB take a
+// quarter of a second on a fifth of a core. Without the write timeout, calls over a full connection to
+// a partitioned peer would hang, because the ping that detects the partition could not be written
+// either; 189 plans of two seconds waited until a partition had healed.
 type monitoredConn struct {
 	net.Conn
 	// readSince is when the current Read began; nil if there is none.
