--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -32,8 +32,7 @@
 	// domains.
 	transferCostPerByte = 500 * time.Nanosecond
 	// smallBatchRatio is the fraction of a full batch, or of the queue, below which a batch limited
-	// by memory waits up to memoryWait for more memory. It is also the fraction of the pieces that
-	// fit below which a call takes pieces of other failure domains if the queue is contended.
+	// by memory waits up to memoryWait for more memory.
 	smallBatchRatio = 0.5
 	memoryWait      = 150 * time.Millisecond
 )
@@ -52,7 +51,6 @@
 	pieces  *metrics.Counter
 	retried *metrics.Counter
 	unused  *metrics.Counter
-	crossed *metrics.Counter
 
 	mu       sync.Mutex
 	services map[Queue]*service
@@ -92,7 +90,6 @@
 		pieces:       set.NewCounter("cobaltcroft_stage_pieces_total"),
 		retried:      set.NewCounter("cobaltcroft_stage_pieces_again_total"),
 		unused:       set.NewCounter("cobaltcroft_stage_results_unused_total"),
-		crossed:      set.NewCounter("cobaltcroft_stage_pieces_crossed_total"),
 		services:     map[Queue]*service{},
 		pendingFrees: map[string][]Result{},
 	}
@@ -236,33 +233,16 @@
 	return workers
 }
 
-// stageCall is a call to an endpoint.
-type stageCall struct {
-	items []*item
-	// pieces is the pieces of items, and bytes the total size of their results.
-	pieces []Piece
-	bytes  int64
-	// crossed is the number of pieces that prefer another failure domain.
-	crossed int
-	// configured is the approximate duration by configuration. limit is when the call times out.
-	configured time.Duration
-	limit      time.Time
-}
-
 func (b *Batcher) send(s *service, w *worker, items []*item, batching *route.Batching) {
-	c := &stageCall{
-		items:      items,
-		pieces:     make([]Piece, len(items)),
-		bytes:      resultBytes(items),
-		crossed:    countCrossed(items, w.endpoint.FailureDomain),
-		configured: batching.CallTime(len(items)),
-	}
+	pieces := make([]Piece, len(items))
 	deadline := items[0].piece.Deadline
+	var bytes int64
 	for i, it := range items {
-		c.pieces[i] = it.piece
+		pieces[i] = it.piece
 		if it.group.domain == "" {
 			it.group.domain = w.endpoint.FailureDomain
 		}
+		bytes += it.piece.Bytes
 		it.attempts++
 		if it.piece.Deadline.After(deadline) {
 			deadline = it.piece.Deadline
@@ -270,20 +250,20 @@
 	}
 	now := b.clock.Now()
 	s.checkedAt = now
-	expected := w.expectedTime(now, c.configured)
+	call := batching.CallTime(len(items))
+	expected := w.expectedTime(now, call)
 	w.running++
 	w.busyUntil = now.Add(expected)
-	w.reserved += c.bytes
+	w.reserved += bytes
 	b.markInputsFetched(w, items)
 	s.meanBatchSize += batchSizeWeight * (float64(len(items)) - s.meanBatchSize)
 	b.calls.Inc()
 	b.pieces.Add(len(items))
-	b.crossed.Add(c.crossed)
-	c.limit = now.Add(w.callTimeout(expected))
-	if deadline.Before(c.limit) {
-		c.limit = deadline
+	limit := now.Add(w.callTimeout(expected))
+	if deadline.Before(limit) {
+		limit = deadline
 	}
-	go b.runCall(s, w, c, batching)
+	go b.runCall(s, w, items, pieces, bytes, batching, call, limit)
 }
 
 // markInputsFetched marks the inputs of a call as fetched after inputFetchTime. It skips workers
@@ -314,36 +294,36 @@
 }
 
 // runCall executes one call and handles its outcome.
-func (b *Batcher) runCall(s *service, w *worker, c *stageCall, batching *route.Batching) {
+func (b *Batcher) runCall(s *service, w *worker, items []*item, pieces []Piece, bytes int64, batching *route.Batching, call time.Duration, limit time.Time) {
 	begin := b.clock.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), c.limit.Sub(begin))
-	results, outcome := b.caller.Run(ctx, w.endpoint, c.pieces)
+	ctx, cancel := context.WithTimeout(context.Background(), limit.Sub(begin))
+	results, outcome := b.caller.Run(ctx, w.endpoint, pieces)
 	cancel()
 	now := b.clock.Now()
 	b.mu.Lock()
 	w.running--
 	w.idleSince = now
 	freeBytes := w.freeBytes(now, batching)
-	w.reserved -= c.bytes
+	w.reserved -= bytes
 	waiting := len(s.queue.items)
-	unused := b.handleResults(s, w, c.items, results, outcome, batching, now)
+	unused := b.handleResults(s, w, items, results, outcome, batching, now)
 	if outcome == Made {
-		w.recordCallTime(now, now.Sub(begin), c.configured)
+		w.recordCallTime(now, now.Sub(begin), call)
 	}
 	if (outcome == NotSent || outcome == Lost) && now.Sub(begin) >= minSilentCall {
 		b.probeDomain(w.endpoint.FailureDomain, now)
 	}
 	if outcome == Lost {
-		w.slowness, w.slownessTime = max(w.slownessAt(now), float64(now.Sub(begin))/float64(c.configured)), now
+		w.slowness, w.slownessTime = max(w.slownessAt(now), float64(now.Sub(begin))/float64(call)), now
 		w.shared = true
 	}
 	b.dispatch(s)
 	b.mu.Unlock()
 	b.log.WithFields(logrus.Fields{
-		"event": "stage_call", "service": s.key.Service, "endpoint": w.endpoint.ID, "pieces": len(c.pieces),
-		"ms": now.Sub(begin).Milliseconds(), "expected_ms": c.configured.Milliseconds(), "outcome": int(outcome),
+		"event": "stage_call", "service": s.key.Service, "endpoint": w.endpoint.ID, "pieces": len(pieces),
+		"ms": now.Sub(begin).Milliseconds(), "expected_ms": call.Milliseconds(), "outcome": int(outcome),
 		"domain": w.endpoint.FailureDomain, "not_made": countFailed(results), "why_not": firstReason(results),
-		"waiting": waiting, "room": freeBytes, "bytes": c.bytes, "crossed": c.crossed,
+		"waiting": waiting, "room": freeBytes, "bytes": bytes,
 	}).Info()
 	if len(unused) > 0 {
 		b.Free(unused)
--- a/pkg/batch/scheduling.go
+++ b/pkg/batch/scheduling.go
@@ -23,7 +23,6 @@
 	all := s.queue.items
 	freeBytes := w.freeBytes(now, batching)
 	items := s.queue.take(batching.Size, freeBytes, s.eligible(now, w, workers, batching))
-	items = s.fillAcrossDomains(items, w, workers, freeBytes, batching, now)
 	if len(items) == 0 {
 		return noEligiblePieces
 	}
@@ -52,7 +51,7 @@
 	}
 	assigned := map[string]int{}
 	return func(i *item) bool {
-		if !w.allows(i) {
+		if !i.piece.allowedIn(w.endpoint.FailureDomain) {
 			return false
 		}
 		domain := i.domain()
