pipeline: the choice of an engine weighs bytes between domains and streams by slots

A planner moved long requests away from engines with cached prompts or near results for a few streams more, also at engines with 64 slots, where one stream slows the others little. Streams count relative to 12 slots, and a byte of a result that crosses failure domains as 250 ns instead of 40.

--- a/pkg/pipeline/engines.go
+++ b/pkg/pipeline/engines.go
@@ -206,11 +206,23 @@
 	cost = reading - time.Duration(option.ReadingMs)*time.Millisecond
 	streams := t.streams(now, e)
 	perStream := t.slowness(now, e)*float64(streamCost) + stallShare*float64(wait+reading)
-	cost += time.Duration(float64(streams) * perStream)
 	slots := max(option.Slots, e.load.Slots)
+	cost += time.Duration(float64(streams) * perStream * relativeBatch(slots))
 	return cost, slots > 0 && streams >= slots
 }
 
+// referenceSlots is the batch size for which streamCost and stallShare hold.
+const referenceSlots = 12
+
+// relativeBatch returns the weight of one stream at an engine: an engine with larger batches is
+// slowed less by each of them. An engine that does not report its slots counts like the reference.
+func relativeBatch(slots int) float64 {
+	if slots <= 0 {
+		return 1
+	}
+	return referenceSlots / float64(slots)
+}
+
 // views returns the state of the engines offered in a plan.
 func (t *engineTable) views(now time.Time, options []Reader) []balance.EngineView {
 	var views []balance.EngineView
--- a/pkg/pipeline/engines_test.go
+++ b/pkg/pipeline/engines_test.go
@@ -62,6 +62,21 @@
 		Expect(choose(option("a", 100), option("b", 110))).To(Equal("b"))
 	})
 
+	// Otherwise a few streams more at an engine with large batches would outweigh its cached prompts.
+	It("weighs the streams at an engine by its slots", func() {
+		withSlots := func(id string, costMs int64, slots int) pipeline.Reader {
+			o := option(id, costMs)
+			o.Slots = slots
+			return o
+		}
+		for _, slots := range []int{12, 64} {
+			observe(balance.Observation{Endpoint: "a", Slots: slots, Slowness: 1, Running: 6})
+			preferred := map[int]string{12: "b", 64: "a"}[slots]
+			Expect(choose(withSlots("a", 100, slots), withSlots("b", 200, slots))).To(Equal(preferred))
+			clock.Advance(time.Minute)
+		}
+	})
+
 	It("avoids an engine with interference only while that lasts", func() {
 		observe(balance.Observation{Endpoint: "a", Slots: 4, Slowness: 2.5}, balance.Observation{Endpoint: "b", Slots: 4, Slowness: 1, Sample: 1})
 		Expect(choose(option("a", 100), option("b", 110))).To(Equal("b"))
--- a/pkg/pipeline/readers.go
+++ b/pkg/pipeline/readers.go
@@ -23,8 +23,9 @@
 	Slowness float64 `json:"slowness,omitempty"`
 }
 
-// transferCostPerByte is the assumed time to transfer one byte of a result between failure domains.
-const transferCostPerByte = 40 * time.Nanosecond
+// transferCostPerByte is the delay accepted to avoid transferring one byte of a result between failure
+// domains. It exceeds the time of the transfer, since operators pay for the bytes.
+const transferCostPerByte = 250 * time.Nanosecond
 
 // readers tracks the load that the requests of a planner place on the endpoints that read their
 // results. It covers the requests of all instances in a partition. It is not safe for concurrent
