pipeline: the bottleneck of a forecast and a setter of demand are not used

They served the reservation and the promises of admission, which are not in the code. The test that set up demand with raise uses set; its assertions stay. Behaviour is unchanged; tests of pkg/pipeline and service/handover pass, lint is clean.

--- a/pkg/pipeline/admission.go
+++ b/pkg/pipeline/admission.go
@@ -223,8 +223,6 @@
 	// total is the duration of the critical path. unhindered is the same without any wait for other
 	// pieces.
 	total, unhindered time.Duration
-	// bottleneck is the queue of the slowest stage; the zero value if no stage is missing.
-	bottleneck batch.Queue
 	// waits lists the queues where the plan would wait if it ran after all other pieces.
 	waits []batch.Queue
 }
@@ -233,17 +231,12 @@
 // remain when it starts, and then takes one call.
 func (p *Planner) forecast(part Part, plan *Plan) forecast {
 	var f forecast
-	var slowest time.Duration
 	f.total = plan.criticalPath(func(stage, pieces int, start time.Duration) time.Duration {
 		queue := queueOf(part, plan.Stages[stage].Service)
-		duration := p.stageTime(queue, plan, pieces, start)
 		if p.waitsBehindAll(queue, pieces, start) {
 			f.waits = append(f.waits, queue)
 		}
-		if duration > slowest {
-			slowest, f.bottleneck = duration, queue
-		}
-		return duration
+		return p.stageTime(queue, plan, pieces, start)
 	})
 	f.unhindered = plan.criticalPath(func(stage, _ int, _ time.Duration) time.Duration {
 		return p.callTime(queueOf(part, plan.Stages[stage].Service))
--- a/pkg/pipeline/demand.go
+++ b/pkg/pipeline/demand.go
@@ -37,12 +37,6 @@
 	d.set(now, priority, d.meters[priority].rateAt(now)+float64(pieces)/demandPeriod.Seconds())
 }
 
-// raise sets the rate of a priority if it is lower.
-func (d *demand) raise(now time.Time, priority int, rate float64) {
-	priority = d.metered(priority)
-	d.set(now, priority, max(rate, d.meters[priority].rateAt(now)))
-}
-
 func (d *demand) set(now time.Time, priority int, rate float64) {
 	if d.meters == nil {
 		d.meters = map[int]meter{}
--- a/pkg/pipeline/shares_test.go
+++ b/pkg/pipeline/shares_test.go
@@ -85,22 +85,22 @@
 func TestSharesExcludeLessUrgentPlans(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	var d demand
-	d.raise(now, 2, 50)
+	d.set(now, 2, 50)
 	if excluded(&d, now, 100, 2) != 0 {
 		t.Fatal("plans are excluded without contention")
 	}
-	d.raise(now, 1, 85)
+	d.set(now, 1, 85)
 	if n := excluded(&d, now, 100, 2); n < 650 || n > 750 {
 		t.Errorf("%d of 1000 less urgent plans are excluded, want about 700", n)
 	}
 	if excluded(&d, now, 100, 1) != 0 {
 		t.Error("the most urgent plans are excluded though the throughput suffices for them")
 	}
-	d.raise(now, 2, 200)
+	d.set(now, 2, 200)
 	if excluded(&d, now, 100, 1) > 500 {
 		t.Error("the minimum share of a large less urgent demand excludes most urgent plans")
 	}
-	d.raise(now, 0, 20)
+	d.set(now, 0, 20)
 	if excluded(&d, now, 100, 0) != 0 {
 		t.Error("few more urgent plans are excluded by larger less urgent demands")
 	}
