reach, httpconn: record which endpoints this instance can connect to

Connection attempts are recorded in one place now, by a dialer of the pool; the event reach tells each change by failure domain, a gauge the total. No decision depends on it yet.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ratelimit"
+	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
@@ -98,7 +99,9 @@
 	// unknownTerms are the unknown terms of endpoints and of the store already logged.
 	unknownTerms sync.Map
 	conns        *httpconn.Pool
-	balancer     *balance.Balancer
+	// reach tracks which endpoints this instance can connect to.
+	reach    *reach.Tracker
+	balancer *balance.Balancer
 	// budget limits retries of requests, pieceBudget retries of pieces.
 	budget      *retry.Budget
 	pieceBudget *retry.Budget
@@ -228,6 +231,8 @@
 	g.backoffs = notice.NewBackoffs(g.clock, g.permits, g.logs.For("notice"))
 	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.rateLimits.Count()) })
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit}, g.observeResponse)
+	g.reach = reach.NewTracker(g.clock, g.metrics, g.logs.For("reach"))
+	g.conns.UseDialer(&reach.Dialer{Direct: httpconn.TCPDialer{Timeout: httpconn.DefaultDialTimeout}, Tracker: g.reach})
 	g.balancer = balance.New(g.clock, g.backoffs)
 	g.balancer.Export(g.metrics)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -416,6 +421,7 @@
 		return ok
 	}
 	g.conns.Sweep(exists)
+	g.reach.Sweep(exists)
 	g.balancer.Forget(exists)
 	g.quarantine.Sweep()
 	g.backoffs.Sweep()
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// DefaultDialTimeout is the timeout for establishing a connection.
-	DefaultDialTimeout = 300 * time.Millisecond
 	// keepAliveMargin is subtracted from the keep-alive timeout of an endpoint, so that a
 	// connection is not reused while the endpoint is closing it.
 	keepAliveMargin = time.Second
@@ -65,13 +63,13 @@
 
 // Pool is a pool of connections to endpoints. It is safe for concurrent use.
 type Pool struct {
-	clock       clockwork.Clock
-	dialTimeout time.Duration
-	gates       Gates
-	observe     ResponseObserver
-	dialed      *metrics.Counter
-	reused      *metrics.Counter
-	blocked     *metrics.Counter
+	clock   clockwork.Clock
+	dialer  Dialer
+	gates   Gates
+	observe ResponseObserver
+	dialed  *metrics.Counter
+	reused  *metrics.Counter
+	blocked *metrics.Counter
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointConns
@@ -96,17 +94,20 @@
 // NewPool returns an empty pool that registers its counters in set.
 func NewPool(clock clockwork.Clock, set *metrics.Set, gates Gates, observe ResponseObserver) *Pool {
 	return &Pool{
-		clock:       clock,
-		dialTimeout: DefaultDialTimeout,
-		gates:       gates,
-		observe:     observe,
-		dialed:      set.NewCounter("cobaltcroft_endpoint_connections_opened_total"),
-		reused:      set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
-		blocked:     set.NewCounter("cobaltcroft_endpoint_calls_barred_total"),
-		endpoints:   map[string]*endpointConns{},
+		clock:     clock,
+		dialer:    TCPDialer{Timeout: DefaultDialTimeout},
+		gates:     gates,
+		observe:   observe,
+		dialed:    set.NewCounter("cobaltcroft_endpoint_connections_opened_total"),
+		reused:    set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
+		blocked:   set.NewCounter("cobaltcroft_endpoint_calls_barred_total"),
+		endpoints: map[string]*endpointConns{},
 	}
 }
 
+// UseDialer replaces the dialer. It must be called before the first call.
+func (p *Pool) UseDialer(dialer Dialer) { p.dialer = dialer }
+
 // check returns a BlockedError if a gate does not allow the target.
 func (p *Pool) check(check Gate, target Target) error {
 	if err := check(target); err != nil {
@@ -166,8 +167,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, target Target) (*conn, error) {
-	dialer := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", target.Address)
+	c, err := p.dialer.Dial(ctx, target)
 	if err != nil {
 		return nil, notSent(problem.Wrap(err, problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s at %s", target.ID, target.Address))
 	}
