gateway, reach, relay: endpoints out of an instance's own reach are reached through others

Cause: whether an endpoint can be connected to was found out anew by each request, by up to five attempts, and counted as a failure of the endpoint; there was no way but the instance's own links. Now pkg/reach judges the path to each endpoint in one place: direct, through another instance, or none. A direct attempt that fails, or takes over 100 ms, is joined by one through a peer in the endpoint's region (service/relay: an HTTP CONNECT tunnel on the peers' port that names the endpoint by ID; one hop; the end of a tunnel is never the end of a response). Choice, attempts, budgets and identity stay at the instance. Links that are silent are checked when a call has no response for 250 ms and the failure domain was not heard for 500 ms; then idle connections are dropped and what may be repeated goes on over the new path. Probes find the return. Where no path is left requests are refused at once. A refused probe is no crash of the endpoint while the instance's own links may be the cause. TCP connections to endpoints and tunnels get a user timeout and keep-alive of 3 s.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,7 +22,6 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/bootclock"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
-	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	pkggateway "github.com/cobaltcroft/cobaltcroft/pkg/gateway"
 	"github.com/cobaltcroft/cobaltcroft/pkg/group"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
@@ -47,6 +45,7 @@
 	"github.com/cobaltcroft/cobaltcroft/service/handover"
 	"github.com/cobaltcroft/cobaltcroft/service/ingress"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
+	"github.com/cobaltcroft/cobaltcroft/service/relay"
 )
 
 const (
@@ -99,8 +98,12 @@
 	// unknownTerms are the unknown terms of endpoints and of the store already logged.
 	unknownTerms sync.Map
 	conns        *httpconn.Pool
-	// reach tracks which endpoints this instance can connect to.
+	// reach tracks which endpoints this instance can connect to. dialer connects to them, prober finds
+	// out when they are reached again, tunnels carries connections of other instances.
 	reach    *reach.Tracker
+	dialer   *reach.Dialer
+	prober   *reach.Prober
+	tunnels  *relay.Server
 	balancer *balance.Balancer
 	// budget limits retries of requests, pieceBudget retries of pieces.
 	budget      *retry.Budget
@@ -128,6 +131,9 @@
 	requests  net.Listener
 	readiness net.Listener
 	peers     net.Listener
+	// calls and tunnels accept the connections of peers by kind.
+	calls     net.Listener
+	tunnels   net.Listener
 	metrics   net.Listener
 	heartbeat *net.UDPConn
 }
@@ -231,8 +237,7 @@
 	g.backoffs = notice.NewBackoffs(g.clock, g.permits, g.logs.For("notice"))
 	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.rateLimits.Count()) })
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit}, g.observeResponse)
-	g.reach = reach.NewTracker(g.clock, g.metrics, g.logs.For("reach"))
-	g.conns.UseDialer(&reach.Dialer{Direct: httpconn.TCPDialer{Timeout: httpconn.DefaultDialTimeout}, Tracker: g.reach})
+	g.buildPaths()
 	g.balancer = balance.New(g.clock, g.backoffs)
 	g.balancer.Export(g.metrics)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -257,6 +262,7 @@
 		Regions:   s.Regions,
 		Instances: g.instances,
 		Sponsors:  g.sponsors,
+		Reachable: g.reachable,
 
 		Quarantine: g.quarantine,
 		Rollouts:   g.rollouts.Participant,
@@ -344,34 +350,6 @@
 	return table.Limits, true
 }
 
-// batchView is the batcher's view of services and endpoints.
-type batchView struct {
-	follower *discovery.Follower
-	rests    *notice.Backoffs
-}
-
-// Batching implements batch.Known.
-func (k batchView) Batching(service string) *route.Batching {
-	table := k.follower.View().Table
-	if table == nil || table.Service(service) == nil {
-		return nil
-	}
-	return table.Service(service).Batching
-}
-
-// Ready implements batch.Known.
-func (k batchView) Ready(service string) []fleet.Endpoint {
-	return k.follower.View().Fleet.Ready(service)
-}
-
-// Endpoint implements batch.Known.
-func (k batchView) Endpoint(id string) (fleet.Endpoint, bool) {
-	return k.follower.View().Fleet.Endpoint(id)
-}
-
-// Backoff implements batch.Known.
-func (k batchView) Backoff(id string) time.Duration { return k.rests.Remaining(id) }
-
 // Run runs the instance until it has shut down.
 func (g *Gateway) Run(signals <-chan os.Signal) error {
 	g.log.WithFields(logrus.Fields{"event": "started", "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain, "requests": g.settings.Listen.Requests, "peers": g.settings.Listen.Peers, "store": g.settings.Store}).Info()
@@ -379,7 +357,9 @@
 	g.tomb.Go(func() error { return g.follower.Run(&g.tomb) })
 	g.tomb.Go(func() error { return g.group.Run(&g.tomb) })
 	g.tomb.Go(func() error { return g.gossip.Run(&g.tomb, g.group) })
-	g.tomb.Go(func() error { g.server.Serve(g.listeners.peers); return nil })
+	g.tomb.Go(func() error { g.server.Serve(g.listeners.calls); return nil })
+	g.tomb.Go(func() error { return g.tunnels.Serve(g.listeners.tunnels) })
+	g.tomb.Go(func() error { return g.runProber(ctx) })
 	g.tomb.Go(func() error { return g.ingress.Serve(g.listeners.requests) })
 	g.tomb.Go(func() error { g.ingress.Sweep(ctx); return nil })
 	g.tomb.Go(func() error { g.quarantine.Run(ctx); return nil })
@@ -448,53 +428,3 @@
 func (g *Gateway) canServe(view *discovery.View) bool {
 	return view.Complete() && view.Fleet.HasEndpoints() && !view.Behind(g.clock.Now()) && !g.awaitsInstruction(view)
 }
-
-// handleSignals processes signals and changes of the settings file until the instance has shut
-// down.
-func (g *Gateway) handleSignals(signals <-chan os.Signal) error {
-	ticker := g.clock.NewTicker(settingsPeriod)
-	defer ticker.Stop()
-	modified := modifiedAt(g.path)
-	for {
-		select {
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				g.reload("signal")
-				modified = modifiedAt(g.path)
-				continue
-			}
-			g.stop(s, signals)
-			return nil
-		case <-ticker.Chan():
-			if now := modifiedAt(g.path); !now.Equal(modified) {
-				modified = now
-				g.reload("file")
-			}
-		case <-g.tomb.Dying():
-			return g.tomb.Err()
-		}
-	}
-}
-
-func modifiedAt(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-// reload applies changed settings for retries, memory and shutdown. Other settings need a restart.
-func (g *Gateway) reload(cause string) {
-	s, err := settings.ReadGateway(g.path)
-	if err != nil {
-		g.log.WithFields(logrus.Fields{"event": "settings_refused", "cause": cause}).Error(err)
-		return
-	}
-	g.budget.SetBounds(budgetBounds(s))
-	g.pieceBudget.SetBounds(budgetBounds(s))
-	debug.SetMemoryLimit(int64(heapLimitRatio * megabyte * float64(s.MemoryMB)))
-	g.held.SetLimit(heldLimit(s))
-	g.settings.Retries, g.settings.MemoryMB, g.settings.StopGraceSeconds = s.Retries, s.MemoryMB, s.StopGraceSeconds
-	g.log.WithFields(logrus.Fields{"event": "settings_reloaded", "cause": cause}).Info()
-}
--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -32,7 +32,7 @@
 
 // stop shuts the instance down gracefully: it withdraws readiness, keeps serving while the load
 // balancer may still send connections, then refuses new requests, and exits when nothing is in
-// flight, including plans of other instances, or the grace period ends. A second signal other than
+// flight, including plans and tunnels of other instances, or the grace period ends. A second signal other than
 // SIGHUP ends it at once.
 func (g *Gateway) stop(signal os.Signal, signals <-chan os.Signal) {
 	begin := g.clock.Now()
@@ -54,7 +54,7 @@
 			g.executor.Drain()
 		}
 		g.router.Leave()
-		if g.ingress.InFlight() > 0 || g.handler.RunningPlans() > 0 {
+		if g.ingress.InFlight() > 0 || g.handler.RunningPlans() > 0 || g.tunnels.Open() > 0 {
 			idleSince = now
 		}
 		if now.Sub(begin) >= balancerDelay+idleTime && now.Sub(idleSince) >= idleTime {
@@ -75,7 +75,8 @@
 func (g *Gateway) close() {
 	g.tomb.Kill(nil)
 	g.ingress.Close()
-	_ = g.listeners.peers.Close()
+	_ = g.listeners.calls.Close()
+	g.tunnels.Close()
 	g.server.Close()
 	g.client.Close()
 	g.conns.Close()
--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/views.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+// batchView is the batcher's view of services and endpoints.
+type batchView struct {
+	follower *discovery.Follower
+	rests    *notice.Backoffs
+}
+
+// Batching implements batch.Known.
+func (k batchView) Batching(service string) *route.Batching {
+	table := k.follower.View().Table
+	if table == nil || table.Service(service) == nil {
+		return nil
+	}
+	return table.Service(service).Batching
+}
+
+// Ready implements batch.Known.
+func (k batchView) Ready(service string) []fleet.Endpoint {
+	return k.follower.View().Fleet.Ready(service)
+}
+
+// Endpoint implements batch.Known.
+func (k batchView) Endpoint(id string) (fleet.Endpoint, bool) {
+	return k.follower.View().Fleet.Endpoint(id)
+}
+
+// Backoff implements batch.Known.
+func (k batchView) Backoff(id string) time.Duration { return k.rests.Remaining(id) }
--- a/pkg/batch/probe.go
+++ b/pkg/batch/probe.go
@@ -15,6 +15,20 @@
 	minSilentCall = 200 * time.Millisecond
 )
 
+// ProbeNow ends the back-offs of the endpoints of a failure domain that await a probe, because the
+// failure domain is connected to again.
+func (b *Batcher) ProbeNow(failureDomain string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		for _, w := range s.workers {
+			if w.unreachable() && w.endpoint.FailureDomain == failureDomain {
+				w.backoffUntil, w.backoff = b.clock.Now(), minFailureBackoff
+			}
+		}
+	}
+}
+
 // probeDomain probes the idle workers of a failure domain in which a call got no response, so that
 // no further calls are lost if the whole domain is unreachable.
 func (b *Batcher) probeDomain(domain string, now time.Time) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -33,6 +33,8 @@
 	resultConnBroken
 	// resultBarred: nothing was sent because the endpoint must not be used any more.
 	resultBarred
+	// resultLinkLost: like resultFailed, but because the link to the endpoint was silent.
+	resultLinkLost
 )
 
 const (
@@ -88,6 +90,8 @@
 			fallthrough
 		case resultFailed:
 			u.reportReaderFailed(ctx, call.Endpoint.ID)
+			fallthrough
+		case resultLinkLost:
 			u.tried[call.Endpoint.ID] = true
 			u.mayHaveRun = true
 			if !u.route.Repeatable() {
@@ -246,6 +250,8 @@
 		ID:       u.request.ID,
 		IDHeader: u.Dialect.IDHeader(),
 		MaxIdle:  u.maxIdle(),
+
+		Repeatable: u.route.Repeatable(),
 	})
 	if err != nil {
 		outcome := u.sendFailed(ctx, call, begin, err)
@@ -270,9 +276,12 @@
 }
 
 func (u *run) sendFailed(ctx context.Context, call *balance.Call, begin time.Time, err error) attemptResult {
-	outcome := connBrokenResult(ctx)
+	outcome := connBrokenResult(ctx, err)
 	result := balance.Failed
 	switch {
+	case httpconn.IsLinkLost(err):
+		u.recordSent(call)
+		result = balance.Canceled
 	case httpconn.IsBlocked(err):
 		outcome, result = resultBarred, balance.Canceled
 	case httpconn.NotSent(err):
@@ -342,8 +351,8 @@
 	u.Held.Reserve(int64(len(body)))
 	defer u.Held.Release(int64(len(body)))
 	if err != nil || len(body) > maxBufferedResponse {
-		call.End(either(ctx.Err() == nil, balance.Failed, balance.Canceled), nil)
-		return either(err != nil, connBrokenResult(ctx), resultFailed)
+		call.End(brokenOutcome(ctx, err), nil)
+		return either(err != nil, connBrokenResult(ctx, err), resultFailed)
 	}
 	u.markHarmless()
 	call.ResponseStarted()
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -39,10 +39,21 @@
 	return quarantine.Sum(caller, u.route.Host, u.request.URI, u.request.Body)
 }
 
-// connBrokenResult returns the result for a broken connection. If the context has ended, the
-// gateway itself closed the connection.
-func connBrokenResult(ctx context.Context) attemptResult {
-	return either(ctx.Err() == nil, resultConnBroken, resultFailed)
+// connBrokenResult returns the result for a connection that broke with an error. If the context has
+// ended, the gateway itself closed the connection.
+func connBrokenResult(ctx context.Context, err error) attemptResult {
+	switch {
+	case ctx.Err() != nil:
+		return resultFailed
+	case httpconn.IsLinkLost(err):
+		return resultLinkLost
+	}
+	return resultConnBroken
+}
+
+// brokenOutcome returns what a connection that broke with an error says of the endpoint's health.
+func brokenOutcome(ctx context.Context, err error) balance.Outcome {
+	return either(ctx.Err() == nil && !httpconn.IsLinkLost(err), balance.Failed, balance.Canceled)
 }
 
 // eventsReceived marks the request as harmless once its stream has run long enough.
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
@@ -57,6 +59,9 @@
 	// Sponsors reports whether this instance is the only one that may use an endpoint while all
 	// endpoints of its service are cold. If nil, this instance sponsors none.
 	Sponsors func(endpoint string) bool
+	// Reachable reports whether this instance can connect to an endpoint, by itself or through others.
+	// If nil, it can.
+	Reachable func(fleet.Endpoint) bool
 	// Quarantine tracks requests that crash their endpoints.
 	Quarantine *quarantine.Manager
 	// Rollouts collects the outcomes of attempts per version.
@@ -254,10 +259,11 @@
 }
 
 // checkEndpoints refuses a request immediately if the service or one of its stages has no usable
-// endpoint, for example when all failure domains are evacuated or all endpoints are backing off.
+// endpoint, for example when all failure domains are evacuated, all endpoints are backing off or none
+// can be reached.
 func (u *run) checkEndpoints() *Refusal {
 	ready := u.ready(u.service.Name)
-	if len(ready) == 0 {
+	if len(ready) == 0 || !u.anyReachable(ready) {
 		return refuseNoEndpoint(u.retryAfter())
 	}
 	if rest := u.Balancer.Backoff(ready); rest > 0 && u.backoffTooLong(rest) {
@@ -271,6 +277,11 @@
 	return nil
 }
 
+// anyReachable reports whether this instance can connect to any of the endpoints.
+func (u *run) anyReachable(endpoints []fleet.Endpoint) bool {
+	return u.Reachable == nil || slices.ContainsFunc(endpoints, u.Reachable)
+}
+
 func either[T any](condition bool, yes, no T) T {
 	if condition {
 		return yes
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -38,8 +38,8 @@
 			u.logEnd(answer.Status, "answered")
 			return resultDone
 		}
-		call.End(either(ctx.Err() == nil, balance.Failed, balance.Canceled), nil)
-		return connBrokenResult(ctx)
+		call.End(brokenOutcome(ctx, err), nil)
+		return connBrokenResult(ctx, err)
 	}
 }
 
--- a/pkg/httpconn/dialer.go
+++ b/pkg/httpconn/dialer.go
@@ -23,5 +23,10 @@
 // Dial implements Dialer.
 func (d TCPDialer) Dial(ctx context.Context, target Target) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: d.Timeout, KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", target.Address)
+	conn, err := dialer.DialContext(ctx, "tcp", target.Address)
+	if err != nil {
+		return nil, err
+	}
+	SetSilenceTimeout(conn)
+	return conn, nil
 }
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,8 @@
 	// MaxIdle is the longest idle time of a reused connection. If negative, a new connection is
 	// opened.
 	MaxIdle time.Duration
+	// Repeatable allows the pool to break off the call when its connection leads over a silent link.
+	Repeatable bool
 }
 
 // Response is the response of an endpoint. The caller must close its body.
@@ -82,6 +85,21 @@
 	return errors.As(err, &e)
 }
 
+// LinkLostError is returned if a call was broken off because its connection led over a silent link,
+// while other instances reach the endpoint. The endpoint may have processed the call.
+type LinkLostError struct{}
+
+// Error implements error.
+func (*LinkLostError) Error() string {
+	return "the link to the endpoint is silent (remedy: send the call over another path)"
+}
+
+// IsLinkLost reports whether err is a LinkLostError. It does not indicate a fault of the endpoint.
+func IsLinkLost(err error) bool {
+	var e *LinkLostError
+	return errors.As(err, &e)
+}
+
 // Do sends a call and returns the response once its header has been read. If it fails and the error
 // is not a NotSentError, the endpoint may have processed the call. The connection is closed when
 // ctx is done.
@@ -105,15 +123,19 @@
 	}
 	x := &exchange{pool: p, conn: c, call: call, written: make(chan error, 1)}
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	p.begin(x)
 	if err := x.write(); err != nil {
 		x.abort()
-		return nil, problem.Wrap(err, problem.Unknown, "the call may have run; retry it only if it is idempotent", "sending the call to endpoint %s failed", call.Target.ID)
+		return nil, problem.Wrap(x.cause(err), problem.Unknown, "the call may have run; retry it only if it is idempotent", "sending the call to endpoint %s failed", call.Target.ID)
 	}
+	check := p.clock.AfterFunc(silenceCheckAfter, func() { p.checkSilence(x) })
 	response, err := x.readHeader()
+	check.Stop()
 	if err != nil {
 		x.abort()
-		return nil, problem.Wrap(err, problem.Unknown, "the call may have run; retry it only if it is idempotent", "endpoint %s did not respond", call.Target.ID)
+		return nil, problem.Wrap(x.cause(err), problem.Unknown, "the call may have run; retry it only if it is idempotent", "endpoint %s did not respond", call.Target.ID)
 	}
+	p.heard(x)
 	x.response = response
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: x}, nil
 }
@@ -128,6 +150,16 @@
 	response  *http.Response
 	complete  bool
 	closed    bool
+	// linkLost is set if the pool broke off the call.
+	linkLost atomic.Bool
+}
+
+// cause returns the error of a call that failed with err.
+func (x *exchange) cause(err error) error {
+	if x.linkLost.Load() {
+		return &LinkLostError{}
+	}
+	return err
 }
 
 func (x *exchange) write() error {
@@ -232,8 +264,9 @@
 	n, err := x.response.Body.Read(buffer)
 	if err == io.EOF {
 		x.complete = true
+		return n, err
 	}
-	return n, err
+	return n, x.cause(err)
 }
 
 // Close ends the call. The connection is reused if both request and response are complete.
@@ -242,6 +275,7 @@
 		return nil
 	}
 	x.closed = true
+	x.pool.end(x)
 	if !x.complete {
 		x.complete = x.emptyBody()
 	}
@@ -270,6 +304,7 @@
 }
 
 func (x *exchange) abort() {
+	x.pool.end(x)
 	x.stopWatch()
 	x.pool.discard(x.conn)
 }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -74,18 +74,22 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpointConns
 	closed    bool
+	// silence detects silent links.
+	silence silenceMonitor
 }
 
 type endpointConns struct {
 	idle []*conn
 	open int
+	// calls are the calls in progress on direct connections that may be repeated.
+	calls map[*exchange]struct{}
 }
 
 // conn is a connection. It is used by one call at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	target string
+	target Target
 	// idleSince is the end of the last call; expires is when the connection must be closed.
 	idleSince time.Time
 	expires   time.Time
@@ -102,6 +106,7 @@
 		reused:    set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
 		blocked:   set.NewCounter("cobaltcroft_endpoint_calls_barred_total"),
 		endpoints: map[string]*endpointConns{},
+		silence:   newSilenceMonitor(),
 	}
 }
 
@@ -146,7 +151,7 @@
 	}
 	e := p.endpoints[target.ID]
 	if e == nil {
-		e = &endpointConns{}
+		e = &endpointConns{calls: map[*exchange]struct{}{}}
 		p.endpoints[target.ID] = e
 	}
 	now := p.clock.Now()
@@ -171,7 +176,15 @@
 	if err != nil {
 		return nil, notSent(problem.Wrap(err, problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s at %s", target.ID, target.Address))
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), target: target.ID}, nil
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), target: target}, nil
+}
+
+// relayed reports whether the connection leads through another instance. Such a connection is not
+// reused, so that calls return to direct connections as soon as there are any, and an instance that
+// stops only waits for the calls in progress.
+func (c *conn) relayed() bool {
+	_, direct := c.Conn.(*net.TCPConn)
+	return !direct
 }
 
 // CheckConnect opens a connection to an endpoint and closes it again.
@@ -208,7 +221,7 @@
 // discard closes a connection and removes it from the pool.
 func (p *Pool) discard(c *conn) {
 	_ = c.Close()
-	p.release(c.target)
+	p.release(c.target.ID)
 }
 
 // put returns a connection to the pool. The advertised keep-alive timeout is 0 if the endpoint sent
@@ -219,8 +232,8 @@
 		idleTimeout = min(idleTimeout, advertised-keepAliveMargin)
 	}
 	p.mu.Lock()
-	e := p.endpoints[c.target]
-	if p.closed || e == nil || idleTimeout <= 0 || c.reader.Buffered() > 0 {
+	e := p.endpoints[c.target.ID]
+	if p.closed || e == nil || idleTimeout <= 0 || c.reader.Buffered() > 0 || c.relayed() {
 		p.mu.Unlock()
 		p.discard(c)
 		return
@@ -233,22 +246,27 @@
 
 // Sweep closes expired connections and those to endpoints for which keep returns false.
 func (p *Pool) Sweep(keep func(id string) bool) {
-	p.mu.Lock()
 	now := p.clock.Now()
-	var expired []*conn
-	for id, e := range p.endpoints {
+	p.closeIdle(func(c *conn) bool { return !now.Before(c.expires) || !keep(c.target.ID) })
+}
+
+// closeIdle closes the idle connections for which drop returns true.
+func (p *Pool) closeIdle(drop func(*conn) bool) {
+	p.mu.Lock()
+	var dropped []*conn
+	for _, e := range p.endpoints {
 		kept := e.idle[:0]
 		for _, c := range e.idle {
-			if now.Before(c.expires) && keep(id) {
-				kept = append(kept, c)
+			if drop(c) {
+				dropped = append(dropped, c)
 				continue
 			}
-			expired = append(expired, c)
+			kept = append(kept, c)
 		}
 		e.idle = kept
 	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range dropped {
 		p.discard(c)
 	}
 }
--- a/pkg/reach/dialer.go
+++ b/pkg/reach/dialer.go
@@ -2,21 +2,116 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
+	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
-// Dialer connects to endpoints and records the outcome.
+// relayDelay is how long a direct connection attempt may take before one through another instance
+// begins beside it. It is above the round trip between regions.
+const relayDelay = 100 * time.Millisecond
+
+// Relay connects to endpoints through other instances.
+type Relay interface {
+	// Dial returns a connection to an endpoint. If it fails, the endpoint has received nothing.
+	Dial(ctx context.Context, target httpconn.Target) (net.Conn, error)
+}
+
+var (
+	// ErrNoRelay is returned by a Relay if there is no other instance.
+	ErrNoRelay = errors.New("there is no other instance")
+	// ErrUnreached is returned by a Relay if another instance, which reaches other endpoints, could not
+	// connect to this one.
+	ErrUnreached = errors.New("another instance could not connect to the endpoint either")
+)
+
+// Dialer connects to endpoints directly, or through another instance where that fails or takes long.
 type Dialer struct {
 	Direct  httpconn.Dialer
+	Relay   Relay
 	Tracker *Tracker
+	// OnRelayed is called when an endpoint that did not accept a direct connection was reached through
+	// another instance. If silent is set, it did not answer either. It must not block. Optional.
+	OnRelayed func(target httpconn.Target, silent bool)
 }
 
 var _ httpconn.Dialer = (*Dialer)(nil)
 
+// dialResult is the result of one connection attempt.
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
 // Dial implements httpconn.Dialer.
 func (d *Dialer) Dial(ctx context.Context, target httpconn.Target) (net.Conn, error) {
+	switch d.Tracker.Path(target.FailureDomain, target.ID) {
+	case None:
+		return nil, problem.New(problem.Unavailable, "use another endpoint", "neither this instance nor others can connect to endpoint %s", target.ID)
+	case Relayed:
+		if conn, err := d.Relay.Dial(ctx, target); err == nil {
+			return conn, nil
+		}
+	case Direct:
+	}
+	return d.DialAnyPath(ctx, target)
+}
+
+// DialAnyPath tries all paths to an endpoint, whatever is known of them.
+func (d *Dialer) DialAnyPath(ctx context.Context, target httpconn.Target) (net.Conn, error) {
+	// The direct attempt goes on when the caller needs it no longer, because its outcome is evidence.
+	direct := start(func() (net.Conn, error) { return d.DialDirect(context.WithoutCancel(ctx), target) })
+	timer := time.NewTimer(relayDelay)
+	defer timer.Stop()
+	select {
+	case r := <-direct:
+		if r.err == nil {
+			return r.conn, nil
+		}
+		relayed := d.startRelay(ctx, target)
+		return d.finish(ctx, target, r.err, <-relayed)
+	case <-ctx.Done():
+		go closeLate(direct)
+		return nil, ctx.Err()
+	case <-timer.C:
+	}
+	return d.race(ctx, target, direct)
+}
+
+// race runs a relayed attempt beside a direct one and returns the first connection.
+func (d *Dialer) race(ctx context.Context, target httpconn.Target, direct <-chan dialResult) (net.Conn, error) {
+	relayed := d.startRelay(ctx, target)
+	select {
+	case r := <-direct:
+		if r.err == nil {
+			go closeLate(relayed)
+			return r.conn, nil
+		}
+		return d.finish(ctx, target, r.err, <-relayed)
+	case r := <-relayed:
+		if r.err == nil {
+			go d.awaitDirect(target, direct)
+			return r.conn, nil
+		}
+		first := <-direct
+		if first.err == nil {
+			return first.conn, nil
+		}
+		return d.finish(ctx, target, first.err, r)
+	}
+}
+
+func (d *Dialer) startRelay(ctx context.Context, target httpconn.Target) <-chan dialResult {
+	return start(func() (net.Conn, error) { return d.Relay.Dial(ctx, target) })
+}
+
+// DialDirect connects to an endpoint directly and records the outcome. An attempt that the caller
+// gives up says nothing.
+func (d *Dialer) DialDirect(ctx context.Context, target httpconn.Target) (net.Conn, error) {
 	conn, err := d.Direct.Dial(ctx, target)
 	switch {
 	case err == nil:
@@ -26,3 +121,57 @@
 	}
 	return conn, err
 }
+
+// start runs a connection attempt in the background.
+func start(dial func() (net.Conn, error)) <-chan dialResult {
+	result := make(chan dialResult, 1)
+	go func() {
+		conn, err := dial()
+		result <- dialResult{conn, err}
+	}()
+	return result
+}
+
+// finish evaluates the relayed attempt after the direct one has failed.
+func (d *Dialer) finish(ctx context.Context, target httpconn.Target, directErr error, relayed dialResult) (net.Conn, error) {
+	if relayed.err == nil {
+		d.recordRelayed(target, directErr)
+		return relayed.conn, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	d.Tracker.RelayFailed(target.FailureDomain, target.ID)
+	witnessed := errors.Is(relayed.err, ErrUnreached) || errors.Is(relayed.err, ErrNoRelay)
+	if !witnessed && d.Tracker.Isolated(target.FailureDomain, target.ID) {
+		// The error must not look as if the endpoint itself had refused.
+		return nil, problem.New(problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s (%v), nor to others of failure domain %s", target.ID, directErr, target.FailureDomain)
+	}
+	return nil, directErr
+}
+
+// recordRelayed records that an endpoint was reached through another instance after a direct attempt
+// had failed.
+func (d *Dialer) recordRelayed(target httpconn.Target, directErr error) {
+	d.Tracker.RelayConnected(target.FailureDomain, target.ID)
+	if d.OnRelayed != nil {
+		d.OnRelayed(target, !errors.Is(directErr, syscall.ECONNREFUSED) && !errors.Is(directErr, syscall.ECONNRESET))
+	}
+}
+
+// awaitDirect waits for a direct attempt that another instance was faster than.
+func (d *Dialer) awaitDirect(target httpconn.Target, direct <-chan dialResult) {
+	r := <-direct
+	if r.err != nil {
+		d.recordRelayed(target, r.err)
+		return
+	}
+	_ = r.conn.Close()
+}
+
+// closeLate closes the connection of an attempt that is no longer needed.
+func closeLate(attempt <-chan dialResult) {
+	if r := <-attempt; r.conn != nil {
+		_ = r.conn.Close()
+	}
+}
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -1,4 +1,9 @@
-// Package reach tracks which endpoints this instance can connect to.
+// Package reach judges which endpoints this instance can connect to, and connects to the others
+// through another instance.
+//
+// An instance may be partitioned from the endpoints while its clients, the store and the other
+// instances reach it. That is a state of its own links, not of the endpoints: without this judgement
+// each request finds it out anew, and each endpoint is taken to have failed.
 package reach
 
 import (
@@ -10,13 +15,37 @@
 	"github.com/sirupsen/logrus"
 )
 
-// recentConnection is how long an endpoint counts as reached after a connection to it.
-const recentConnection = 10 * time.Second
+// Path is how this instance connects to an endpoint.
+type Path string
 
-// Tracker records whether connections to endpoints succeed. It is safe for concurrent use.
+// The paths to an endpoint.
+const (
+	// Direct: this instance connects to the endpoint itself.
+	Direct Path = "direct"
+	// Relayed: other instances connect to the endpoint, this one does not.
+	Relayed Path = "relayed"
+	// None: neither this instance nor others could connect.
+	None Path = "none"
+)
+
+const (
+	// recentConnection is how long an endpoint counts as reached after a connection to it.
+	recentConnection = 10 * time.Second
+	// minEvidence is the number of endpoints of a failure domain that a judgement about all of them
+	// needs, since a single one may have failed itself.
+	minEvidence = 2
+	// noneTTL is how long the failure of all paths to an endpoint counts. Probes renew it while it
+	// lasts.
+	noneTTL = 1500 * time.Millisecond
+)
+
+// Tracker records the outcomes of connection attempts and judges the paths to the endpoints of each
+// failure domain. It is safe for concurrent use.
 type Tracker struct {
 	clock clockwork.Clock
 	log   *logrus.Entry
+	// onReturn is called with a failure domain that is connected to again after no path led there.
+	onReturn func(failureDomain string)
 
 	mu      sync.Mutex
 	domains map[string]*domain
@@ -24,60 +53,223 @@
 
 // domain is what is known of the endpoints of a failure domain.
 type domain struct {
-	// connectedAt is the time of the last connection to each endpoint.
-	connectedAt map[string]time.Time
-	// unreached contains the endpoints whose last connection attempt failed, and since when.
-	unreached map[string]time.Time
-	// logged is the number of unreached endpoints in the last log event.
+	// connectedAt is the time of the last direct connection to each endpoint, lastConnected the latest.
+	connectedAt   map[string]time.Time
+	lastConnected time.Time
+	// outages contains the endpoints whose last direct connection attempt failed.
+	outages map[string]*outage
+	// logged is the number of outages in the last log event, path the path that was last logged.
 	logged int
+	path   Path
+}
+
+// outage is the time in which direct connections to an endpoint have failed.
+type outage struct {
+	since    time.Time
+	failedAt time.Time
+	// relayed is set if another instance has connected to the endpoint, unreachedAt is when others
+	// last failed to.
+	relayed     bool
+	unreachedAt time.Time
 }
 
 // NewTracker returns a tracker without observations that registers its gauge in set.
 func NewTracker(clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Tracker {
-	t := &Tracker{clock: clock, log: log, domains: map[string]*domain{}}
+	t := &Tracker{clock: clock, log: log, onReturn: func(string) {}, domains: map[string]*domain{}}
 	set.NewGauge("cobaltcroft_endpoints_unreached", func() float64 { return float64(t.Unreached()) })
 	return t
 }
 
-// Connected records a connection to an endpoint.
+// OnReturn sets what is called with a failure domain that is connected to again after no path led
+// there. It must be set before the first connection.
+func (t *Tracker) OnReturn(do func(failureDomain string)) { t.onReturn = do }
+
+// Connected records a direct connection to an endpoint. It voids what failures of other endpoints
+// of the failure domain say of the links.
 func (t *Tracker) Connected(failureDomain, endpoint string) {
+	if t.connected(failureDomain, endpoint) {
+		t.onReturn(failureDomain)
+	}
+}
+
+// connected reports whether no path led to the failure domain before.
+func (t *Tracker) connected(failureDomain, endpoint string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.domain(failureDomain)
-	d.connectedAt[endpoint] = t.clock.Now()
-	delete(d.unreached, endpoint)
+	returned := d.path == None
+	d.lastConnected = t.clock.Now()
+	d.connectedAt[endpoint] = d.lastConnected
+	delete(d.outages, endpoint)
+	t.logPath(failureDomain, d)
+	return returned
 }
 
-// Failed records that a connection attempt to an endpoint failed.
+// Failed records that a direct connection attempt to an endpoint failed.
 func (t *Tracker) Failed(failureDomain, endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d, now := t.domain(failureDomain), t.clock.Now()
+	o := d.outages[endpoint]
+	if o == nil {
+		o = &outage{since: now}
+		d.outages[endpoint] = o
+	}
+	o.failedAt = now
+	t.logPath(failureDomain, d)
+}
+
+// RelayConnected records that another instance connected to an endpoint.
+func (t *Tracker) RelayConnected(failureDomain, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.domain(failureDomain)
-	if _, found := d.unreached[endpoint]; !found {
-		d.unreached[endpoint] = t.clock.Now()
+	if o := d.outages[endpoint]; o != nil {
+		o.relayed, o.unreachedAt = true, time.Time{}
+	}
+	t.logPath(failureDomain, d)
+}
+
+// RelayFailed records that no other instance connected to an endpoint.
+func (t *Tracker) RelayFailed(failureDomain, endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.domain(failureDomain)
+	if o := d.outages[endpoint]; o != nil {
+		o.relayed, o.unreachedAt = false, t.clock.Now()
+	}
+	t.logPath(failureDomain, d)
+}
+
+// Path returns the path to an endpoint.
+func (t *Tracker) Path(failureDomain, endpoint string) Path {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.domains[failureDomain]
+	if d == nil || len(d.outages) == 0 {
+		return Direct
+	}
+	now := t.clock.Now()
+	switch {
+	case d.judge(now) == Relayed || d.relays(endpoint):
+		return Relayed
+	case d.unreached(now, endpoint):
+		return None
+	}
+	return Direct
+}
+
+// Isolated reports whether this instance has connected to no endpoint of a failure domain since
+// connections to others than the given one failed. A refused connection then says nothing of the
+// endpoint.
+func (t *Tracker) Isolated(failureDomain, endpoint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.domains[failureDomain]
+	if d == nil {
+		return false
+	}
+	for id, o := range d.outages {
+		if id != endpoint && d.current(o) {
+			return true
+		}
+	}
+	return false
+}
+
+// judge returns the path to the failure domain as a whole. None is a suspicion: single endpoints may
+// still be reached.
+func (d *domain) judge(now time.Time) Path {
+	relayed, unreached := 0, 0
+	for _, o := range d.outages {
+		switch {
+		case !d.current(o):
+		case o.relayed:
+			relayed++
+		case o.unreached(now):
+			unreached++
+		}
+	}
+	switch {
+	case relayed >= minEvidence:
+		return Relayed
+	case relayed == 0 && unreached >= minEvidence:
+		return None
 	}
+	return Direct
+}
+
+// current reports whether an outage may be due to the links, because no direct connection into the
+// failure domain has succeeded since.
+func (d *domain) current(o *outage) bool { return !o.failedAt.Before(d.lastConnected) }
+
+// unreached reports whether other instances have not reached the endpoint either.
+func (o *outage) unreached(now time.Time) bool { return now.Sub(o.unreachedAt) < noneTTL }
+
+// unreached reports whether no path to an endpoint itself is left.
+func (d *domain) unreached(now time.Time, endpoint string) bool {
+	o := d.outages[endpoint]
+	return o != nil && d.current(o) && !o.relayed && o.unreached(now)
+}
+
+// relays reports whether an endpoint itself is reached through other instances.
+func (d *domain) relays(endpoint string) bool {
+	o := d.outages[endpoint]
+	return o != nil && o.relayed && d.current(o)
 }
 
 func (t *Tracker) domain(name string) *domain {
 	d := t.domains[name]
 	if d == nil {
-		d = &domain{connectedAt: map[string]time.Time{}, unreached: map[string]time.Time{}}
+		d = &domain{connectedAt: map[string]time.Time{}, outages: map[string]*outage{}, path: Direct}
 		t.domains[name] = d
 	}
 	return d
 }
 
-// Unreached returns the number of endpoints whose last connection attempt failed.
+// Unreached returns the number of endpoints whose last direct connection attempt failed.
 func (t *Tracker) Unreached() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, d := range t.domains {
-		n += len(d.unreached)
+		n += len(d.outages)
 	}
 	return n
 }
 
+// ProbeCandidates are the endpoints of a failure domain that are worth a probe.
+type ProbeCandidates struct {
+	FailureDomain string
+	// Endpoints are those whose outages may be due to the links.
+	Endpoints []string
+	// All is set if no path to the failure domain is known, so that its other endpoints should be
+	// probed too.
+	All bool
+}
+
+// ProbeCandidates returns the candidates in each failure domain to which, or to some endpoints of
+// which, the path is not direct.
+func (t *Tracker) ProbeCandidates() []ProbeCandidates {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var list []ProbeCandidates
+	for name, d := range t.domains {
+		path := d.judge(now)
+		c := ProbeCandidates{FailureDomain: name, All: path == None}
+		for endpoint, o := range d.outages {
+			if path != Direct && d.current(o) || d.relays(endpoint) {
+				c.Endpoints = append(c.Endpoints, endpoint)
+			}
+		}
+		if len(c.Endpoints) > 0 {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 // Sweep forgets endpoints that no longer exist, and logs each failure domain in which the number of
 // unreached endpoints has changed. It is called once per second.
 func (t *Tracker) Sweep(exists func(endpoint string) bool) {
@@ -86,10 +278,11 @@
 	now := t.clock.Now()
 	for name, d := range t.domains {
 		d.forget(now, exists)
-		if len(d.unreached) != d.logged {
-			t.logDomain(now, name, d)
+		t.logPath(name, d)
+		if len(d.outages) != d.logged {
+			t.logOutages(now, name, d)
 		}
-		if len(d.connectedAt) == 0 && len(d.unreached) == 0 {
+		if len(d.connectedAt) == 0 && len(d.outages) == 0 {
 			delete(t.domains, name)
 		}
 	}
@@ -102,24 +295,37 @@
 			delete(d.connectedAt, endpoint)
 		}
 	}
-	for endpoint := range d.unreached {
+	for endpoint := range d.outages {
 		if !exists(endpoint) {
-			delete(d.unreached, endpoint)
+			delete(d.outages, endpoint)
 		}
 	}
 }
 
-// logDomain logs how many endpoints of a failure domain were reached lately and how many were not.
-func (t *Tracker) logDomain(now time.Time, name string, d *domain) {
+// logOutages logs how many endpoints of a failure domain were reached lately and how many were not.
+func (t *Tracker) logOutages(now time.Time, name string, d *domain) {
 	reached, longest := 0, time.Duration(0)
 	for endpoint := range d.connectedAt {
-		if _, lost := d.unreached[endpoint]; !lost {
+		if d.outages[endpoint] == nil {
 			reached++
 		}
 	}
-	for _, since := range d.unreached {
-		longest = max(longest, now.Sub(since))
+	for _, o := range d.outages {
+		longest = max(longest, now.Sub(o.since))
+	}
+	d.logged = len(d.outages)
+	t.log.WithFields(logrus.Fields{"event": "reach", "domain": name, "reached": reached, "unreached": len(d.outages), "longest_ms": longest.Milliseconds()}).Info()
+}
+
+// logPath logs a change of the path to a failure domain.
+func (t *Tracker) logPath(name string, d *domain) {
+	path := Direct
+	if len(d.outages) > 0 {
+		path = d.judge(t.clock.Now())
+	}
+	if path == d.path {
+		return
 	}
-	d.logged = len(d.unreached)
-	t.log.WithFields(logrus.Fields{"event": "reach", "domain": name, "reached": reached, "unreached": len(d.unreached), "longest_ms": longest.Milliseconds()}).Info()
+	d.path = path
+	t.log.WithFields(logrus.Fields{"event": "path", "domain": name, "path": string(path), "unreached": len(d.outages)}).Info()
 }
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -55,3 +55,68 @@
 		Expect(tracker.Unreached()).To(BeZero())
 	})
 })
+
+var _ = Describe("the path to an endpoint", func() {
+	var (
+		clock   *clockwork.FakeClock
+		tracker *reach.Tracker
+	)
+	path := func(endpoint string) reach.Path { return tracker.Path("zone-a", endpoint) }
+	relayed := func(endpoint string) {
+		tracker.Failed("zone-a", endpoint)
+		tracker.RelayConnected("zone-a", endpoint)
+	}
+	unreached := func(endpoint string) {
+		tracker.Failed("zone-a", endpoint)
+		tracker.RelayFailed("zone-a", endpoint)
+	}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		tracker = reach.NewTracker(clock, metrics.NewSet(), logrus.NewEntry(log))
+	})
+
+	It("leads through other instances where only these connect", func() {
+		relayed("one")
+		Expect(path("one")).To(Equal(reach.Relayed))
+		Expect(path("two")).To(Equal(reach.Direct), "a single endpoint says nothing of others")
+		relayed("two")
+		Expect(path("three")).To(Equal(reach.Relayed))
+		Expect(tracker.Path("zone-b", "four")).To(Equal(reach.Direct))
+	})
+
+	It("is direct again for all of a failure domain after one direct connection", func() {
+		relayed("one")
+		relayed("two")
+		clock.Advance(time.Second)
+		tracker.Connected("zone-a", "three")
+		for _, endpoint := range []string{"one", "two", "three"} {
+			Expect(path(endpoint)).To(Equal(reach.Direct))
+		}
+	})
+
+	It("is none only for endpoints that were tried", func() {
+		unreached("one")
+		unreached("two")
+		Expect(path("one")).To(Equal(reach.None))
+		Expect(path("three")).To(Equal(reach.Direct), "two endpoints that have failed must not hide a sound one")
+		Expect(tracker.ProbeCandidates()).To(ConsistOf(HaveField("All", true)))
+	})
+
+	It("is tried again some time after all paths have failed", func() {
+		unreached("one")
+		clock.Advance(2 * time.Second)
+		Expect(path("one")).To(Equal(reach.Direct))
+	})
+
+	It("does not tell a failed endpoint from a failed link while nothing else in the failure domain was reached", func() {
+		unreached("one")
+		Expect(tracker.Isolated("zone-a", "one")).To(BeFalse())
+		Expect(tracker.Isolated("zone-a", "two")).To(BeTrue())
+		clock.Advance(time.Second)
+		tracker.Connected("zone-a", "three")
+		Expect(tracker.Isolated("zone-a", "two")).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/service/relay/client.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+)
+
+const (
+	// peerDialTimeout bounds the time to connect to the other instance, answerTimeout the time until it
+	// has answered, which includes its openTimeout.
+	peerDialTimeout = 150 * time.Millisecond
+	answerTimeout   = openTimeout + 150*time.Millisecond
+)
+
+// Client opens tunnels through other instances.
+type Client struct{ Token string }
+
+// RefusedError is returned if the other instance answered, but opened no tunnel.
+type RefusedError struct{ Reason string }
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return "the other instance opened no tunnel: " + e.Reason + " (remedy: use another endpoint)"
+}
+
+// IsUnreached reports whether err says that the other instance tried to connect to the endpoint, and
+// failed.
+func IsUnreached(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Reason == string(reasonUnreached)
+}
+
+// Open opens a tunnel to an endpoint through the instance with the given peer address. If it fails,
+// the endpoint has received nothing.
+func (c Client) Open(ctx context.Context, peer, endpoint string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", peer)
+	if err != nil {
+		return nil, problem.Wrap(err, problem.Unavailable, "use another instance", "cannot connect to peer %s", peer)
+	}
+	if err := c.open(ctx, conn, endpoint); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	httpconn.SetSilenceTimeout(conn)
+	return &tunnel{conn}, nil
+}
+
+// open requests the tunnel on a connection to the other instance.
+func (c Client) open(ctx context.Context, conn net.Conn, endpoint string) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
+		return err
+	}
+	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Host: tunnelHost}, Host: tunnelHost, Header: http.Header{headerToken: {tokenPrefix + c.Token}, headerEndpoint: {endpoint}}}
+	if err := request.Write(conn); err != nil {
+		return problem.Wrap(err, problem.Unavailable, "use another instance", "cannot request a tunnel to endpoint %s", endpoint)
+	}
+	// The endpoint sends nothing before a request, so that the reader buffers no bytes of the tunnel.
+	response, err := http.ReadResponse(bufio.NewReaderSize(io.LimitReader(conn, maxHeaderBytes), maxHeaderBytes), request)
+	if err != nil {
+		return problem.Wrap(err, problem.Unavailable, "use another instance; one of an earlier build opens no tunnels", "no answer to the request for a tunnel to endpoint %s", endpoint)
+	}
+	if response.StatusCode != http.StatusOK {
+		return &RefusedError{Reason: response.Header.Get(headerReason)}
+	}
+	if !stop() {
+		return ctx.Err()
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// tunnel is the connection to an endpoint through another instance.
+type tunnel struct{ net.Conn }
+
+// Read implements net.Conn. The end of a tunnel does not show whether the endpoint closed its
+// connection or the other instance has ended, so that it is an error.
+func (t *tunnel) Read(buffer []byte) (int, error) {
+	n, err := t.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
