room, balance, gateway: brittle endpoints are not made to turn calls away

Server-Brittle = N was read by nobody: instances sent until they were turned away, and what was turned back fell on the next endpoint. While an endpoint says that it is brittle, the slots of its service are divided among the instances (room.Table); requests without a share wait here for a short time and are refused with a time. Where there are fewer than two slots for each instance calls are spaced. A call that is turned away rests its endpoint for this instance; a request that two turned away is offered to no third.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
+	"github.com/cobaltcroft/cobaltcroft/pkg/room"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
@@ -93,6 +94,8 @@
 	rateLimits *throttle.Table
 	// permits enforces the rate limits across instances.
 	permits *throttle.Limiter
+	// room limits the calls in flight at brittle endpoints.
+	room *room.Table
 	// unreadNotices counts backoffs and limits that could not be parsed.
 	unreadNotices *metrics.Counter
 	// unknownTerms are the unknown terms of endpoints and of the store already logged.
@@ -239,6 +242,9 @@
 	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit}, g.observeResponse)
 	g.buildPaths()
 	g.balancer = balance.New(g.clock, g.backoffs)
+	g.room = room.NewTable(roomGroup{g}, g.clock, g.logs.For("room"))
+	g.metrics.NewGauge("cobaltcroft_endpoints_brittle", func() float64 { return float64(g.room.Count()) })
+	g.balancer.UseRoom(g.room)
 	g.balancer.Export(g.metrics)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieceBudget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
@@ -406,6 +412,7 @@
 	g.quarantine.Sweep()
 	g.backoffs.Sweep()
 	g.rateLimits.Sweep(exists)
+	g.room.Sweep(exists)
 	g.permits.UpdateMembers()
 	g.router.Tick()
 	g.logUsage(g.clock.Now())
--- a/cmd/cobaltcroftd/gateway/notices.go
+++ b/cmd/cobaltcroftd/gateway/notices.go
@@ -11,7 +11,9 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
+	"github.com/cobaltcroft/cobaltcroft/pkg/room"
 	"github.com/cobaltcroft/cobaltcroft/platform"
 )
 
@@ -48,10 +50,8 @@
 	if n.Backoff > 0 {
 		g.backoffs.Start(target.ID, n.Backoff)
 	}
-	if n.Malformed != "" {
-		g.unreadNotices.Inc()
-		g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "status": status, "text": n.Malformed}).Warn("ignoring the notice; a backoff is in seconds, a limit in requests per second")
-	}
+	g.observeRoom(target, platform.ParseRoom(uri, status, h), n.Backoff > 0)
+	g.logUnread(target, n.Malformed)
 	switch {
 	case n.Limited:
 		g.rateLimits.Set(target.ID, n.Limit)
@@ -60,6 +60,55 @@
 	}
 }
 
+// logUnread counts and logs a notice that could not be parsed, if there was one.
+func (g *Gateway) logUnread(target httpconn.Target, text string) {
+	if text == "" {
+		return
+	}
+	g.unreadNotices.Inc()
+	g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "text": text}).Warn("ignoring the notice; a backoff is in seconds, a limit in requests per second, rejections are a whole number")
+}
+
+// observeRoom processes what a response says of the endpoint's room. A brittle endpoint that has
+// rejected a call gets no others from this instance for a while, unless it named a time itself.
+func (g *Gateway) observeRoom(target httpconn.Target, r notice.Room, backingOff bool) {
+	if !r.Brittle && r.Malformed == "" && g.room.Count() == 0 {
+		return
+	}
+	e, found := g.follower.View().Fleet.Endpoint(target.ID)
+	switch {
+	case !found:
+	case r.Brittle:
+		g.room.SetBrittle(e.Service, e.ID, r.Bears)
+		if r.Rejected && !backingOff {
+			g.backoffs.Start(e.ID, g.room.Rest(e.Service, e.ID))
+		}
+	case r.Sound:
+		g.room.SetSound(e.Service, e.ID)
+	}
+	g.logUnread(target, r.Malformed)
+}
+
+// roomGroup implements room.Group.
+type roomGroup struct{ *Gateway }
+
+var _ room.Group = roomGroup{}
+
+// Self implements room.Group.
+func (g roomGroup) Self() string { return g.settings.Instance }
+
+// Others implements room.Group.
+func (g roomGroup) Others() []string {
+	var names []string
+	for _, m := range slices.Concat(g.group.Live(), g.group.Leaving()) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// Settled implements room.Group.
+func (g roomGroup) Settled() bool { return g.clock.Since(g.started) >= suspectAfter }
+
 // logUnknownTerms logs response terms that the gateway does not implement, each once.
 func (g *Gateway) logUnknownTerms(target httpconn.Target, h http.Header) {
 	g.logTermsOnce(h, platform.UnknownHeaders(h), logrus.Fields{"event": "answer_term_unknown", "endpoint": target.ID})
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -90,6 +90,8 @@
 	// backoffs excludes endpoints that asked this instance to back off, even if no other endpoint
 	// remains.
 	backoffs *notice.Backoffs
+	// room limits the calls in flight at some endpoints; nil if there is no limit.
+	room Room
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
@@ -131,6 +133,9 @@
 	cache     *promptCache
 	load      Load
 	loadAt    time.Time
+	// beganAt is when the last call began, duration the moving average of how long calls last.
+	beganAt  time.Time
+	duration time.Duration
 	// view is the last view of a planner of stages.
 	view   EngineView
 	viewAt time.Time
@@ -177,12 +182,13 @@
 }
 
 // Pick selects an endpoint and registers the call with it. It returns nil if all candidates are
-// excluded or backing off. Ejected endpoints are used only as a last resort.
+// excluded, backing off or without room. Ejected endpoints are used only as a last resort.
 func (b *Balancer) Pick(candidates []fleet.Endpoint, spec CallSpec) *Call {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	candidates, spec = b.prepare(now, candidates, spec)
+	candidates = b.withRoom(now, candidates, spec)
 	if e := b.isolated(now, candidates, spec); e != nil {
 		return b.begin(now, *e, spec)
 	}
@@ -227,6 +233,7 @@
 		s.pendingPrefill += c.prefill
 	}
 	s.calls[c] = struct{}{}
+	s.beganAt = now
 	if s.cold.cold(now) {
 		s.cold.sentAt = now
 	}
--- a/pkg/balance/outcome.go
+++ b/pkg/balance/outcome.go
@@ -40,6 +40,9 @@
 	if c.engine && c.pace.measured() {
 		s.recordSpeed(now, b.modelFor(c.Endpoint.Service).relativePace(c.pace.interval()), speedHalfLife)
 	}
+	if outcome == Succeeded {
+		s.recordDuration(now.Sub(c.startedAt))
+	}
 	if load != nil {
 		s.load, s.loadAt = *load, now
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -85,6 +85,9 @@
 			}
 		case resultNotRun:
 			u.tried[call.Endpoint.ID] = true
+			if u.rejectedForRoom() {
+				return u.finalRefusal(refuseNoRoom(u.retryAfter()))
+			}
 		case resultConnBroken:
 			u.probeEndpoint(ctx, call)
 			fallthrough
--- a/pkg/gateway/backoff.go
+++ b/pkg/gateway/backoff.go
@@ -22,6 +22,9 @@
 func (u *run) awaitBackoff(ctx context.Context) bool {
 	untried := fleet.Exclude(u.ready(u.service.Name), func(e fleet.Endpoint) bool { return u.tried[e.ID] })
 	rest := u.Balancer.Backoff(untried)
+	if rest == 0 && u.Balancer.RoomLimited(untried) {
+		return u.awaitRoom(ctx)
+	}
 	if rest == 0 || u.backoffTooLong(rest) {
 		return false
 	}
@@ -42,6 +45,8 @@
 	ready := u.ready(u.service.Name)
 	rest := u.Balancer.RetryAfter(ready, u.retryAfter())
 	switch {
+	case rest == 0 && u.Balancer.RoomLimited(ready):
+		return refuseNoRoom(u.retryAfter())
 	case rest == 0:
 		return refuseNoEndpoint(u.retryAfter())
 	case u.Balancer.Limited(ready):
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -89,6 +89,8 @@
 	startWaiting     atomic.Int64
 	startWaitStopped chan struct{}
 	stopStartWait    sync.Once
+	// roomWaiting is the number of requests that wait for room at an endpoint.
+	roomWaiting atomic.Int64
 }
 
 // New returns an executor with the given options.
@@ -174,6 +176,8 @@
 	firstEventAfter time.Duration
 	// backoffWaited is the total time the request has waited for endpoint backoffs.
 	backoffWaited time.Duration
+	// roomRejections is the number of endpoints that rejected the request for want of room.
+	roomRejections int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// rerun is set once the stages were run a second time, started at rerunAt.
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -50,6 +50,10 @@
 	return &Refusal{http.StatusServiceUnavailable, after, "endpoints_limited", "the endpoints of the service have reached their rate limits; the request has not run; retry after the delay in Retry-After"}
 }
 
+func refuseNoRoom(after time.Duration) *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, after, "no_room", "the endpoints of the service have no room for the request; it has not run; retry after the delay in Retry-After"}
+}
+
 func refuseBusy(after time.Duration) *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, after, "busy", "the request would miss its deadline; it has not run; retry after the delay in Retry-After"}
 }
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -21,3 +21,16 @@
 	// none.
 	Malformed string
 }
+
+// Room is what one response says of the endpoint's room. The zero value says nothing.
+type Room struct {
+	// Brittle: the endpoint fails if it has to reject more than Bears calls in a second for want of room.
+	Brittle bool
+	Bears   int
+	// Rejected: the endpoint is brittle and did not run the call.
+	Rejected bool
+	// Sound: the endpoint processed the call without saying that it is brittle.
+	Sound bool
+	// Malformed is the text of a number that could not be parsed; empty if there was none.
+	Malformed string
+}
