--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -269,6 +269,7 @@
 		Instances: g.instances,
 		Sponsors:  g.sponsors,
 		Reachable: g.reachable,
+		Isolated:  g.isolated,
 
 		Quarantine: g.quarantine,
 		Rollouts:   g.rollouts.Participant,
--- a/cmd/cobaltcroftd/gateway/paths.go
+++ b/cmd/cobaltcroftd/gateway/paths.go
@@ -36,11 +36,12 @@
 }
 
 // dropDirect stops using the direct connections to all endpoints that are now reached through other
-// instances.
-func (g *Gateway) dropDirect(_ httpconn.Target, silent bool) {
+// instances. Calls are broken off only where a whole failure domain is silent: a single sound endpoint
+// may be silent for a second and go on.
+func (g *Gateway) dropDirect(target httpconn.Target, silent bool) {
 	g.conns.DropDirect(func(t httpconn.Target) bool {
 		return g.reach.Path(t.FailureDomain, t.ID) == reach.Relayed
-	}, silent)
+	}, silent && g.reach.Partitioned(target.FailureDomain))
 }
 
 // reachable reports whether this instance can connect to an endpoint by any path.
@@ -48,6 +49,11 @@
 	return g.reach.Path(e.FailureDomain, e.ID) != reach.None
 }
 
+// isolated reports whether a failed connection to an endpoint may be due to this instance's links.
+func (g *Gateway) isolated(e fleet.Endpoint) bool {
+	return g.reach.Isolated(e.FailureDomain, e.ID)
+}
+
 // targets implements reach.Endpoints.
 type targets struct{ *Gateway }
 
@@ -84,6 +90,11 @@
 	return t.reach.Path(target.FailureDomain, target.ID)
 }
 
+// Isolated implements relay.Endpoints.
+func (t tunnelEnds) Isolated(target httpconn.Target) bool {
+	return t.reach.Isolated(target.FailureDomain, target.ID)
+}
+
 // DialDirect implements relay.Endpoints.
 func (t tunnelEnds) DialDirect(ctx context.Context, target httpconn.Target) (net.Conn, error) {
 	return t.dialer.DialDirect(ctx, target)
--- a/pkg/gateway/canary.go
+++ b/pkg/gateway/canary.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
 )
 
@@ -22,15 +23,16 @@
 
 // versionSample collects the outcome of one attempt for the rollout of the endpoint's version.
 type versionSample struct {
-	call  *rollout.Call
-	begin time.Time
+	call     *rollout.Call
+	endpoint fleet.Endpoint
+	begin    time.Time
 	// firstEvent and lastEvent are the times of the first and the last event; events counts them.
 	firstEvent, lastEvent time.Time
 	events                int
 }
 
 func (u *run) beginSample(call *balance.Call, begin time.Time) versionSample {
-	return versionSample{call: u.Rollouts.Begin(call.Endpoint, u.route.Repeatable()), begin: begin}
+	return versionSample{call: u.Rollouts.Begin(call.Endpoint, u.route.Repeatable()), endpoint: call.Endpoint, begin: begin}
 }
 
 // addEvents records the arrival of events.
@@ -67,7 +69,9 @@
 		s.Duration = o.firstEvent.Sub(o.begin)
 	}
 	switch {
-	case outcome == resultNotRun || outcome == resultInputGone || outcome == resultBarred:
+	case outcome == resultNotRun || outcome == resultInputGone || outcome == resultBarred || outcome == resultLinkLost:
+		return nil
+	case outcome == resultUnreachable && u.Isolated != nil && u.Isolated(o.endpoint):
 		return nil
 	case outcome == resultUnreachable:
 		s.Failed, s.Duration = true, 0
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -62,6 +62,9 @@
 	// Reachable reports whether this instance can connect to an endpoint, by itself or through others.
 	// If nil, it can.
 	Reachable func(fleet.Endpoint) bool
+	// Isolated reports whether a failed connection to an endpoint may be due to this instance's links. If
+	// nil, it is due to the endpoint.
+	Isolated func(fleet.Endpoint) bool
 	// Quarantine tracks requests that crash their endpoints.
 	Quarantine *quarantine.Manager
 	// Rollouts collects the outcomes of attempts per version.
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -122,7 +122,7 @@
 		}
 	}
 	x := &exchange{pool: p, conn: c, call: call, written: make(chan error, 1)}
-	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stopWatch = context.AfterFunc(ctx, c.reset)
 	p.begin(x)
 	if err := x.write(); err != nil {
 		x.abort()
@@ -279,7 +279,12 @@
 	if !x.complete {
 		x.complete = x.emptyBody()
 	}
-	if !x.stopWatch() || !x.complete || x.response.Close || !x.requestSent() || x.call.MaxIdle < 0 {
+	if !x.complete {
+		x.stopWatch()
+		x.pool.discardBroken(x.conn)
+		return nil
+	}
+	if !x.stopWatch() || x.response.Close || !x.requestSent() || x.call.MaxIdle < 0 {
 		x.pool.discard(x.conn)
 		return nil
 	}
@@ -306,7 +311,7 @@
 func (x *exchange) abort() {
 	x.pool.end(x)
 	x.stopWatch()
-	x.pool.discard(x.conn)
+	x.pool.discardBroken(x.conn)
 }
 
 // keepAlive returns the timeout in the Keep-Alive header, or 0 if there is none.
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -224,6 +224,21 @@
 	p.release(c.target.ID)
 }
 
+// discardBroken is discard for a connection whose call is not complete. It is reset, because otherwise
+// the kernel would go on to deliver what a partition holds up.
+func (p *Pool) discardBroken(c *conn) {
+	c.reset()
+	p.release(c.target.ID)
+}
+
+// reset closes a connection with a TCP reset. A tunnel passes the reset on.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // put returns a connection to the pool. The advertised keep-alive timeout is 0 if the endpoint sent
 // none.
 func (p *Pool) put(c *conn, advertised time.Duration) {
--- a/pkg/httpconn/silence_monitor.go
+++ b/pkg/httpconn/silence_monitor.go
@@ -92,7 +92,7 @@
 	}
 	for _, x := range p.directCalls(match) {
 		x.linkLost.Store(true)
-		_ = x.conn.Close()
+		x.conn.reset()
 	}
 }
 
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -58,6 +58,8 @@
 	lastConnected time.Time
 	// outages contains the endpoints whose last direct connection attempt failed.
 	outages map[string]*outage
+	// lost is set while no path led to the failure domain when it was last tried.
+	lost bool
 	// logged is the number of outages in the last log event, path the path that was last logged.
 	logged int
 	path   Path
@@ -97,11 +99,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.domain(failureDomain)
-	returned := d.path == None
+	returned := d.lost
+	d.lost = false
 	d.lastConnected = t.clock.Now()
 	d.connectedAt[endpoint] = d.lastConnected
 	delete(d.outages, endpoint)
-	t.logPath(failureDomain, d)
 	return returned
 }
 
@@ -116,7 +118,6 @@
 		d.outages[endpoint] = o
 	}
 	o.failedAt = now
-	t.logPath(failureDomain, d)
 }
 
 // RelayConnected records that another instance connected to an endpoint.
@@ -127,18 +128,17 @@
 	if o := d.outages[endpoint]; o != nil {
 		o.relayed, o.unreachedAt = true, time.Time{}
 	}
-	t.logPath(failureDomain, d)
 }
 
 // RelayFailed records that no other instance connected to an endpoint.
 func (t *Tracker) RelayFailed(failureDomain, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := t.domain(failureDomain)
+	d, now := t.domain(failureDomain), t.clock.Now()
 	if o := d.outages[endpoint]; o != nil {
-		o.relayed, o.unreachedAt = false, t.clock.Now()
+		o.relayed, o.unreachedAt = false, now
 	}
-	t.logPath(failureDomain, d)
+	d.lost = d.judge(now) == None
 }
 
 // Path returns the path to an endpoint.
@@ -159,6 +159,15 @@
 	return Direct
 }
 
+// Partitioned reports whether the endpoints of a failure domain are only reached through other
+// instances.
+func (t *Tracker) Partitioned(failureDomain string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.domains[failureDomain]
+	return d != nil && d.judge(t.clock.Now()) == Relayed
+}
+
 // Isolated reports whether this instance has connected to no endpoint of a failure domain since
 // connections to others than the given one failed. A refused connection then says nothing of the
 // endpoint.
@@ -278,7 +287,7 @@
 	now := t.clock.Now()
 	for name, d := range t.domains {
 		d.forget(now, exists)
-		t.logPath(name, d)
+		t.logPath(now, name, d)
 		if len(d.outages) != d.logged {
 			t.logOutages(now, name, d)
 		}
@@ -318,11 +327,8 @@
 }
 
 // logPath logs a change of the path to a failure domain.
-func (t *Tracker) logPath(name string, d *domain) {
-	path := Direct
-	if len(d.outages) > 0 {
-		path = d.judge(t.clock.Now())
-	}
+func (t *Tracker) logPath(now time.Time, name string, d *domain) {
+	path := d.judge(now)
 	if path == d.path {
 		return
 	}
--- a/service/relay/client.go
+++ b/service/relay/client.go
@@ -82,6 +82,15 @@
 // tunnel is the connection to an endpoint through another instance.
 type tunnel struct{ net.Conn }
 
+// SetLinger is that of the connection to the other instance.
+func (t *tunnel) SetLinger(seconds int) error {
+	tcp, ok := t.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // Read implements net.Conn. The end of a tunnel does not show whether the endpoint closed its
 // connection or the other instance has ended, so that it is an error.
 func (t *tunnel) Read(buffer []byte) (int, error) {
--- a/service/relay/peers.go
+++ b/service/relay/peers.go
@@ -21,7 +21,7 @@
 	maxPeersTried = 3
 	// avoidPartitioned is how long an instance is not asked that cannot connect to a failure domain
 	// itself, avoidBroken one that did not answer.
-	avoidPartitioned = 500 * time.Millisecond
+	avoidPartitioned = time.Second
 	avoidBroken      = 2 * time.Second
 )
 
--- a/service/relay/relay_test.go
+++ b/service/relay/relay_test.go
@@ -30,8 +30,21 @@
 type endpoints struct {
 	address string
 
-	mu   sync.Mutex
-	path reach.Path
+	mu       sync.Mutex
+	path     reach.Path
+	isolated bool
+}
+
+func (e *endpoints) Isolated(httpconn.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isolated
+}
+
+func (e *endpoints) setIsolated() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isolated = true
 }
 
 func (e *endpoints) Target(id string) (httpconn.Target, bool) {
@@ -153,6 +166,14 @@
 		Expect(refusal(ctx, token, endpointID)).To(Equal("unreached"))
 	}, SpecTimeout(10*time.Second))
 
+	It("is no witness against the endpoint where the other instance reaches nothing else", func(ctx SpecContext) {
+		Expect(listener.Close()).To(Succeed())
+		ends.setIsolated()
+		Expect(refusal(ctx, token, endpointID)).To(Equal("partitioned"))
+		ends.setPath(reach.None)
+		Expect(refusal(ctx, token, endpointID)).To(Equal("partitioned"))
+	}, SpecTimeout(10*time.Second))
+
 	It("does not begin when the request for it is canceled", func(ctx SpecContext) {
 		silent, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/service/relay/server.go
+++ b/service/relay/server.go
@@ -35,6 +35,8 @@
 	Target(endpoint string) (httpconn.Target, bool)
 	// Path returns this instance's path to an endpoint.
 	Path(target httpconn.Target) reach.Path
+	// Isolated reports whether a failed connection to an endpoint may be due to this instance's links.
+	Isolated(target httpconn.Target) bool
 	// DialDirect connects to an endpoint directly.
 	DialDirect(ctx context.Context, target httpconn.Target) (net.Conn, error)
 }
@@ -128,18 +130,27 @@
 	case reach.Relayed:
 		return nil, reasonPartitioned
 	case reach.None:
-		return nil, reasonUnreached
+		return nil, s.unreached(target)
 	case reach.Direct:
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), openTimeout)
 	defer cancel()
 	conn, err := s.endpoints.DialDirect(ctx, target)
 	if err != nil {
-		return nil, reasonUnreached
+		return nil, s.unreached(target)
 	}
 	return conn, ""
 }
 
+// unreached returns the reason if this instance could not connect to an endpoint. It is a witness
+// against the endpoint only if it reaches others.
+func (s *Server) unreached(target httpconn.Target) reason {
+	if s.endpoints.Isolated(target) {
+		return reasonPartitioned
+	}
+	return reasonUnreached
+}
+
 // carry copies in both directions until both have ended or one has failed.
 func carry(caller, endpoint net.Conn) {
 	var both sync.WaitGroup
