--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -253,7 +253,7 @@
 		ID:       u.request.ID,
 		IDHeader: u.Dialect.IDHeader(),
 		MaxIdle:  u.maxIdle(),
-
+		// A repeatable call goes on elsewhere when its link falls silent.
 		Repeatable: u.route.Repeatable(),
 	})
 	if err != nil {
