--- /dev/null
+++ b/pkg/reach/domain.go
@@ -0,0 +1,82 @@
+package reach
+
+import "time"
+
+// domain is what is known of the endpoints of a failure domain.
+type domain struct {
+	// connectedAt is the time of the last direct connection to each endpoint, lastConnected the latest.
+	connectedAt   map[string]time.Time
+	lastConnected time.Time
+	// outages contains the endpoints whose last direct connection attempt failed.
+	outages map[string]*outage
+	// lost is set while no path led to the failure domain when it was last tried.
+	lost bool
+	// logged is the number of outages in the last log event, path the path that was last logged.
+	logged int
+	path   Path
+}
+
+// outage is the time in which direct connections to an endpoint have failed.
+type outage struct {
+	since    time.Time
+	failedAt time.Time
+	// relayed is set if another instance has connected to the endpoint, unreachedAt is when others
+	// last failed to.
+	relayed     bool
+	unreachedAt time.Time
+}
+
+// judge returns the path to the failure domain as a whole. None is a suspicion: single endpoints may
+// still be reached.
+func (d *domain) judge(now time.Time) Path {
+	relayed, unreached := 0, 0
+	for _, o := range d.outages {
+		switch {
+		case !d.current(o):
+		case o.relayed:
+			relayed++
+		case o.relaysFailed(now):
+			unreached++
+		}
+	}
+	switch {
+	case relayed >= minEvidence:
+		return Relayed
+	case relayed == 0 && unreached >= minEvidence:
+		return None
+	}
+	return Direct
+}
+
+// current reports whether an outage may be due to the links, because no direct connection into the
+// failure domain has succeeded since.
+func (d *domain) current(o *outage) bool { return !o.failedAt.Before(d.lastConnected) }
+
+// relaysFailed reports whether other instances lately could not connect to the endpoint either.
+func (o *outage) relaysFailed(now time.Time) bool { return now.Sub(o.unreachedAt) < noneTTL }
+
+// unreached reports whether no path to an endpoint is left.
+func (d *domain) unreached(now time.Time, endpoint string) bool {
+	o := d.outages[endpoint]
+	return o != nil && d.current(o) && !o.relayed && o.relaysFailed(now)
+}
+
+// relays reports whether an endpoint itself is reached through other instances.
+func (d *domain) relays(endpoint string) bool {
+	o := d.outages[endpoint]
+	return o != nil && o.relayed && d.current(o)
+}
+
+// forget drops endpoints that no longer exist, and connections that are not recent.
+func (d *domain) forget(now time.Time, exists func(endpoint string) bool) {
+	for endpoint, at := range d.connectedAt {
+		if now.Sub(at) > recentConnection || !exists(endpoint) {
+			delete(d.connectedAt, endpoint)
+		}
+	}
+	for endpoint := range d.outages {
+		if !exists(endpoint) {
+			delete(d.outages, endpoint)
+		}
+	}
+}
