tunnel: what was called a relay has a name of its own

A relay is an instance that watches the store for others (GLOSSARY); connections to endpoints through other instances are tunnels now, in names, events and headers.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -46,7 +46,7 @@
 	"github.com/cobaltcroft/cobaltcroft/service/handover"
 	"github.com/cobaltcroft/cobaltcroft/service/ingress"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
-	"github.com/cobaltcroft/cobaltcroft/service/relay"
+	"github.com/cobaltcroft/cobaltcroft/service/tunnel"
 )
 
 const (
@@ -106,7 +106,7 @@
 	reach    *reach.Tracker
 	dialer   *reach.Dialer
 	prober   *reach.Prober
-	tunnels  *relay.Server
+	tunnels  *tunnel.Server
 	balancer *balance.Balancer
 	// budget limits retries of requests, pieceBudget retries of pieces.
 	budget      *retry.Budget
--- a/cmd/cobaltcroftd/gateway/paths.go
+++ b/cmd/cobaltcroftd/gateway/paths.go
@@ -8,24 +8,24 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
-	"github.com/cobaltcroft/cobaltcroft/service/relay"
+	"github.com/cobaltcroft/cobaltcroft/service/tunnel"
 )
 
 // buildPaths creates what connects to endpoints, directly or through other instances, and carries the
 // tunnels of others.
 func (g *Gateway) buildPaths() {
 	g.reach = reach.NewTracker(g.clock, g.metrics, g.logs.For("reach"))
-	client := relay.Client{Token: g.settings.PeerToken}
+	client := tunnel.Client{Token: g.settings.PeerToken}
 	g.dialer = &reach.Dialer{
-		Direct:    httpconn.TCPDialer{Timeout: httpconn.DefaultDialTimeout},
-		Relay:     relay.NewPeers(client, g.group.Live, g.regions.OfDomain, g.clock, g.metrics),
-		Tracker:   g.reach,
-		OnRelayed: g.dropDirect,
+		Direct:     httpconn.TCPDialer{Timeout: httpconn.DefaultDialTimeout},
+		Tunnels:    tunnel.NewPeers(client, g.group.Live, g.regions.OfDomain, g.clock, g.metrics),
+		Tracker:    g.reach,
+		OnTunneled: g.dropDirect,
 	}
 	g.reach.OnReturn(func(failureDomain string) { g.batcher.ProbeNow(failureDomain) })
 	g.conns.UseDialer(g.dialer)
 	g.prober = &reach.Prober{Dialer: g.dialer, Endpoints: targets{g}, Clock: g.clock}
-	g.tunnels = relay.NewServer(tunnelEnds{targets{g}}, g.settings.PeerToken, g.metrics)
+	g.tunnels = tunnel.NewServer(tunnelEnds{targets{g}}, g.settings.PeerToken, g.metrics)
 	g.listeners.calls, g.listeners.tunnels = peers.Split(g.listeners.peers)
 }
 
@@ -40,7 +40,7 @@
 // may be silent for a second and go on.
 func (g *Gateway) dropDirect(target httpconn.Target, silent bool) {
 	g.conns.DropDirect(func(t httpconn.Target) bool {
-		return g.reach.Path(t.FailureDomain, t.ID) == reach.Relayed
+		return g.reach.Path(t.FailureDomain, t.ID) == reach.Tunneled
 	}, silent && g.reach.Partitioned(target.FailureDomain))
 }
 
@@ -80,22 +80,22 @@
 	return list
 }
 
-// tunnelEnds implements relay.Endpoints.
+// tunnelEnds implements tunnel.Endpoints.
 type tunnelEnds struct{ targets }
 
-var _ relay.Endpoints = tunnelEnds{}
+var _ tunnel.Endpoints = tunnelEnds{}
 
-// Path implements relay.Endpoints.
+// Path implements tunnel.Endpoints.
 func (t tunnelEnds) Path(target httpconn.Target) reach.Path {
 	return t.reach.Path(target.FailureDomain, target.ID)
 }
 
-// Isolated implements relay.Endpoints.
+// Isolated implements tunnel.Endpoints.
 func (t tunnelEnds) Isolated(target httpconn.Target) bool {
 	return t.reach.Isolated(target.FailureDomain, target.ID)
 }
 
-// DialDirect implements relay.Endpoints.
+// DialDirect implements tunnel.Endpoints.
 func (t tunnelEnds) DialDirect(ctx context.Context, target httpconn.Target) (net.Conn, error) {
 	return t.dialer.DialDirect(ctx, target)
 }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -179,10 +179,10 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), target: target}, nil
 }
 
-// relayed reports whether the connection leads through another instance. Such a connection is not
+// tunneled reports whether the connection leads through another instance. Such a connection is not
 // reused, so that calls return to direct connections as soon as there are any, and an instance that
 // stops only waits for the calls in progress.
-func (c *conn) relayed() bool {
+func (c *conn) tunneled() bool {
 	_, direct := c.Conn.(*net.TCPConn)
 	return !direct
 }
@@ -248,7 +248,7 @@
 	}
 	p.mu.Lock()
 	e := p.endpoints[c.target.ID]
-	if p.closed || e == nil || idleTimeout <= 0 || c.reader.Buffered() > 0 || c.relayed() {
+	if p.closed || e == nil || idleTimeout <= 0 || c.reader.Buffered() > 0 || c.tunneled() {
 		p.mu.Unlock()
 		p.discard(c)
 		return
--- a/pkg/httpconn/silence_monitor.go
+++ b/pkg/httpconn/silence_monitor.go
@@ -28,7 +28,7 @@
 
 // begin registers a call that may be broken off.
 func (p *Pool) begin(x *exchange) {
-	if !x.call.Repeatable || x.conn.relayed() {
+	if !x.call.Repeatable || x.conn.tunneled() {
 		return
 	}
 	p.mu.Lock()
@@ -49,7 +49,7 @@
 
 // heard records a response.
 func (p *Pool) heard(x *exchange) {
-	if x.conn.relayed() {
+	if x.conn.tunneled() {
 		return
 	}
 	p.mu.Lock()
@@ -61,7 +61,7 @@
 // its failure domain have responded lately. The dialer draws the conclusions.
 func (p *Pool) checkSilence(x *exchange) {
 	domain := x.conn.target.FailureDomain
-	if x.conn.relayed() || !p.beginCheck(domain) {
+	if x.conn.tunneled() || !p.beginCheck(domain) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
--- a/pkg/reach/dialer.go
+++ b/pkg/reach/dialer.go
@@ -11,20 +11,20 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
-// relayDelay is how long a direct connection attempt may take before one through another instance
+// tunnelDelay is how long a direct connection attempt may take before one through another instance
 // begins beside it. It is above the round trip between regions.
-const relayDelay = 100 * time.Millisecond
+const tunnelDelay = 100 * time.Millisecond
 
-// Relay connects to endpoints through other instances.
-type Relay interface {
+// Tunnels connects to endpoints through other instances.
+type Tunnels interface {
 	// Dial returns a connection to an endpoint. If it fails, the endpoint has received nothing.
 	Dial(ctx context.Context, target httpconn.Target) (net.Conn, error)
 }
 
 var (
-	// ErrNoRelay is returned by a Relay if there is no other instance.
-	ErrNoRelay = errors.New("there is no other instance")
-	// ErrUnreached is returned by a Relay if another instance, which reaches other endpoints, could not
+	// ErrNoTunnel is returned by Tunnels if there is no other instance.
+	ErrNoTunnel = errors.New("there is no other instance")
+	// ErrUnreached is returned by Tunnels if another instance, which reaches other endpoints, could not
 	// connect to this one.
 	ErrUnreached = errors.New("another instance could not connect to the endpoint either")
 )
@@ -32,11 +32,11 @@
 // Dialer connects to endpoints directly, or through another instance where that fails or takes long.
 type Dialer struct {
 	Direct  httpconn.Dialer
-	Relay   Relay
+	Tunnels Tunnels
 	Tracker *Tracker
-	// OnRelayed is called when an endpoint that did not accept a direct connection was reached through
+	// OnTunneled is called when an endpoint that did not accept a direct connection was reached through
 	// another instance. If silent is set, it did not answer either. It must not block. Optional.
-	OnRelayed func(target httpconn.Target, silent bool)
+	OnTunneled func(target httpconn.Target, silent bool)
 }
 
 var _ httpconn.Dialer = (*Dialer)(nil)
@@ -52,8 +52,8 @@
 	switch d.Tracker.Path(target.FailureDomain, target.ID) {
 	case None:
 		return nil, problem.New(problem.Unavailable, "use another endpoint", "neither this instance nor others can connect to endpoint %s", target.ID)
-	case Relayed:
-		if conn, err := d.Relay.Dial(ctx, target); err == nil {
+	case Tunneled:
+		if conn, err := d.Tunnels.Dial(ctx, target); err == nil {
 			return conn, nil
 		}
 	case Direct:
@@ -65,15 +65,15 @@
 func (d *Dialer) DialAnyPath(ctx context.Context, target httpconn.Target) (net.Conn, error) {
 	// The direct attempt goes on when the caller needs it no longer, because its outcome is evidence.
 	direct := start(func() (net.Conn, error) { return d.DialDirect(context.WithoutCancel(ctx), target) })
-	timer := time.NewTimer(relayDelay)
+	timer := time.NewTimer(tunnelDelay)
 	defer timer.Stop()
 	select {
 	case r := <-direct:
 		if r.err == nil {
 			return r.conn, nil
 		}
-		relayed := d.startRelay(ctx, target)
-		return d.finish(ctx, target, r.err, <-relayed)
+		tunneled := d.startTunnel(ctx, target)
+		return d.finish(ctx, target, r.err, <-tunneled)
 	case <-ctx.Done():
 		go closeLate(direct)
 		return nil, ctx.Err()
@@ -82,17 +82,17 @@
 	return d.race(ctx, target, direct)
 }
 
-// race runs a relayed attempt beside a direct one and returns the first connection.
+// race runs a tunneled attempt beside a direct one and returns the first connection.
 func (d *Dialer) race(ctx context.Context, target httpconn.Target, direct <-chan dialResult) (net.Conn, error) {
-	relayed := d.startRelay(ctx, target)
+	tunneled := d.startTunnel(ctx, target)
 	select {
 	case r := <-direct:
 		if r.err == nil {
-			go closeLate(relayed)
+			go closeLate(tunneled)
 			return r.conn, nil
 		}
-		return d.finish(ctx, target, r.err, <-relayed)
-	case r := <-relayed:
+		return d.finish(ctx, target, r.err, <-tunneled)
+	case r := <-tunneled:
 		if r.err == nil {
 			go d.awaitDirect(target, direct)
 			return r.conn, nil
@@ -105,8 +105,8 @@
 	}
 }
 
-func (d *Dialer) startRelay(ctx context.Context, target httpconn.Target) <-chan dialResult {
-	return start(func() (net.Conn, error) { return d.Relay.Dial(ctx, target) })
+func (d *Dialer) startTunnel(ctx context.Context, target httpconn.Target) <-chan dialResult {
+	return start(func() (net.Conn, error) { return d.Tunnels.Dial(ctx, target) })
 }
 
 // DialDirect connects to an endpoint directly and records the outcome. An attempt that the caller
@@ -132,17 +132,17 @@
 	return result
 }
 
-// finish evaluates the relayed attempt after the direct one has failed.
-func (d *Dialer) finish(ctx context.Context, target httpconn.Target, directErr error, relayed dialResult) (net.Conn, error) {
-	if relayed.err == nil {
-		d.recordRelayed(target, directErr)
-		return relayed.conn, nil
+// finish evaluates the tunneled attempt after the direct one has failed.
+func (d *Dialer) finish(ctx context.Context, target httpconn.Target, directErr error, tunneled dialResult) (net.Conn, error) {
+	if tunneled.err == nil {
+		d.recordTunneled(target, directErr)
+		return tunneled.conn, nil
 	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	d.Tracker.RelayFailed(target.FailureDomain, target.ID)
-	witnessed := errors.Is(relayed.err, ErrUnreached) || errors.Is(relayed.err, ErrNoRelay)
+	d.Tracker.TunnelFailed(target.FailureDomain, target.ID)
+	witnessed := errors.Is(tunneled.err, ErrUnreached) || errors.Is(tunneled.err, ErrNoTunnel)
 	if !witnessed && d.Tracker.Isolated(target.FailureDomain, target.ID) {
 		// The error must not look as if the endpoint itself had refused.
 		return nil, problem.New(problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s (%v), nor to others of failure domain %s", target.ID, directErr, target.FailureDomain)
@@ -150,12 +150,12 @@
 	return nil, directErr
 }
 
-// recordRelayed records that an endpoint was reached through another instance after a direct attempt
+// recordTunneled records that an endpoint was reached through another instance after a direct attempt
 // had failed.
-func (d *Dialer) recordRelayed(target httpconn.Target, directErr error) {
-	d.Tracker.RelayConnected(target.FailureDomain, target.ID)
-	if d.OnRelayed != nil {
-		d.OnRelayed(target, !errors.Is(directErr, syscall.ECONNREFUSED) && !errors.Is(directErr, syscall.ECONNRESET))
+func (d *Dialer) recordTunneled(target httpconn.Target, directErr error) {
+	d.Tracker.TunnelConnected(target.FailureDomain, target.ID)
+	if d.OnTunneled != nil {
+		d.OnTunneled(target, !errors.Is(directErr, syscall.ECONNREFUSED) && !errors.Is(directErr, syscall.ECONNRESET))
 	}
 }
 
@@ -163,7 +163,7 @@
 func (d *Dialer) awaitDirect(target httpconn.Target, direct <-chan dialResult) {
 	r := <-direct
 	if r.err != nil {
-		d.recordRelayed(target, r.err)
+		d.recordTunneled(target, r.err)
 		return
 	}
 	_ = r.conn.Close()
--- a/pkg/reach/dialer_test.go
+++ b/pkg/reach/dialer_test.go
@@ -54,20 +54,20 @@
 
 var _ = Describe("connecting to an endpoint", func() {
 	var (
-		direct, relay *fakePath
-		tracker       *reach.Tracker
-		dialer        *reach.Dialer
-		silent        chan bool
+		direct, tunnel *fakePath
+		tracker        *reach.Tracker
+		dialer         *reach.Dialer
+		silent         chan bool
 	)
 	target := httpconn.Target{ID: "one", FailureDomain: "zone-a"}
 
 	BeforeEach(func() {
-		direct, relay = &fakePath{}, &fakePath{}
+		direct, tunnel = &fakePath{}, &fakePath{}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		tracker = reach.NewTracker(clockwork.NewRealClock(), metrics.NewSet(), logrus.NewEntry(log))
 		silent = make(chan bool, 10)
-		dialer = &reach.Dialer{Direct: direct, Relay: relay, Tracker: tracker, OnRelayed: func(_ httpconn.Target, s bool) { silent <- s }}
+		dialer = &reach.Dialer{Direct: direct, Tunnels: tunnel, Tracker: tracker, OnTunneled: func(_ httpconn.Target, s bool) { silent <- s }}
 	})
 
 	via := func(conn net.Conn, err error) *fakePath {
@@ -77,29 +77,29 @@
 
 	It("uses no other instance while the direct path works", func(ctx SpecContext) {
 		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(direct))
-		Expect(relay.dials.Load()).To(BeZero())
+		Expect(tunnel.dials.Load()).To(BeZero())
 	})
 
 	It("goes through another instance at once when the direct path is refused", func(ctx SpecContext) {
 		direct.err = syscall.ECONNREFUSED
-		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(relay))
+		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(tunnel))
 		Expect(silent).To(Receive(BeFalse()))
-		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(relay))
+		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(tunnel))
 		Expect(direct.dials.Load()).To(BeEquivalentTo(1), "the endpoint is known to be reached through others")
 	})
 
 	It("does not wait for a silent direct path, and learns its outcome", func(ctx SpecContext) {
 		direct.after, direct.err = 300*time.Millisecond, errors.New("timeout")
 		began := time.Now()
-		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(relay))
+		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(tunnel))
 		Expect(time.Since(began)).To(BeNumerically("<", 250*time.Millisecond))
 		Eventually(silent).Should(Receive(BeTrue()))
-		Expect(tracker.Path("zone-a", "one")).To(Equal(reach.Relayed))
+		Expect(tracker.Path("zone-a", "one")).To(Equal(reach.Tunneled))
 	})
 
 	It("closes the slower of two connections", func(ctx SpecContext) {
 		direct.after = 200 * time.Millisecond
-		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(relay))
+		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(tunnel))
 		Eventually(direct.dials.Load).Should(BeEquivalentTo(1))
 		Consistently(direct.open.Load, 300*time.Millisecond).Should(BeZero())
 		Expect(tracker.Path("zone-a", "one")).To(Equal(reach.Direct))
@@ -107,13 +107,13 @@
 
 	It("falls back to the direct path when no other instance connects any more", func(ctx SpecContext) {
 		direct.err = syscall.ECONNREFUSED
-		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(relay))
-		direct.err, relay.err = nil, reach.ErrUnreached
+		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(tunnel))
+		direct.err, tunnel.err = nil, reach.ErrUnreached
 		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(direct))
 	})
 
 	It("fails at once while neither path has worked lately", func(ctx SpecContext) {
-		direct.err, relay.err = syscall.ECONNREFUSED, reach.ErrUnreached
+		direct.err, tunnel.err = syscall.ECONNREFUSED, reach.ErrUnreached
 		_, err := dialer.Dial(ctx, target)
 		Expect(err).To(MatchError(syscall.ECONNREFUSED))
 		_, err = dialer.Dial(ctx, target)
@@ -122,7 +122,7 @@
 	})
 
 	It("does not pass on a refusal that only the instance's own links have shown", func(ctx SpecContext) {
-		direct.err, relay.err = syscall.ECONNREFUSED, errors.New("partitioned too")
+		direct.err, tunnel.err = syscall.ECONNREFUSED, errors.New("partitioned too")
 		_, err := dialer.Dial(ctx, httpconn.Target{ID: "two", FailureDomain: "zone-a"})
 		Expect(err).To(MatchError(syscall.ECONNREFUSED), "nothing else of the failure domain is known to have failed")
 		_, err = dialer.Dial(ctx, target)
@@ -131,7 +131,7 @@
 	})
 
 	It("learns nothing from an attempt that its caller gives up", func(ctx SpecContext) {
-		direct.after, relay.after = time.Minute, time.Minute
+		direct.after, tunnel.after = time.Minute, time.Minute
 		canceled, cancel := context.WithTimeout(ctx, 150*time.Millisecond)
 		defer cancel()
 		result := make(chan error, 1)
--- a/pkg/reach/domain.go
+++ b/pkg/reach/domain.go
@@ -20,29 +20,29 @@
 type outage struct {
 	since    time.Time
 	failedAt time.Time
-	// relayed is set if another instance has connected to the endpoint, unreachedAt is when others
+	// tunneled is set if another instance has connected to the endpoint, unreachedAt is when others
 	// last failed to.
-	relayed     bool
+	tunneled    bool
 	unreachedAt time.Time
 }
 
 // judge returns the path to the failure domain as a whole. None is a suspicion: single endpoints may
 // still be reached.
 func (d *domain) judge(now time.Time) Path {
-	relayed, unreached := 0, 0
+	tunneled, unreached := 0, 0
 	for _, o := range d.outages {
 		switch {
 		case !d.current(o):
-		case o.relayed:
-			relayed++
-		case o.relaysFailed(now):
+		case o.tunneled:
+			tunneled++
+		case o.tunnelsFailed(now):
 			unreached++
 		}
 	}
 	switch {
-	case relayed >= minEvidence:
-		return Relayed
-	case relayed == 0 && unreached >= minEvidence:
+	case tunneled >= minEvidence:
+		return Tunneled
+	case tunneled == 0 && unreached >= minEvidence:
 		return None
 	}
 	return Direct
@@ -52,19 +52,19 @@
 // failure domain has succeeded since.
 func (d *domain) current(o *outage) bool { return !o.failedAt.Before(d.lastConnected) }
 
-// relaysFailed reports whether other instances lately could not connect to the endpoint either.
-func (o *outage) relaysFailed(now time.Time) bool { return now.Sub(o.unreachedAt) < noneTTL }
+// tunnelsFailed reports whether other instances lately could not connect to the endpoint either.
+func (o *outage) tunnelsFailed(now time.Time) bool { return now.Sub(o.unreachedAt) < noneTTL }
 
 // unreached reports whether no path to an endpoint is left.
 func (d *domain) unreached(now time.Time, endpoint string) bool {
 	o := d.outages[endpoint]
-	return o != nil && d.current(o) && !o.relayed && o.relaysFailed(now)
+	return o != nil && d.current(o) && !o.tunneled && o.tunnelsFailed(now)
 }
 
-// relays reports whether an endpoint itself is reached through other instances.
-func (d *domain) relays(endpoint string) bool {
+// tunnels reports whether an endpoint itself is reached through other instances.
+func (d *domain) tunnels(endpoint string) bool {
 	o := d.outages[endpoint]
-	return o != nil && o.relayed && d.current(o)
+	return o != nil && o.tunneled && d.current(o)
 }
 
 // forget drops endpoints that no longer exist, and connections that are not recent.
--- a/pkg/reach/prober.go
+++ b/pkg/reach/prober.go
@@ -14,10 +14,10 @@
 const (
 	// probePeriod is the time between two rounds of probes.
 	probePeriod = 200 * time.Millisecond
-	// maxProbes bounds the probes of a failure domain in a round, maxRelayedProbes those where other
+	// maxProbes bounds the probes of a failure domain in a round, maxTunneledProbes those where other
 	// instances reach it, so that only the return of the direct path is of interest.
-	maxProbes        = 8
-	maxRelayedProbes = 2
+	maxProbes         = 8
+	maxTunneledProbes = 2
 	// maxRunning bounds the probes in progress.
 	maxRunning = 32
 	// probeTimeout bounds a probe.
@@ -61,7 +61,7 @@
 // probeSome probes some endpoints of a failure domain in the background, unless many probes are in
 // progress.
 func (p *Prober) probeSome(ctx context.Context, c ProbeCandidates) {
-	targets, most := p.targets(c), maxRelayedProbes
+	targets, most := p.targets(c), maxTunneledProbes
 	if c.All {
 		most = maxProbes
 	}
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -22,8 +22,8 @@
 const (
 	// Direct: this instance connects to the endpoint itself.
 	Direct Path = "direct"
-	// Relayed: other instances connect to the endpoint, this one does not.
-	Relayed Path = "relayed"
+	// Tunneled: other instances connect to the endpoint, this one does not.
+	Tunneled Path = "tunneled"
 	// None: neither this instance nor others could connect.
 	None Path = "none"
 )
@@ -96,23 +96,23 @@
 	o.failedAt = now
 }
 
-// RelayConnected records that another instance connected to an endpoint.
-func (t *Tracker) RelayConnected(failureDomain, endpoint string) {
+// TunnelConnected records that another instance connected to an endpoint.
+func (t *Tracker) TunnelConnected(failureDomain, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.domain(failureDomain)
 	if o := d.outages[endpoint]; o != nil {
-		o.relayed, o.unreachedAt = true, time.Time{}
+		o.tunneled, o.unreachedAt = true, time.Time{}
 	}
 }
 
-// RelayFailed records that no other instance connected to an endpoint.
-func (t *Tracker) RelayFailed(failureDomain, endpoint string) {
+// TunnelFailed records that no other instance connected to an endpoint.
+func (t *Tracker) TunnelFailed(failureDomain, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d, now := t.domain(failureDomain), t.clock.Now()
 	if o := d.outages[endpoint]; o != nil {
-		o.relayed, o.unreachedAt = false, now
+		o.tunneled, o.unreachedAt = false, now
 	}
 	d.lost = d.judge(now) == None
 }
@@ -127,8 +127,8 @@
 	}
 	now := t.clock.Now()
 	switch {
-	case d.judge(now) == Relayed || d.relays(endpoint):
-		return Relayed
+	case d.judge(now) == Tunneled || d.tunnels(endpoint):
+		return Tunneled
 	case d.unreached(now, endpoint):
 		return None
 	}
@@ -141,7 +141,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.domains[failureDomain]
-	return d != nil && d.judge(t.clock.Now()) == Relayed
+	return d != nil && d.judge(t.clock.Now()) == Tunneled
 }
 
 // Isolated reports whether this instance has connected to no endpoint of a failure domain since
@@ -203,7 +203,7 @@
 		path := d.judge(now)
 		c := ProbeCandidates{FailureDomain: name, All: path == None}
 		for endpoint, o := range d.outages {
-			if path != Direct && d.current(o) || d.relays(endpoint) {
+			if path != Direct && d.current(o) || d.tunnels(endpoint) {
 				c.Endpoints = append(c.Endpoints, endpoint)
 			}
 		}
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -62,13 +62,13 @@
 		tracker *reach.Tracker
 	)
 	path := func(endpoint string) reach.Path { return tracker.Path("zone-a", endpoint) }
-	relayed := func(endpoint string) {
+	tunneled := func(endpoint string) {
 		tracker.Failed("zone-a", endpoint)
-		tracker.RelayConnected("zone-a", endpoint)
+		tracker.TunnelConnected("zone-a", endpoint)
 	}
 	unreached := func(endpoint string) {
 		tracker.Failed("zone-a", endpoint)
-		tracker.RelayFailed("zone-a", endpoint)
+		tracker.TunnelFailed("zone-a", endpoint)
 	}
 
 	BeforeEach(func() {
@@ -79,17 +79,17 @@
 	})
 
 	It("leads through other instances where only these connect", func() {
-		relayed("one")
-		Expect(path("one")).To(Equal(reach.Relayed))
+		tunneled("one")
+		Expect(path("one")).To(Equal(reach.Tunneled))
 		Expect(path("two")).To(Equal(reach.Direct), "a single endpoint says nothing of others")
-		relayed("two")
-		Expect(path("three")).To(Equal(reach.Relayed))
+		tunneled("two")
+		Expect(path("three")).To(Equal(reach.Tunneled))
 		Expect(tracker.Path("zone-b", "four")).To(Equal(reach.Direct))
 	})
 
 	It("is direct again for all of a failure domain after one direct connection", func() {
-		relayed("one")
-		relayed("two")
+		tunneled("one")
+		tunneled("two")
 		clock.Advance(time.Second)
 		tracker.Connected("zone-a", "three")
 		for _, endpoint := range []string{"one", "two", "three"} {
--- a/service/relay/bench_test.go
+++ b/service/tunnel/bench_test.go
@@ -1,4 +1,4 @@
-package relay_test
+package tunnel_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
-	"github.com/cobaltcroft/cobaltcroft/service/relay"
+	"github.com/cobaltcroft/cobaltcroft/service/tunnel"
 )
 
 // messageBytes is the size of the message and of its echo in the benchmarks.
@@ -21,7 +21,7 @@
 // that of both instances and the endpoint.
 func BenchmarkTunnel(b *testing.B) {
 	ends := echoEndpoint(b)
-	server := relay.NewServer(ends, token, metrics.NewSet())
+	server := tunnel.NewServer(ends, token, metrics.NewSet())
 	shared, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -30,7 +30,7 @@
 	go func() { _ = server.Serve(tunnels) }()
 	defer server.Close()
 	benchmark(b, func() (net.Conn, error) {
-		return relay.Client{Token: token}.Open(context.Background(), shared.Addr().String(), endpointID)
+		return tunnel.Client{Token: token}.Open(context.Background(), shared.Addr().String(), endpointID)
 	})
 }
 
--- a/service/relay/client.go
+++ b/service/tunnel/client.go
@@ -1,4 +1,4 @@
-package relay
+package tunnel
 
 import (
 	"bufio"
--- a/service/relay/peers.go
+++ b/service/tunnel/peers.go
@@ -1,4 +1,4 @@
-package relay
+package tunnel
 
 import (
 	"context"
@@ -44,19 +44,19 @@
 // route is a way to the endpoints of a failure domain; all of them if it is empty.
 type route struct{ peer, failureDomain string }
 
-var _ reach.Relay = (*Peers)(nil)
+var _ reach.Tunnels = (*Peers)(nil)
 
 // NewPeers returns the tunnels through the live instances. It registers its counter in set.
 func NewPeers(client Client, live func() []membership.Member, regionOf func(string) string, clock clockwork.Clock, set *metrics.Set) *Peers {
 	return &Peers{client: client, live: live, regionOf: regionOf, clock: clock, opened: set.NewCounter("cobaltcroft_tunnels_used_total"), avoid: map[route]time.Time{}}
 }
 
-// Dial implements reach.Relay. Only instances in the region of the endpoint are used, because a
+// Dial implements reach.Tunnels. Only instances in the region of the endpoint are used, because a
 // request may be limited to regions.
 func (p *Peers) Dial(ctx context.Context, target httpconn.Target) (net.Conn, error) {
 	peers := p.candidates(target)
 	if len(peers) == 0 {
-		return nil, reach.ErrNoRelay
+		return nil, reach.ErrNoTunnel
 	}
 	last := error(&RefusedError{Reason: string(reasonPartitioned)})
 	tried := 0
--- a/service/relay/server.go
+++ b/service/tunnel/server.go
@@ -1,4 +1,4 @@
-package relay
+package tunnel
 
 import (
 	"context"
@@ -127,7 +127,7 @@
 		return nil, reasonUnknown
 	}
 	switch s.endpoints.Path(target) {
-	case reach.Relayed:
+	case reach.Tunneled:
 		return nil, reasonPartitioned
 	case reach.None:
 		return nil, s.unreached(target)
--- a/service/relay/suite_test.go
+++ b/service/tunnel/suite_test.go
@@ -1,4 +1,4 @@
-package relay_test
+package tunnel_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestRelay(t *testing.T) {
+func TestTunnel(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "relay")
+	RunSpecs(t, "tunnel")
 }
--- a/service/relay/relay.go
+++ b/service/tunnel/tunnel.go
@@ -1,8 +1,8 @@
-// Package relay lets an instance that cannot connect to an endpoint use the connection of another
+// Package tunnel lets an instance that cannot connect to an endpoint use the connection of another
 // instance. A tunnel is opened by an HTTP CONNECT request that names the endpoint by its ID; it then
 // carries the bytes of one connection. The other instance connects to the endpoint itself, so that a
 // tunnel has one hop.
-package relay
+package tunnel
 
 import (
 	"net/http"
@@ -13,9 +13,9 @@
 	headerToken = "Proxy-Authorization"
 	tokenPrefix = "Bearer "
 	// headerEndpoint has the ID of the endpoint, which may contain bytes that a host must not.
-	headerEndpoint = "Relay-Endpoint"
+	headerEndpoint = "Tunnel-Endpoint"
 	// headerReason has the reason of a refusal.
-	headerReason = "Relay-Reason"
+	headerReason = "Tunnel-Reason"
 	// tunnelHost is the host in requests that open a tunnel.
 	tunnelHost = "endpoint"
 	// maxHeaderBytes bounds the header of a request or response that opens a tunnel.
--- a/service/relay/relay_test.go
+++ b/service/tunnel/tunnel_test.go
@@ -1,4 +1,4 @@
-package relay_test
+package tunnel_test
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
-	"github.com/cobaltcroft/cobaltcroft/service/relay"
+	"github.com/cobaltcroft/cobaltcroft/service/tunnel"
 )
 
 const (
@@ -26,7 +26,7 @@
 	endpointID = "i-12ab@1771490745/7"
 )
 
-// endpoints implements relay.Endpoints with one endpoint.
+// endpoints implements tunnel.Endpoints with one endpoint.
 type endpoints struct {
 	address string
 
@@ -71,7 +71,7 @@
 	var (
 		listener net.Listener
 		ends     *endpoints
-		server   *relay.Server
+		server   *tunnel.Server
 		peer     string
 	)
 
@@ -81,7 +81,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = listener.Close() })
 		ends = &endpoints{address: listener.Addr().String(), path: reach.Direct}
-		server = relay.NewServer(ends, token, metrics.NewSet())
+		server = tunnel.NewServer(ends, token, metrics.NewSet())
 		shared, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		_, tunnels := peers.Split(shared)
@@ -92,7 +92,7 @@
 
 	// open opens a tunnel and returns both of its ends.
 	open := func(ctx context.Context) (caller, endpoint net.Conn) {
-		caller, err := relay.Client{Token: token}.Open(ctx, peer, endpointID)
+		caller, err := tunnel.Client{Token: token}.Open(ctx, peer, endpointID)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = caller.Close() })
 		endpoint, err = listener.Accept()
@@ -102,8 +102,8 @@
 	}
 
 	refusal := func(ctx context.Context, token, id string) string {
-		_, err := relay.Client{Token: token}.Open(ctx, peer, id)
-		var refused *relay.RefusedError
+		_, err := tunnel.Client{Token: token}.Open(ctx, peer, id)
+		var refused *tunnel.RefusedError
 		Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
 		return refused.Reason
 	}
@@ -155,7 +155,7 @@
 	It("is refused without the token, to an unknown endpoint, and where the other instance has no direct path", func(ctx SpecContext) {
 		Expect(refusal(ctx, "a wrong token", endpointID)).To(Equal("denied"))
 		Expect(refusal(ctx, token, "i-other")).To(Equal("unknown"))
-		ends.setPath(reach.Relayed)
+		ends.setPath(reach.Tunneled)
 		Expect(refusal(ctx, token, endpointID)).To(Equal("partitioned"))
 		ends.setPath(reach.None)
 		Expect(refusal(ctx, token, endpointID)).To(Equal("unreached"))
@@ -181,7 +181,7 @@
 		canceled, cancel := context.WithCancel(ctx)
 		time.AfterFunc(20*time.Millisecond, cancel)
 		began := time.Now()
-		_, err = relay.Client{Token: token}.Open(canceled, silent.Addr().String(), endpointID)
+		_, err = tunnel.Client{Token: token}.Open(canceled, silent.Addr().String(), endpointID)
 		Expect(err).To(HaveOccurred())
 		Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
 	}, SpecTimeout(10*time.Second))
@@ -193,7 +193,7 @@
 			return membership.Member{Instance: membership.Instance{Name: name, FailureDomain: domain, PeerAddress: address}}
 		}
 		dial := func(ctx context.Context, live ...membership.Member) error {
-			p := relay.NewPeers(relay.Client{Token: token}, func() []membership.Member { return live }, func(d string) string { return regions[d] }, clockwork.NewRealClock(), metrics.NewSet())
+			p := tunnel.NewPeers(tunnel.Client{Token: token}, func() []membership.Member { return live }, func(d string) string { return regions[d] }, clockwork.NewRealClock(), metrics.NewSet())
 			target, _ := ends.Target(endpointID)
 			conn, err := p.Dial(ctx, target)
 			if err == nil {
@@ -215,7 +215,7 @@
 		}, SpecTimeout(10*time.Second))
 
 		It("stays in the region of the endpoint", func(ctx SpecContext) {
-			Expect(dial(ctx, member("one", "zone-c", peer))).To(MatchError(reach.ErrNoRelay))
+			Expect(dial(ctx, member("one", "zone-c", peer))).To(MatchError(reach.ErrNoTunnel))
 		}, SpecTimeout(10*time.Second))
 
 		It("ends with the first that reaches others but not the endpoint", func(ctx SpecContext) {
