--- a/pkg/room/table.go
+++ b/pkg/room/table.go
@@ -35,7 +35,7 @@
 	minSharesPerInstance = 2
 	// spacedLoad is the fraction of the slots that spaced calls take on average. They coincide at
 	// random, so that some would be rejected well below all slots.
-	spacedLoad = 0.4
+	spacedLoad = 0.25
 )
 
 // Allowance limits the calls of this instance to an endpoint.
