gateway, httpconn: a notice that can't be read tells its status again; one reset of connections

notice_unread lost its status when the words on room were added; it is told again, and both parsers' words are logged in one place. httpconn.Reset serves the pool and the tunnels, which had each their own.

--- a/cmd/cobaltcroftd/gateway/notices.go
+++ b/cmd/cobaltcroftd/gateway/notices.go
@@ -50,8 +50,10 @@
 	if n.Backoff > 0 {
 		g.backoffs.Start(target.ID, n.Backoff)
 	}
-	g.observeRoom(target, platform.ParseRoom(uri, status, h), n.Backoff > 0)
-	g.logUnread(target, n.Malformed)
+	said := platform.ParseRoom(uri, status, h)
+	g.observeRoom(target, said, n.Backoff > 0)
+	g.logUnread(target, status, n.Malformed)
+	g.logUnread(target, status, said.Malformed)
 	switch {
 	case n.Limited:
 		g.rateLimits.Set(target.ID, n.Limit)
@@ -61,18 +63,18 @@
 }
 
 // logUnread counts and logs a notice that could not be parsed, if there was one.
-func (g *Gateway) logUnread(target httpconn.Target, text string) {
+func (g *Gateway) logUnread(target httpconn.Target, status int, text string) {
 	if text == "" {
 		return
 	}
 	g.unreadNotices.Inc()
-	g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "text": text}).Warn("ignoring the notice; a backoff is in seconds, a limit in requests per second, rejections are a whole number")
+	g.log.WithFields(logrus.Fields{"event": "notice_unread", "endpoint": target.ID, "status": status, "text": text}).Warn("ignoring the notice; a backoff is in seconds, a limit in requests per second, rejections are a whole number")
 }
 
 // observeRoom processes what a response says of the endpoint's room. A brittle endpoint that has
 // rejected a call gets no others from this instance for a while, unless it named a time itself.
 func (g *Gateway) observeRoom(target httpconn.Target, r notice.Room, backingOff bool) {
-	if !r.Brittle && r.Malformed == "" && g.room.Count() == 0 {
+	if !r.Brittle && g.room.Count() == 0 {
 		return
 	}
 	e, found := g.follower.View().Fleet.Endpoint(target.ID)
@@ -86,7 +88,6 @@
 	case r.Sound:
 		g.room.SetSound(e.Service, e.ID)
 	}
-	g.logUnread(target, r.Malformed)
 }
 
 // roomGroup implements room.Group.
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -232,11 +232,15 @@
 }
 
 // reset closes a connection with a TCP reset. A tunnel passes the reset on.
-func (c *conn) reset() {
-	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+func (c *conn) reset() { Reset(c.Conn) }
+
+// Reset closes a connection with a TCP reset, if it can, so that what it carried does not look
+// complete.
+func Reset(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.Close()
+	_ = conn.Close()
 }
 
 // put returns a connection to the pool. The advertised keep-alive timeout is 0 if the endpoint sent
--- a/service/tunnel/server.go
+++ b/service/tunnel/server.go
@@ -80,7 +80,7 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	for conn := range s.conns {
-		abort(conn)
+		httpconn.Reset(underlying(conn))
 	}
 }
 
@@ -185,7 +185,7 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
-				abort(from)
+				httpconn.Reset(underlying(from))
 				return
 			}
 		}
@@ -194,20 +194,12 @@
 			_ = to.Close()
 			return
 		case err != nil:
-			abort(to)
+			httpconn.Reset(underlying(to))
 			return
 		}
 	}
 }
 
-// abort closes a connection with a reset, so that an incomplete response does not look complete.
-func abort(conn net.Conn) {
-	if tcp, ok := underlying(conn).(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // underlying returns the connection that a connection wraps, or itself.
 func underlying(conn net.Conn) net.Conn {
 	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
