--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -304,6 +304,7 @@
 	fields := logrus.Fields{
 		"event": "attempt", "id": u.request.ID, "endpoint": call.Endpoint.ID, "address": call.Endpoint.Address, "status": status,
 		"ms": u.Clock.Since(begin).Milliseconds(), "next": int(outcome), "events": u.events, "domain": call.Endpoint.FailureDomain,
+		"software": call.Endpoint.Version,
 	}
 	if call.Ejected {
 		fields["left_out"] = true
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -373,6 +373,12 @@
 	if u.digest != (quarantine.Digest{}) {
 		fields["digest"] = u.digest.String()
 	}
+	if u.request.Resumes != "" {
+		fields["resumes"] = u.request.Resumes
+	}
+	if u.request.LastEvent != "" {
+		fields["last_event"] = u.request.LastEvent
+	}
 	if u.waitedForView {
 		fields["start_wait_ms"] = u.startWaited.Milliseconds()
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -35,6 +35,9 @@
 	PieceKey string
 	// LastEvent is the ID of the last event received by the client, if any.
 	LastEvent string
+	// Resumes is the ID of the request that received the first event of the stream, if the client
+	// resumes one.
+	Resumes string
 }
 
 // Outbound is the request metadata sent to an endpoint.
