gateway, origin: a stream goes on only at the software version that began it

Cause: what one endpoint has made is bound to its version, and nothing held that bond. The request knew its last event and not who made it, and an attempt that resumes was chosen an endpoint like any other.

Change: from its first event on, a request is bound to an origin (service and software version), which every choice of an endpoint goes by. The instance that begins a stream tells two others, by rendezvous hashing and in two failure domains, in small datagrams; who is asked to resume one asks them. A stream that nobody knows is refused, unless a single version has served for as long as it can be old. Records are passed on when keepers come, are restarted or stop. Versions of endpoints that may just have been restarted under their name are not trusted.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
@@ -115,6 +116,8 @@
 	quarantine *quarantine.Manager
 	// rollouts moves traffic between versions.
 	rollouts *rollout.Manager
+	// origins knows which software version began each stream.
+	origins *origin.Registry
 	// held accounts for the memory of request and response bodies.
 	held *memquota.Quota
 
@@ -254,6 +257,9 @@
 	g.router = handover.NewRouter(g.routerOptions(self, planner))
 	rolloutPeers := &handover.RolloutPeers{Client: g.client, Instance: self, Live: g.group.Live}
 	g.rollouts = rollout.NewManager(rolloutView{g.follower}, rolloutPeers, g.store, s.Rollouts.Share, g.clock, g.logs.For("rollout"))
+	originPeers := &handover.OriginPeers{Client: g.client, Gossip: g.gossip, LiveMembers: g.group.Live}
+	g.origins = origin.New(originPeers, originView{g.follower}, g.clock, g.metrics, g.logs.For("origin"))
+	g.gossip.OnOrigins(g.origins.Merge)
 	g.executor = pkggateway.New(pkggateway.Options{
 		View:      g.follower.View,
 		Dialect:   platform.Dialect{},
@@ -273,12 +279,13 @@
 
 		Quarantine: g.quarantine,
 		Rollouts:   g.rollouts.Participant,
+		Origins:    g.origins,
 		Held:       g.held,
 		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
 	g.addViewGauges()
 	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
-	g.handler = handover.NewHandler(g.router, g.follower, g.rollouts, g.permits)
+	g.handler = handover.NewHandler(g.router, handover.Backends{Follower: g.follower, Rollouts: g.rollouts, Permits: g.permits, Origins: g.origins})
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
 
@@ -415,6 +422,7 @@
 	g.rateLimits.Sweep(exists)
 	g.room.Sweep(exists)
 	g.permits.UpdateMembers()
+	g.origins.Tick()
 	g.router.Tick()
 	g.logUsage(g.clock.Now())
 }
--- a/cmd/cobaltcroftd/gateway/resume_test.go
+++ b/cmd/cobaltcroftd/gateway/resume_test.go
@@ -156,14 +156,14 @@
 	It("goes on at the version that began it when an endpoint breaks off", func() {
 		for n := range 16 {
 			e := d.EnginesOf("model")[n%4]
-			e.QueueFaults(platformtest.TruncateResponse)
-			var c client
+			e.SetDefaultFault(platformtest.TruncateResponse)
 			for _, i := range all {
-				c = client{}
+				var c client
 				Expect(c.read(i, "stream", 0)).To(Equal(http.StatusOK))
 				Expect(c.whole(streamEvents)).To(BeTrue())
 				Expect(versionsOf(c.ids...)).To(HaveLen(1))
 			}
+			e.SetDefaultFault(0)
 		}
 	})
 
--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -40,6 +40,7 @@
 	g.stopping.begin()
 	g.executor.StopStartWait()
 	g.group.Leave()
+	g.origins.Leave()
 	g.ingress.DisableKeepAlives()
 	end := begin.Add(g.settings.StopGrace() - exitMargin)
 	drain := begin.Add(time.Duration(drainRatio * float64(g.settings.StopGrace())))
--- a/cmd/cobaltcroftd/gateway/views.go
+++ b/cmd/cobaltcroftd/gateway/views.go
@@ -6,6 +6,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
+	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
 
@@ -36,3 +37,14 @@
 
 // Backoff implements batch.Known.
 func (k batchView) Backoff(id string) time.Duration { return k.rests.Remaining(id) }
+
+// originView is the origin registry's view of the endpoints.
+type originView struct{ follower *discovery.Follower }
+
+var _ origin.View = originView{}
+
+// Endpoints implements origin.View.
+func (v originView) Endpoints() (endpoints []fleet.Endpoint, confirmed time.Time) {
+	view := v.follower.View()
+	return view.Fleet.All(), view.Confirmed
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -97,7 +97,7 @@
 		case resultLinkLost:
 			u.tried[call.Endpoint.ID] = true
 			u.mayHaveRun = true
-			if !u.route.Repeatable() {
+			if !u.route.Repeatable() || u.streamBegun && !u.canContinue() {
 				return refuseLostResponse()
 			}
 			if refusal := u.restoreFreedInputs(ctx); refusal != nil {
@@ -296,6 +296,7 @@
 		result = balance.Canceled
 	}
 	call.End(result, nil)
+	u.noteRefused(call.Endpoint, err)
 	u.logAttempt(call, begin, 0, outcome, err)
 	return outcome
 }
--- a/pkg/gateway/canary.go
+++ b/pkg/gateway/canary.go
@@ -12,10 +12,11 @@
 
 // pickCanary picks an endpoint of a version on trial if the request belongs to the version's share
 // of traffic, and nil otherwise. Only first attempts qualify, so that a failed request is not sent
-// to that version again and each arrival counts.
+// to that version again and each arrival counts. A request that resumes a stream is no sample of another
+// version.
 func (u *run) pickCanary(need balance.CallSpec) *balance.Call {
 	trial := u.View().Fleet.Trial(u.service.Name)
-	if u.attempts > 0 || !trial.Includes(u.request.ID) {
+	if u.attempts > 0 || u.origin != nil || !trial.Includes(u.request.ID) {
 		return nil
 	}
 	return u.Balancer.Pick(u.filterAllowed(trial.Endpoints), need)
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -89,6 +90,9 @@
 	if state == httpconn.NotListening && u.expectedUp(call.Endpoint) {
 		u.Quarantine.RecordCrash(u.digest, call.Endpoint.ID)
 	}
+	if state == httpconn.NotListening {
+		u.noteRefused(call.Endpoint, syscall.ECONNREFUSED)
+	}
 	u.Log.WithFields(logrus.Fields{
 		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.digest.String(), "endpoint": call.Endpoint.ID,
 		"sign": string(state), "ends": u.Quarantine.CrashCount(u.digest),
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -19,6 +19,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
+	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 	"github.com/cobaltcroft/cobaltcroft/pkg/retry"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
@@ -69,6 +70,9 @@
 	Quarantine *quarantine.Manager
 	// Rollouts collects the outcomes of attempts per version.
 	Rollouts *rollout.Participant
+	// Origins knows which software version began each stream. If nil, streams that clients resume are
+	// refused.
+	Origins Origins
 	// Held accounts for the memory of buffered responses. Optional.
 	Held *memquota.Quota
 	// StartWait lets requests wait for the first view. Optional.
@@ -101,6 +105,9 @@
 	if o.Held == nil {
 		o.Held = memquota.NewQuota(0)
 	}
+	if o.Origins == nil {
+		o.Origins = noOrigins{}
+	}
 	return &Executor{
 		Options:           o,
 		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
@@ -171,6 +178,10 @@
 	lastEvent   string
 	events      int
 	streamBegun bool
+	// origin is what the stream was begun by, once it has begun or was found for a resumed one; finding
+	// is how that was found.
+	origin  *origin.Origin
+	finding origin.Finding
 	// versionSample is the outcome of the last attempt, reported to the rollout of the endpoint's
 	// version.
 	versionSample versionSample
@@ -212,6 +223,10 @@
 	}
 	ctx, cancel := u.until(ctx, u.deadline)
 	defer cancel()
+	if refusal := u.bindResumed(ctx); refusal != nil {
+		u.refuse(refusal)
+		return
+	}
 	if refusal := u.checkEndpoints(); refusal != nil {
 		u.refuse(refusal)
 		return
@@ -379,6 +394,9 @@
 	if u.request.LastEvent != "" {
 		fields["last_event"] = u.request.LastEvent
 	}
+	if u.finding.Source != "" {
+		fields["origin"], fields["software"] = string(u.finding.Source), u.finding.Origin.Version
+	}
 	if u.waitedForView {
 		fields["start_wait_ms"] = u.startWaited.Milliseconds()
 	}
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -74,6 +74,15 @@
 	return &Refusal{http.StatusServiceUnavailable, stoppingRetryAfter, "stopping", "this instance is shutting down; the request has not run; send it to another instance"}
 }
 
+// refuseUnknownStream has no retry delay if no instance will know the stream later either.
+func refuseUnknownStream(after time.Duration) *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, after, "stream_unknown", "it is not known which software version began the stream, and only that one may continue it; the request has not run; name the stream in Resumes, or start it anew"}
+}
+
+func refuseStreamGone() *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, 0, "stream_gone", "no endpoint of the software version that began the stream is available; the request has not run; start the stream anew"}
+}
+
 func refuseLostResponse() *Refusal {
 	return &Refusal{http.StatusBadGateway, 0, "answer_lost", "the endpoint did not return a complete response; the request may have run"}
 }
--- a/pkg/gateway/regions.go
+++ b/pkg/gateway/regions.go
@@ -27,9 +27,14 @@
 	return domains
 }
 
-// ready returns the ready endpoints of a service in the allowed failure domains.
+// ready returns the endpoints of a service that may get the request: those that are ready, in the allowed
+// failure domains and, once the request is bound to the origin of a stream, of that origin.
 func (u *run) ready(service string) []fleet.Endpoint {
-	return u.filterAllowed(u.View().Fleet.Ready(service))
+	snapshot := u.View().Fleet
+	if u.origin != nil && u.origin.Service == service {
+		return u.filterAllowed(u.filterByOrigin(snapshot))
+	}
+	return u.filterAllowed(snapshot.Ready(service))
 }
 
 // filterAllowed returns the endpoints in the allowed failure domains.
--- /dev/null
+++ b/pkg/gateway/resume.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
+	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+)
+
+// From its first event on, a stream is bound to its origin: only endpoints of the same service and
+// software version may continue it, in the same response or when its client resumes it at any instance.
+
+// resumeFactor times the timeout of a route is how long its streams can be resumed: a stream may last
+// for one timeout before it breaks, and its client may be refused for another.
+const resumeFactor = 2
+
+// Origins knows which software version began each stream.
+type Origins interface {
+	// Begin records the origin of a stream, before its first event is sent.
+	Begin(s origin.Stream)
+	// Find returns what is known of a stream that a client resumes.
+	Find(ctx context.Context, s origin.Search) origin.Finding
+	// Refused records that an endpoint refused a connection.
+	Refused(endpoint string)
+	// MayHaveRestarted reports whether the version of an endpoint is not certain now.
+	MayHaveRestarted(endpoint string) bool
+}
+
+// noOrigins knows no streams.
+type noOrigins struct{}
+
+func (noOrigins) Begin(origin.Stream) {}
+
+func (noOrigins) Find(context.Context, origin.Search) origin.Finding {
+	return origin.Finding{Source: origin.Unknown}
+}
+
+func (noOrigins) Refused(string) {}
+
+func (noOrigins) MayHaveRestarted(string) bool { return false }
+
+// resumes reports whether the client resumes a stream.
+func (u *run) resumes() bool {
+	return u.route.Kind == route.Stream && (u.request.LastEvent != "" || u.request.Resumes != "")
+}
+
+// bindResumed binds a request that resumes a stream to the stream's origin. It refuses the request if
+// the origin is not known, or if no endpoint may continue the stream.
+func (u *run) bindResumed(ctx context.Context) *Refusal {
+	if !u.resumes() {
+		return nil
+	}
+	u.finding = u.Origins.Find(ctx, origin.Search{
+		Key:     u.streamKey(u.request.Resumes),
+		Named:   u.request.Resumes != "",
+		Service: u.onlyTarget(),
+		Within:  u.resumeTime(),
+		Domains: u.allowedDomains,
+	})
+	if !u.finding.Known() {
+		return refuseUnknownStream(either(u.finding.Unheard, u.retryAfter(), 0))
+	}
+	if !u.isTarget(u.finding.Origin.Service) {
+		return refuseStreamGone()
+	}
+	u.service = u.view.Table.Service(u.finding.Origin.Service)
+	u.origin = &u.finding.Origin
+	if len(u.ready(u.service.Name)) == 0 {
+		return refuseStreamGone()
+	}
+	return nil
+}
+
+// streamKey returns the key of the stream whose first event was received by a request.
+func (u *run) streamKey(request string) origin.Key {
+	caller := ""
+	if u.organisation != nil {
+		caller = u.organisation.Name
+	}
+	return origin.KeyOf(caller, request)
+}
+
+// onlyTarget returns the service of the route, or an empty string if it has several.
+func (u *run) onlyTarget() string {
+	if len(u.route.Targets) != 1 {
+		return ""
+	}
+	return u.route.Targets[0].Service
+}
+
+// isTarget reports whether the route may send requests to a service.
+func (u *run) isTarget(service string) bool {
+	return slices.ContainsFunc(u.route.Targets, func(t route.Target) bool { return t.Service == service })
+}
+
+// resumeTime returns how long the streams of the route can be resumed.
+func (u *run) resumeTime() time.Duration {
+	timeout := u.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return resumeFactor * timeout
+}
+
+// beginStream binds the stream to the endpoint that made its first event, or confirms the origin of a
+// resumed one.
+func (u *run) beginStream(e fleet.Endpoint) {
+	from := origin.Of(e)
+	u.origin = &from
+	if !u.route.Resume {
+		return
+	}
+	begun := origin.Stream{
+		Key: u.streamKey(u.request.ID), Endpoint: e, TTL: u.resumeTime(), Domains: u.allowedDomains,
+		Local: u.allowedDomains == nil || slices.Contains(u.allowedDomains, u.Domain),
+	}
+	u.Origins.Begin(begun)
+	if u.request.Resumes != "" {
+		begun.Key = u.streamKey(u.request.Resumes)
+		u.Origins.Begin(begun)
+	}
+}
+
+// filterByOrigin returns the endpoints that may continue the stream. Endpoints of a version on trial
+// may, if the request belongs to the version's share of traffic.
+func (u *run) filterByOrigin(snapshot *fleet.Snapshot) []fleet.Endpoint {
+	endpoints := snapshot.Ready(u.origin.Service)
+	if trial := snapshot.Trial(u.origin.Service); u.attempts == 0 && trial.Includes(u.request.ID) {
+		endpoints = slices.Concat(endpoints, trial.Endpoints)
+	}
+	return fleet.Exclude(endpoints, func(e fleet.Endpoint) bool {
+		return !u.origin.Allows(e) || u.Origins.MayHaveRestarted(e.ID)
+	})
+}
+
+// canContinue reports whether an endpoint that was not tried yet may continue the stream.
+func (u *run) canContinue() bool {
+	if u.lastEvent == "" {
+		return false
+	}
+	return slices.ContainsFunc(u.ready(u.service.Name), func(e fleet.Endpoint) bool { return !u.tried[e.ID] })
+}
+
+// noteRefused records that an endpoint refused a connection, unless that may be due to this instance's
+// links.
+func (u *run) noteRefused(e fleet.Endpoint, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) && (u.Isolated == nil || !u.Isolated(e)) {
+		u.Origins.Refused(e.ID)
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -24,7 +24,7 @@
 		if len(data) > 0 {
 			call.EventsReceived(bytes.Count(data, eventSeparator))
 			u.eventsReceived()
-			if !u.forwardEvents(answer, data, events.lastID) {
+			if !u.forwardEvents(call, answer, data, events.lastID) {
 				call.End(balance.Canceled, nil)
 				return resultDone
 			}
@@ -45,13 +45,14 @@
 
 // forwardEvents sends complete events to the client and reports whether the client is still
 // connected.
-func (u *run) forwardEvents(answer *httpconn.Response, data []byte, lastID string) bool {
+func (u *run) forwardEvents(call *balance.Call, answer *httpconn.Response, data []byte, lastID string) bool {
 	if !u.streamBegun {
 		u.streamBegun = true
 		u.mayHaveRun = true
 		u.firstEventAfter = u.Clock.Since(u.request.Arrived)
 		u.firstEventSeconds.Update(u.firstEventAfter.Seconds())
 		u.freeInputs()
+		u.beginStream(call.Endpoint)
 		if err := u.responder.StartStream(answer.Status, httpconn.EndToEnd(answer.Header)); err != nil {
 			u.abandonStream()
 			return false
--- a/service/api/peers.go
+++ b/service/api/peers.go
@@ -40,6 +40,9 @@
 	// response is a throttle.PermitGrant. Older versions ignore such limits and respond that the
 	// method is unknown.
 	MethodPermits = "throttle.permits"
+	// MethodOrigin sends an origin.Query for a stream that a client resumes; the response is an
+	// origin.Answer. Older versions respond that the method is unknown.
+	MethodOrigin = "streams.origin"
 )
 
 // Hello authenticates a connection with the peers' token.
--- a/service/handover/failures_test.go
+++ b/service/handover/failures_test.go
@@ -68,7 +68,7 @@
 		clock := clockwork.NewFakeClock()
 		slow := slowPieces{begin: make(chan struct{})}
 		planner := pipeline.NewPlanner(slow, clock, metrics.NewSet(), logging.Discard().For("pipeline"))
-		h := NewHandler(newTestRouter(planner, clock), nil, nil, nil)
+		h := NewHandler(newTestRouter(planner, clock), Backends{})
 		call := api.RunRequest{Call: "c", Part: pipeline.Part{Of: 1}, DueMs: 10_000, DeadlineMs: 10_000}
 		call.Plan.Stages = []pipeline.Stage{{Service: "s", Pieces: 1}}
 		done := make(chan struct{})
@@ -109,7 +109,7 @@
 		Expect(chosen()).To(Equal("best"))
 		raw, err := json.Marshal(api.ReaderFailed{Endpoint: "best"})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = NewHandler(newTestRouter(planner, clock), nil, nil, nil).Answer(context.Background(), api.MethodReaderFailed, raw)
+		_, err = NewHandler(newTestRouter(planner, clock), Backends{}).Answer(context.Background(), api.MethodReaderFailed, raw)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(chosen()).To(Equal("second"))
 	})
--- a/service/handover/handler.go
+++ b/service/handover/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
+	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/rollout"
@@ -26,6 +27,7 @@
 	follower *discovery.Follower
 	rollouts RolloutConductor
 	permits  PermitGranter
+	origins  OriginRegistry
 	clock    clockwork.Clock
 	packer   endpointPacker
 
@@ -47,9 +49,23 @@
 	HandleRequest(a throttle.PermitRequest) throttle.PermitGrant
 }
 
+// OriginRegistry answers where streams were begun.
+type OriginRegistry interface {
+	// Answer returns what this instance knows of a stream.
+	Answer(q origin.Query) origin.Answer
+}
+
+// Backends are the parts of an instance, besides its router, that answer the calls of other instances.
+type Backends struct {
+	Follower *discovery.Follower
+	Rollouts RolloutConductor
+	Permits  PermitGranter
+	Origins  OriginRegistry
+}
+
 // NewHandler returns a handler that runs plans through the given router.
-func NewHandler(router *Router, follower *discovery.Follower, rollouts RolloutConductor, permits PermitGranter) *Handler {
-	return &Handler{router: router, planner: router.planner, results: router.results, follower: follower, rollouts: rollouts, permits: permits, clock: router.clock, calls: map[string]context.CancelFunc{}}
+func NewHandler(router *Router, b Backends) *Handler {
+	return &Handler{router: router, planner: router.planner, results: router.results, follower: b.Follower, rollouts: b.Rollouts, permits: b.Permits, origins: b.Origins, clock: router.clock, calls: map[string]context.CancelFunc{}}
 }
 
 // RunningPlans returns the number of plans of other instances that are running here.
@@ -63,84 +79,78 @@
 func (h *Handler) Answer(ctx context.Context, method string, raw json.RawMessage) (any, error) {
 	switch method {
 	case api.MethodRun:
-		call, err := peers.DecodeParams[api.RunRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		if h.follower.View().Table == nil {
-			return nil, problem.New(problem.Unavailable, "retry with the next candidate owner", "this instance has not received a configuration yet")
-		}
-		return h.run(ctx, call)
+		return answer(method, raw, func(call api.RunRequest) (any, error) { return h.runConfigured(ctx, call) })
 	case api.MethodProgress:
-		call, err := peers.DecodeParams[api.Progress](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		results := withExpiryTimes([][]batch.Result{call.Results}, h.clock.Now())[0]
-		return struct{}{}, h.router.progress.stageCompleted(call.Call, call.Stage, results)
+		return answer(method, raw, h.progress)
 	case api.MethodTransfer:
-		call, err := peers.DecodeParams[api.TransferRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		return struct{}{}, h.router.accept(call)
+		return answer(method, raw, func(call api.TransferRequest) (any, error) { return struct{}{}, h.router.accept(call) })
 	case api.MethodCancel:
-		call, err := peers.DecodeParams[api.CancelRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		h.cancel(call.Call)
-		return struct{}{}, nil
+		return answer(method, raw, notice(func(call api.CancelRequest) { h.cancel(call.Call) }))
 	case api.MethodFree:
-		call, err := peers.DecodeParams[api.FreeRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		h.results.Free(call.Results)
-		return struct{}{}, nil
+		return answer(method, raw, notice(func(call api.FreeRequest) { h.results.Free(call.Results) }))
 	case api.MethodReaderFailed:
-		call, err := peers.DecodeParams[api.ReaderFailed](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		h.planner.ReaderFailed(call.Endpoint)
-		return struct{}{}, nil
+		return answer(method, raw, notice(func(call api.ReaderFailed) { h.planner.ReaderFailed(call.Endpoint) }))
 	case api.MethodFollow:
-		call, err := peers.DecodeParams[api.RelayRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		wait := min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond)
-		told := h.follower.Relay(discovery.RelayRequest{Since: call.Since, Document: discovery.DocumentID{Version: call.DocumentVersion, Revision: call.DocumentRevision}, Evacuations: call.Evacuations, Rollouts: call.Rollouts, Wait: wait})
-		return h.packer.changes(call.Since, told, call.AcceptsPacked), nil
+		return answer(method, raw, h.follow)
 	case api.MethodPiece:
-		call, err := peers.DecodeParams[discovery.PieceRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		return h.follower.Piece(call)
+		return answer(method, raw, func(call discovery.PieceRequest) (any, error) { return h.follower.Piece(call) })
 	case api.MethodRollout:
-		call, err := peers.DecodeParams[rollout.Report](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		return h.rollouts.Answer(call), nil
+		return answer(method, raw, func(call rollout.Report) (any, error) { return h.rollouts.Answer(call), nil })
 	case api.MethodPermits:
-		call, err := peers.DecodeParams[throttle.PermitRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		return h.permits.HandleRequest(call), nil
+		return answer(method, raw, func(call throttle.PermitRequest) (any, error) { return h.permits.HandleRequest(call), nil })
+	case api.MethodOrigin:
+		return answer(method, raw, func(call origin.Query) (any, error) { return h.origins.Answer(call), nil })
 	case api.MethodState:
-		call, err := peers.DecodeParams[api.StateRequest](method, raw)
-		if err != nil {
-			return nil, err
-		}
-		return h.packer.state(h.follower.LocalState(call.NewerThan), call.AcceptsPacked), nil
+		return answer(method, raw, func(call api.StateRequest) (any, error) {
+			return h.packer.state(h.follower.LocalState(call.NewerThan), call.AcceptsPacked), nil
+		})
 	}
 	return nil, peers.UnknownMethod(method)
 }
 
+// answer decodes the parameters of a call and returns the result of do.
+func answer[P any](method string, raw json.RawMessage, do func(P) (any, error)) (any, error) {
+	call, err := peers.DecodeParams[P](method, raw)
+	if err != nil {
+		return nil, err
+	}
+	return do(call)
+}
+
+// notice adapts a function without a result.
+func notice[P any](do func(P)) func(P) (any, error) {
+	return func(call P) (any, error) {
+		do(call)
+		return struct{}{}, nil
+	}
+}
+
+// progress records the results of a completed stage.
+func (h *Handler) progress(call api.Progress) (any, error) {
+	results := withExpiryTimes([][]batch.Result{call.Results}, h.clock.Now())[0]
+	return struct{}{}, h.router.progress.stageCompleted(call.Call, call.Stage, results)
+}
+
+// follow waits for changes that the caller does not have yet.
+func (h *Handler) follow(call api.RelayRequest) (any, error) {
+	told := h.follower.Relay(discovery.RelayRequest{
+		Since:       call.Since,
+		Document:    discovery.DocumentID{Version: call.DocumentVersion, Revision: call.DocumentRevision},
+		Evacuations: call.Evacuations,
+		Rollouts:    call.Rollouts,
+		Wait:        min(maxRelayWait, time.Duration(call.WaitMs)*time.Millisecond),
+	})
+	return h.packer.changes(call.Since, told, call.AcceptsPacked), nil
+}
+
+// runConfigured runs a plan if this instance has a configuration.
+func (h *Handler) runConfigured(ctx context.Context, call api.RunRequest) (any, error) {
+	if h.follower.View().Table == nil {
+		return nil, problem.New(problem.Unavailable, "retry with the next candidate owner", "this instance has not received a configuration yet")
+	}
+	return h.run(ctx, call)
+}
+
 // run runs a plan until it ends, the caller cancels it or the connection is lost. Results of an
 // abandoned plan are freed.
 func (h *Handler) run(ctx context.Context, call api.RunRequest) (api.RunResponse, error) {
--- a/service/handover/instance_test.go
+++ b/service/handover/instance_test.go
@@ -464,7 +464,7 @@
 		Clock:          clock,
 		Log:            logging.Discard().For("handover"),
 	})
-	i.server = peers.NewServer(unconfiguredHandler{NewHandler(i.router, nil, nil, nil)}, testToken, nil, logging.Discard().For("peers"))
+	i.server = peers.NewServer(unconfiguredHandler{NewHandler(i.router, Backends{})}, testToken, nil, logging.Discard().For("peers"))
 	go i.server.Serve(listener)
 	return i
 }
--- a/service/handover/transfer_test.go
+++ b/service/handover/transfer_test.go
@@ -267,7 +267,7 @@
 		done := make(chan any, 1)
 		go func() {
 			defer GinkgoRecover()
-			answer, err := unconfiguredHandler{NewHandler(owner.router, nil, nil, nil)}.Answer(context.Background(), api.MethodRun, old)
+			answer, err := unconfiguredHandler{NewHandler(owner.router, Backends{})}.Answer(context.Background(), api.MethodRun, old)
 			Expect(err).NotTo(HaveOccurred())
 			done <- answer
 		}()
--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(signature(body, secret), body...), nil
+	return append(signature(heartbeatLabel, body, secret), body...), nil
 }
 
 // rotate returns up to maxLeaving endpoints, rotating with the sequence number.
@@ -100,7 +100,7 @@
 
 // decode verifies and decodes a datagram.
 func decode(data, secret []byte) (datagram, error) {
-	if len(data) < signatureSize || !hmac.Equal(data[:signatureSize], signature(data[signatureSize:], secret)) {
+	if len(data) < signatureSize || !hmac.Equal(data[:signatureSize], signature(heartbeatLabel, data[signatureSize:], secret)) {
 		return datagram{}, problem.New(problem.Denied, "give all instances the same tokens.peers", "the datagram is not signed with the peer token")
 	}
 	var wire pb.Heartbeat
@@ -199,9 +199,15 @@
 
 func age(ms uint64) time.Duration { return time.Duration(min(ms, math.MaxInt32)) * time.Millisecond }
 
-func signature(body, secret []byte) []byte {
+// Labels of the kinds of datagrams. They are part of the signature, so that none is taken for another.
+const (
+	heartbeatLabel = "heartbeat:"
+	originsLabel   = "origins:"
+)
+
+func signature(label string, body, secret []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
-	mac.Write([]byte("heartbeat:"))
+	mac.Write([]byte(label))
 	mac.Write(body)
 	return mac.Sum(nil)[:signatureSize]
 }
--- a/service/peers/gossip.go
+++ b/service/peers/gossip.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ratelimit"
 	"github.com/cobaltcroft/cobaltcroft/pkg/timeline"
 )
@@ -26,6 +28,9 @@
 	sent     *metrics.Counter
 	received *metrics.Counter
 	refused  *metrics.Counter
+	// onOrigins receives the origins of streams. Optional.
+	onOrigins   func([]origin.Record)
+	originsSent *metrics.Counter
 }
 
 var _ control.Peers = (*Gossip)(nil)
@@ -44,6 +49,24 @@
 		sent:     set.NewCounter(`cobaltcroft_heartbeat_bytes_total{direction="sent"}`),
 		received: set.NewCounter(`cobaltcroft_heartbeat_bytes_total{direction="received"}`),
 		refused:  set.NewCounter("cobaltcroft_heartbeats_refused_total"),
+
+		originsSent: set.NewCounter("cobaltcroft_stream_origin_bytes_total"),
+	}
+}
+
+// OnOrigins sets the receiver of the origins of streams. It must be called before Run, and the receiver
+// must not block.
+func (g *Gossip) OnOrigins(receive func([]origin.Record)) { g.onOrigins = receive }
+
+// SendOrigins sends the origins of streams to an instance. They may be lost.
+func (g *Gossip) SendOrigins(address string, records []origin.Record) {
+	for part := range slices.Chunk(records, maxOrigins) {
+		data, err := encodeOrigins(part, g.secret)
+		if err != nil {
+			g.log.WithField("event", "stream_origins_not_encoded").Error(err)
+			return
+		}
+		g.originsSent.Add(g.send(data, address))
 	}
 }
 
@@ -58,19 +81,20 @@
 		return
 	}
 	for _, address := range to {
-		g.send(data, address)
+		g.sent.Add(g.send(data, address))
 	}
 }
 
-func (g *Gossip) send(data []byte, address string) {
+// send sends a datagram and returns the number of bytes sent.
+func (g *Gossip) send(data []byte, address string) int {
 	target, err := netip.ParseAddrPort(address)
 	if err != nil {
 		g.log.WithFields(logrus.Fields{"event": "bad_peer_address", "address": address}).Warn(err)
-		return
+		return 0
 	}
-	// Heartbeats are periodic, so a failed write is treated like a lost datagram.
+	// Each datagram may be lost, so a failed write is treated like that.
 	n, _ := g.conn.WriteToUDPAddrPort(data, target)
-	g.sent.Add(n)
+	return n
 }
 
 // NotifyBehind implements control.Peers.
@@ -95,13 +119,12 @@
 		if err != nil {
 			continue
 		}
-		g.received.Add(n)
 		b, err := decode(buffer[:n], g.secret)
 		if err != nil {
-			g.refused.Inc()
-			g.log.WithFields(logrus.Fields{"event": "heartbeat_refused", "from": from.String()}).Debug(err)
+			g.receiveOther(buffer[:n], from, err)
 			continue
 		}
+		g.received.Add(n)
 		g.clock.Observe(b.stamp)
 		if b.heartbeat.From.FailureDomain == listener.Self().FailureDomain {
 			g.shares.SetPeerDemands(b.heartbeat.From.Name, b.demands)
@@ -110,5 +133,18 @@
 	}
 }
 
+// receiveOther processes a datagram that is not a heartbeat for the given reason.
+func (g *Gossip) receiveOther(data []byte, from netip.AddrPort, reason error) {
+	if records, ok := decodeOrigins(data, g.secret); ok {
+		if g.onOrigins != nil {
+			g.onOrigins(records)
+		}
+		return
+	}
+	g.received.Add(len(data))
+	g.refused.Inc()
+	g.log.WithFields(logrus.Fields{"event": "heartbeat_refused", "from": from.String()}).Debug(reason)
+}
+
 // Close closes the socket, which ends Run.
 func (g *Gossip) Close() { _ = g.conn.Close() }
