--- a/cmd/cobaltcroftd/gateway/resume_test.go
+++ b/cmd/cobaltcroftd/gateway/resume_test.go
@@ -8,11 +8,13 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/settings"
 	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
 )
 
@@ -192,4 +194,127 @@
 			Expect(versionsOf(c.ids...)).To(HaveLen(1))
 		}
 	})
+
+	// runsOf returns the number of runs of requests at model engines.
+	runsOf := func(ids ...string) int {
+		n := 0
+		for _, id := range ids {
+			n += len(d.Runs("model", id))
+		}
+		return n
+	}
+
+	// resume sends a request that resumes a stream, and returns its ID with the response.
+	resume := func(i *instance, first, last string) (string, answer) {
+		id := newID()
+		r := i.request(http.MethodPost, "stream", id, "")
+		if first != "" {
+			r.Header.Set("Resumes", first)
+		}
+		r.Header.Set("Last-Event-Id", last)
+		return id, send(r)
+	}
+
+	It("is refused at once, as not run, where nobody knows which version began it", func() {
+		for _, first := range []string{"", newID()} {
+			began := time.Now()
+			id, got := resume(all[0], first, "3")
+			Expect(got).To(And(HaveField("Status", http.StatusServiceUnavailable), HaveField("Body", ContainSubstring("stream_unknown"))))
+			Expect(got.Header.Get("Retry-After")).To(BeEmpty())
+			Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+			Expect(runsOf(id)).To(BeZero())
+		}
+	})
+
+	It("is refused at once, as not run, when no endpoint of the version that began it is left", func() {
+		var c client
+		Expect(c.read(all[0], "stream", 2)).To(Equal(http.StatusOK))
+		for _, e := range d.EnginesOf("model") {
+			if e.Settings().Version == versionsOf(c.first)[0] {
+				d.Store.Put("servers/"+e.ID, e.Entry("draining"))
+			}
+		}
+		Eventually(func() string {
+			_, got := resume(all[1], c.first, c.lastEvent)
+			return got.Body
+		}).Should(ContainSubstring("stream_gone"))
+		Expect(versionsOf(c.first)).To(HaveLen(1))
+		Expect(c.read(all[2], "stream", 0)).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("is refused by an instance that does not reach the others, and goes on at those", func() {
+		alone := launchWith(func(s *settings.Gateway) { s.PeerToken = "another token" }, d.Address())
+		Eventually(alone.ready).Should(BeTrue())
+		var c client
+		Expect(c.read(all[0], "stream", 2)).To(Equal(http.StatusOK))
+		Expect(c.read(alone, "stream", 0)).To(Equal(http.StatusServiceUnavailable))
+		Expect(c.read(all[1], "stream", 0)).To(Equal(http.StatusOK))
+		Expect(c.whole(streamEvents)).To(BeTrue())
+		Expect(versionsOf(c.ids...)).To(HaveLen(1))
+	})
+
+	It("goes on after planned stops of the instances that knew it, one after the other", func() {
+		var clients []*client
+		for range 6 {
+			c := &client{}
+			Expect(c.read(all[0], "stream", 2)).To(Equal(http.StatusOK))
+			clients = append(clients, c)
+		}
+		for n := range 2 {
+			all = append(all, start(d.Address(), all[2].Peers))
+			all[n].signals <- syscall.SIGTERM
+			Eventually(all[n].ended).Should(BeClosed())
+		}
+		for n, c := range clients {
+			Expect(c.read(all[2+n%3], "stream", 0)).To(Equal(http.StatusOK))
+			Expect(c.whole(streamEvents)).To(BeTrue())
+			Expect(versionsOf(c.ids...)).To(HaveLen(1))
+		}
+	})
+
+	It("stays at the service that began it when its route splits its requests between two", func() {
+		d.Config.Services = append(d.Config.Services, map[string]any{"Name": "second-model", "HealthPath": "/health", "MaxConns": 100})
+		for range 2 {
+			_, err := d.AddEngine(platformtest.Settings{Kind: platformtest.Model, Service: "second-model", Version: "v1", Events: streamEvents, EventInterval: 20 * time.Millisecond})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		d.Config.Routes[2].Service = ""
+		d.Config.Routes[2].Split = []platformtest.RouteTarget{{Service: "model", Weight: 50}, {Service: "second-model", Weight: 50}}
+		d.PutConfig()
+		Eventually(func() int {
+			id, _ := all[0].ask("stream")
+			return len(d.Runs("second-model", id))
+		}).Should(Equal(1))
+		for n := range 12 {
+			var c client
+			Expect(c.read(all[n%3], "stream", 2)).To(Equal(http.StatusOK))
+			Expect(c.read(all[(n+1)%3], "stream", 0)).To(Equal(http.StatusOK))
+			Expect(c.whole(streamEvents)).To(BeTrue())
+			second := 0
+			for _, id := range c.ids {
+				second += len(d.Runs("second-model", id))
+			}
+			Expect(second).To(BeElementOf(0, len(c.ids)))
+		}
+	})
+})
+
+var _ = Describe("a stream that nobody knows", func() {
+	It("goes on while only one version has served since it can have begun", func() {
+		d := deploy(2)
+		d.Config.Routes[2].TimeoutMs = 1000
+		d.PutConfig()
+		first := start(d.Address())
+		second := start(d.Address(), first.Peers)
+		for _, i := range []*instance{first, second} {
+			resume := func() int {
+				r := i.request(http.MethodPost, "stream", newID(), "")
+				r.Header.Set("Resumes", newID())
+				r.Header.Set("Last-Event-Id", "3")
+				return send(r).Status
+			}
+			Eventually(resume).Should(Equal(http.StatusOK))
+			Consistently(resume, 3*time.Second, 100*time.Millisecond).Should(Equal(http.StatusOK))
+		}
+	})
 })
