--- a/pkg/origin/keepers.go
+++ b/pkg/origin/keepers.go
@@ -27,42 +27,44 @@
 	FailureDomain string
 }
 
-// ranked returns the peers in the order of their weight for a stream, with the first one of another
-// failure domain than the first in second place.
-func ranked(key Key, peers []Peer) []Peer {
-	type weighed struct {
-		Peer
-		weight uint64
-	}
-	list := make([]weighed, len(peers))
-	for i, p := range peers {
-		list[i] = weighed{p, weight(key, p.Name)}
-	}
-	slices.SortFunc(list, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
-	})
-	order := make([]Peer, len(list))
-	for i, w := range list {
-		order[i] = w.Peer
-	}
-	second := slices.IndexFunc(order, func(p Peer) bool { return p.FailureDomain != order[0].FailureDomain })
-	if second > 1 {
-		other := order[second]
-		order = slices.Insert(slices.Delete(order, second, second+1), 1, other)
-	}
-	return order
-}
-
+// weight is the rank of an instance for a stream by rendezvous hashing; the highest comes first.
 func weight(key Key, name string) uint64 {
-	var b [8]byte
+	var b [16]byte
 	binary.BigEndian.PutUint64(b[:], uint64(key))
-	return xxhash.Sum64String(string(b[:]) + name)
+	binary.BigEndian.PutUint64(b[8:], xxhash.Sum64String(name))
+	return xxhash.Sum64(b[:])
 }
 
 // keepers returns the instances that are told of a stream.
 func keepers(key Key, peers []Peer) []Peer {
-	order := ranked(key, peers)
-	return order[:min(keeperCount, len(order))]
+	chosen := make([]Peer, 0, keeperCount)
+	first := heaviest(key, peers, func(Peer) bool { return true })
+	if first < 0 {
+		return chosen
+	}
+	chosen = append(chosen, peers[first])
+	second := heaviest(key, peers, func(p Peer) bool { return p.FailureDomain != peers[first].FailureDomain })
+	if second < 0 {
+		second = heaviest(key, peers, func(p Peer) bool { return p.Name != peers[first].Name })
+	}
+	if second >= 0 {
+		chosen = append(chosen, peers[second])
+	}
+	return chosen
+}
+
+// heaviest returns the index of the matching peer with the highest weight, or -1 if none matches.
+func heaviest(key Key, peers []Peer, match func(Peer) bool) int {
+	best, most := -1, uint64(0)
+	for i, p := range peers {
+		if !match(p) {
+			continue
+		}
+		if w := weight(key, p.Name); best < 0 || w > most {
+			best, most = i, w
+		}
+	}
+	return best
 }
 
 // asked returns the instances that are asked for a stream.
@@ -70,7 +72,10 @@
 	if len(peers) <= maxAllAsked {
 		return peers
 	}
-	return ranked(key, peers)[:maxAsked]
+	list := keepers(key, peers)
+	rest := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return slices.Contains(list, p) })
+	slices.SortFunc(rest, func(a, b Peer) int { return cmp.Compare(weight(key, b.Name), weight(key, a.Name)) })
+	return append(list, rest[:maxAsked-len(list)]...)
 }
 
 // within returns the peers in the given failure domains; nil means any.
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -166,6 +166,7 @@
 // Tick observes the endpoints, and passes records on to the instances that have become their keepers.
 func (r *Registry) Tick() {
 	r.observe()
+	r.table.dropExpired()
 	live := r.peers.Live()
 	r.mu.Lock()
 	before := r.members
@@ -209,17 +210,11 @@
 }
 
 func sameMembers(a, b []Peer) bool {
-	identity := func(p Peer) [2]any { return [2]any{p.Name, p.Incarnation} }
-	known := map[[2]any]bool{}
+	known := make(map[Peer]bool, len(a))
 	for _, p := range a {
-		known[identity(p)] = true
+		known[p] = true
 	}
-	for _, p := range b {
-		if !known[identity(p)] {
-			return false
-		}
-	}
-	return len(a) == len(b)
+	return len(a) == len(b) && !slices.ContainsFunc(b, func(p Peer) bool { return !known[p] })
 }
 
 // passOn sends each record to those of its keepers that were not its keepers before, for example because
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -12,6 +12,9 @@
 // 4,500.
 const maxRecords = 32768
 
+// maxTTL bounds how long a record is held.
+const maxTTL = 10 * time.Minute
+
 // table holds records until they expire. It is safe for concurrent use.
 type table struct {
 	clock clockwork.Clock
@@ -36,7 +39,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	s := stored{record: r, expires: now.Add(r.TTL)}
+	s := stored{record: r, expires: now.Add(min(r.TTL, maxTTL))}
 	before, known := t.records[r.Key]
 	if known && now.Before(before.expires) {
 		s.record.Doubtful = r.Doubtful || before.record.Doubtful || r.Origin != before.record.Origin
@@ -45,26 +48,25 @@
 		}
 	}
 	if !known && len(t.records) >= maxRecords {
-		t.evict(now)
+		t.evict()
 	}
 	t.records[r.Key] = s
 	return s.record, !known || s.record.Doubtful != before.record.Doubtful
 }
 
-// evict removes the expired records, or any one if there are none. The clients of that stream are
-// refused if they resume it.
-func (t *table) evict(now time.Time) {
-	t.dropExpired(now)
-	if len(t.records) < maxRecords {
-		return
-	}
+// evict removes any record. The clients of that stream are refused if they resume it.
+func (t *table) evict() {
 	for key := range t.records {
 		delete(t.records, key)
 		return
 	}
 }
 
-func (t *table) dropExpired(now time.Time) {
+// dropExpired removes the expired records.
+func (t *table) dropExpired() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
 	for key, s := range t.records {
 		if !now.Before(s.expires) {
 			delete(t.records, key)
@@ -85,16 +87,16 @@
 	return s.record, true
 }
 
-// all returns the records that have not expired, and removes the others.
+// all returns the records that have not expired.
 func (t *table) all() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	t.dropExpired(now)
 	list := make([]Record, 0, len(t.records))
 	for _, s := range t.records {
-		s.record.TTL = s.expires.Sub(now)
-		list = append(list, s.record)
+		if s.record.TTL = s.expires.Sub(now); s.record.TTL > 0 {
+			list = append(list, s.record)
+		}
 	}
 	return list
 }
