--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -119,7 +119,7 @@
 	r.history.note(record.Origin)
 	r.lives.begin(s.Key, s.Endpoint)
 	if s.Local {
-		record, _ = r.table.put(record)
+		record = r.table.put(record)
 	}
 	r.queue(record, keepers(s.Key, within(s.Domains, r.peers.Live())))
 }
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -33,9 +33,9 @@
 	return &table{clock: clock, records: map[Key]stored{}}
 }
 
-// put stores a record. If another origin is stored for its stream, the stream becomes doubtful. It
-// returns the stored record, and whether it differs from what was stored.
-func (t *table) put(r Record) (Record, bool) {
+// put stores a record and returns it as stored: if another origin was stored for its stream, the stream
+// becomes doubtful.
+func (t *table) put(r Record) Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -51,7 +51,7 @@
 		t.evict()
 	}
 	t.records[r.Key] = s
-	return s.record, !known || s.record.Doubtful != before.record.Doubtful
+	return s.record
 }
 
 // evict removes any record. The clients of that stream are refused if they resume it.
