tunnel: the only instance left is asked again, though it could not connect a moment ago

Cause: an instance that met two endpoints that had just crashed takes itself for isolated and says so; the one that asked then left it out for a second, for the whole failure domain, also where nobody else was left.

Change: if all are left out, one that answered lately is asked still. The spec failed before.

--- a/service/tunnel/peers.go
+++ b/service/tunnel/peers.go
@@ -59,12 +59,8 @@
 		return nil, reach.ErrNoTunnel
 	}
 	last := error(&RefusedError{Reason: string(reasonPartitioned)})
-	tried := 0
-	for _, peer := range peers {
-		if p.avoided(peer.PeerAddress, target.FailureDomain) {
-			continue
-		}
-		if tried++; tried > maxPeersTried || ctx.Err() != nil {
+	for tried, peer := range p.preferred(peers, target.FailureDomain) {
+		if tried >= maxPeersTried || ctx.Err() != nil {
 			break
 		}
 		conn, err := p.client.Open(ctx, peer.PeerAddress, target.ID)
@@ -102,11 +98,26 @@
 	return append(near, far...)
 }
 
-func (p *Peers) avoided(peer, failureDomain string) bool {
+// preferred returns the instances that are not avoided. If there are none, it returns one that answered
+// lately, though it could not connect: it may have met endpoints that had just failed.
+func (p *Peers) preferred(peers []membership.Member, failureDomain string) []membership.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	return now.Before(p.avoid[route{peer, failureDomain}]) || now.Before(p.avoid[route{peer: peer}])
+	var preferred, answered []membership.Member
+	for _, peer := range peers {
+		switch {
+		case now.Before(p.avoid[route{peer: peer.PeerAddress}]):
+		case now.Before(p.avoid[route{peer.PeerAddress, failureDomain}]):
+			answered = append(answered, peer)
+		default:
+			preferred = append(preferred, peer)
+		}
+	}
+	if len(preferred) == 0 && len(answered) > 0 {
+		return answered[:1]
+	}
+	return preferred
 }
 
 // avoidFor keeps an instance from being asked again for a while.
--- a/service/tunnel/tunnel_test.go
+++ b/service/tunnel/tunnel_test.go
@@ -192,8 +192,10 @@
 		member := func(name, domain, address string) membership.Member {
 			return membership.Member{Instance: membership.Instance{Name: name, FailureDomain: domain, PeerAddress: address}}
 		}
-		dial := func(ctx context.Context, live ...membership.Member) error {
-			p := tunnel.NewPeers(tunnel.Client{Token: token}, func() []membership.Member { return live }, func(d string) string { return regions[d] }, clockwork.NewRealClock(), metrics.NewSet())
+		through := func(live ...membership.Member) *tunnel.Peers {
+			return tunnel.NewPeers(tunnel.Client{Token: token}, func() []membership.Member { return live }, func(d string) string { return regions[d] }, clockwork.NewRealClock(), metrics.NewSet())
+		}
+		dialBy := func(ctx context.Context, p *tunnel.Peers) error {
 			target, _ := ends.Target(endpointID)
 			conn, err := p.Dial(ctx, target)
 			if err == nil {
@@ -201,6 +203,7 @@
 			}
 			return err
 		}
+		dial := func(ctx context.Context, live ...membership.Member) error { return dialBy(ctx, through(live...)) }
 
 		It("passes over those that do not answer or open no tunnels", func(ctx SpecContext) {
 			earlier, err := net.Listen("tcp", "127.0.0.1:0")
@@ -214,6 +217,14 @@
 			Expect(dial(ctx, member("one", "zone-a", earlier.Addr().String()), member("two", "zone-a", "127.0.0.1:1"), member("three", "zone-b", peer))).To(Succeed())
 		}, SpecTimeout(10*time.Second))
 
+		It("asks the only one left again, though it could not connect a moment ago", func(ctx SpecContext) {
+			p := through(member("one", "zone-a", peer))
+			ends.setPath(reach.Tunneled)
+			Expect(dialBy(ctx, p)).To(MatchError(ContainSubstring("partitioned")))
+			ends.setPath(reach.Direct)
+			Expect(dialBy(ctx, p)).To(Succeed())
+		}, SpecTimeout(10*time.Second))
+
 		It("stays in the region of the endpoint", func(ctx SpecContext) {
 			Expect(dial(ctx, member("one", "zone-c", peer))).To(MatchError(reach.ErrNoTunnel))
 		}, SpecTimeout(10*time.Second))
