--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -63,7 +63,7 @@
 		Domains: u.allowedDomains,
 	})
 	if !u.finding.Known() {
-		return refuseUnknownStream(either(u.finding.Unheard, u.retryAfter(), 0))
+		return refuseUnknownStream(either(u.finding.Unanswered, u.retryAfter(), 0))
 	}
 	if !u.isTarget(u.finding.Origin.Service) {
 		return refuseStreamGone()
--- a/pkg/origin/find.go
+++ b/pkg/origin/find.go
@@ -30,9 +30,9 @@
 	// Origin is set unless the source is Unknown or Doubtful.
 	Origin Origin
 	Source Source
-	// Unheard is set if some instance that might know the stream did not answer, so that another
+	// Unanswered is set if some instance that might know the stream did not answer, so that another
 	// instance, or this one later, may find it.
-	Unheard bool
+	Unanswered bool
 }
 
 // Known reports whether the stream may be continued.
@@ -55,21 +55,20 @@
 func (r *Registry) Find(ctx context.Context, s Search) Finding {
 	finding := r.find(ctx, s)
 	r.found[finding.Source].Inc()
-	r.log.WithFields(logrus.Fields{"event": "stream_origin", "key": uint64(s.Key), "known": string(finding.Source), "software": finding.Origin.Version, "unheard": finding.Unheard}).Info()
+	r.log.WithFields(logrus.Fields{"event": "stream_origin", "key": uint64(s.Key), "known": string(finding.Source), "software": finding.Origin.Version, "unanswered": finding.Unanswered}).Info()
 	return finding
 }
 
 func (r *Registry) find(ctx context.Context, s Search) Finding {
-	q := Query{Key: s.Key, Service: s.Service, WithinMs: s.Within.Milliseconds()}
-	if own, held := r.table.get(s.Key); s.Named && held {
-		return findingOf(own.Origin, own.Doubtful, Here)
+	if finding, held := r.held(s); held {
+		return finding
 	}
 	r.observe()
-	own := r.history.versions(q.Service, s.Within)
-	if version, only := onlyVersion([]Versions{own}, s.Within); only && s.Service != "" {
-		return Finding{Origin: Origin{Service: s.Service, Version: version}, Source: OnlyVersion}
+	own := r.history.versions(s.Service, s.Within)
+	if finding, only := s.onlyVersion([]Versions{own}); only {
+		return finding
 	}
-	finding := r.ask(ctx, s, q, own)
+	finding := r.ask(ctx, s, own)
 	if !s.Named || finding.Source != Unknown {
 		return finding
 	}
@@ -78,10 +77,19 @@
 	case <-ctx.Done():
 		return finding
 	}
-	if own, held := r.table.get(s.Key); held {
-		return findingOf(own.Origin, own.Doubtful, Here)
+	if finding, held := r.held(s); held {
+		return finding
+	}
+	return r.ask(ctx, s, own)
+}
+
+// held returns the finding from the record that this instance holds, if it holds one.
+func (r *Registry) held(s Search) (Finding, bool) {
+	record, held := r.table.get(s.Key)
+	if !s.Named || !held {
+		return Finding{}, false
 	}
-	return r.ask(ctx, s, q, own)
+	return findingOf(record.Origin, record.Doubtful, Here), true
 }
 
 func findingOf(o Origin, doubtful bool, source Source) Finding {
@@ -91,16 +99,19 @@
 	return Finding{Origin: o, Source: source}
 }
 
+// reply is the response of one instance to a query.
+type reply struct {
+	answer Answer
+	err    error
+}
+
 // ask asks the instances that may hold the record. If none does, it decides by what they and this
 // instance know of the versions.
-func (r *Registry) ask(ctx context.Context, s Search, q Query, own Versions) Finding {
-	peers := asked(s.Key, within(s.Domains, r.peers.Live()))
+func (r *Registry) ask(ctx context.Context, s Search, own Versions) Finding {
+	peers := peersToAsk(s.Key, inDomains(s.Domains, r.peers.Live()))
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	type reply struct {
-		answer Answer
-		err    error
-	}
+	q := Query{Key: s.Key, Service: s.Service, WithinMs: s.Within.Milliseconds()}
 	replies := make(chan reply, len(peers))
 	for _, peer := range peers {
 		go func() {
@@ -109,37 +120,37 @@
 		}()
 	}
 	known := []Versions{own}
-	unheard := false
+	unanswered := false
 	for range peers {
 		got := <-replies
 		switch {
 		case got.err != nil:
-			unheard = true
+			unanswered = true
 		case got.answer.Known && s.Named:
 			return findingOf(got.answer.Origin, got.answer.Doubtful, Elsewhere)
 		default:
 			known = append(known, got.answer.Versions)
 		}
 	}
-	if version, only := onlyVersion(known, s.Within); only && s.Service != "" {
-		return Finding{Origin: Origin{Service: s.Service, Version: version}, Source: OnlyVersion}
+	if finding, only := s.onlyVersion(known); only {
+		return finding
 	}
-	return Finding{Source: Unknown, Unheard: unheard}
+	return Finding{Source: Unknown, Unanswered: unanswered}
 }
 
-// onlyVersion returns the only version that has served within a time, and whether that is certain: some
-// instance must have observed the endpoints for that time, and none may know of a second version.
-func onlyVersion(known []Versions, within time.Duration) (string, bool) {
+// onlyVersion returns the finding if only one version can have begun the stream: some instance must have
+// observed the endpoints for that long, and none may know of a second version.
+func (s Search) onlyVersion(known []Versions) (Finding, bool) {
 	var names []string
 	observed := false
 	for _, v := range known {
 		names = append(names, v.Names...)
-		observed = observed || v.ObservedMs >= within.Milliseconds()
+		observed = observed || v.ObservedMs >= s.Within.Milliseconds()
 	}
 	slices.Sort(names)
 	names = slices.Compact(names)
-	if !observed || len(names) != 1 {
-		return "", false
+	if s.Service == "" || !observed || len(names) != 1 {
+		return Finding{}, false
 	}
-	return names[0], true
+	return Finding{Origin: Origin{Service: s.Service, Version: names[0]}, Source: OnlyVersion}, true
 }
--- a/pkg/origin/keepers.go
+++ b/pkg/origin/keepers.go
@@ -67,8 +67,8 @@
 	return best
 }
 
-// asked returns the instances that are asked for a stream.
-func asked(key Key, peers []Peer) []Peer {
+// peersToAsk returns the instances that are asked for a stream.
+func peersToAsk(key Key, peers []Peer) []Peer {
 	if len(peers) <= maxAllAsked {
 		return peers
 	}
@@ -78,8 +78,8 @@
 	return append(list, rest[:maxAsked-len(list)]...)
 }
 
-// within returns the peers in the given failure domains; nil means any.
-func within(domains []string, peers []Peer) []Peer {
+// inDomains returns the peers in the given failure domains; nil means any.
+func inDomains(domains []string, peers []Peer) []Peer {
 	if domains == nil {
 		return peers
 	}
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -64,14 +64,14 @@
 // Registry knows the origins of streams, together with those of the other instances. It is safe for
 // concurrent use.
 type Registry struct {
-	peers   Peers
-	view    View
-	clock   clockwork.Clock
-	log     *logrus.Entry
-	table   *table
-	history *history
-	lives   *lives
-	found   map[Source]*metrics.Counter
+	peers    Peers
+	view     View
+	clock    clockwork.Clock
+	log      *logrus.Entry
+	table    *table
+	history  *history
+	restarts *restarts
+	found    map[Source]*metrics.Counter
 
 	mu sync.Mutex
 	// pending are the records to be sent, by instance.
@@ -90,7 +90,7 @@
 func New(peers Peers, view View, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Registry {
 	r := &Registry{
 		peers: peers, view: view, clock: clock, log: log,
-		table: newTable(clock), history: newHistory(clock), lives: newLives(clock),
+		table: newTable(clock), history: newHistory(clock), restarts: newRestarts(clock),
 		found: map[Source]*metrics.Counter{}, pending: map[string]*delivery{},
 	}
 	for _, source := range []Source{Here, Elsewhere, OnlyVersion, Unknown, Doubtful} {
@@ -117,11 +117,11 @@
 func (r *Registry) Begin(s Stream) {
 	record := Record{Key: s.Key, Origin: Of(s.Endpoint), TTL: s.TTL, Regional: s.Domains != nil}
 	r.history.note(record.Origin)
-	r.lives.begin(s.Key, s.Endpoint)
+	r.restarts.begin(s.Key, s.Endpoint)
 	if s.Local {
 		record = r.table.put(record)
 	}
-	r.queue(record, keepers(s.Key, within(s.Domains, r.peers.Live())))
+	r.queue(record, keepers(s.Key, inDomains(s.Domains, r.peers.Live())))
 }
 
 // Merge stores records of other instances.
@@ -190,7 +190,7 @@
 	}
 	current := !confirmed.IsZero() && r.clock.Since(confirmed) < maxEndpointAge
 	r.history.observe(list, current)
-	for _, key := range r.lives.observe(endpoints, confirmed) {
+	for _, key := range r.restarts.observe(endpoints, confirmed) {
 		r.doubt(key)
 	}
 }
@@ -241,10 +241,12 @@
 }
 
 // Refused records that an endpoint refused a connection, so that it may be restarting.
-func (r *Registry) Refused(endpoint string) { r.lives.refused(endpoint) }
+func (r *Registry) Refused(endpoint string) { r.restarts.refused(endpoint) }
 
 // MayHaveRestarted reports whether the version of an endpoint is not certain now.
-func (r *Registry) MayHaveRestarted(endpoint string) bool { return r.lives.mayHaveRestarted(endpoint) }
+func (r *Registry) MayHaveRestarted(endpoint string) bool {
+	return r.restarts.mayHaveRestarted(endpoint)
+}
 
 // Answer answers the query of another instance.
 func (r *Registry) Answer(q Query) Answer {
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -256,7 +256,7 @@
 		silent := &silentPeers{node: n, live: live}
 		r := origin.New(silent, n, c.clock, metrics.NewSet(), logging.Discard().For("origin"))
 		n.Registry = r
-		Expect(n.search(1, true)).To(Equal(origin.Finding{Source: origin.Unknown, Unheard: true}))
+		Expect(n.search(1, true)).To(Equal(origin.Finding{Source: origin.Unknown, Unanswered: true}))
 	})
 
 	It("is doubtful if its endpoint was restarted under its name as another version just before", func() {
--- a/pkg/origin/lives.go
+++ b/pkg/origin/restarts.go
@@ -14,14 +14,14 @@
 // incarnation, which may have another version.
 const entryDelay = 3 * time.Second
 
-// lives notices endpoints that were restarted under their name, so that the versions of streams that
+// restarts notices endpoints that were restarted under their name, so that the versions of streams that
 // they began just before are not trusted. It is safe for concurrent use.
-type lives struct {
+type restarts struct {
 	clock clockwork.Clock
 
 	mu sync.Mutex
-	// known is the incarnation by endpoint name.
-	known map[string]life
+	// known are the incarnations by endpoint name.
+	known map[string]incarnation
 	// begun are the streams begun here within entryDelay or since the source last confirmed the
 	// endpoints, by endpoint name.
 	begun map[string][]begunStream
@@ -29,8 +29,8 @@
 	refusedAt map[string]time.Time
 }
 
-// life is an incarnation of an endpoint.
-type life struct {
+// incarnation is an incarnation of an endpoint as last known.
+type incarnation struct {
 	id      string
 	version string
 	// confirmed is when the source last confirmed it.
@@ -42,55 +42,55 @@
 	at  time.Time
 }
 
-func newLives(clock clockwork.Clock) *lives {
-	return &lives{clock: clock, known: map[string]life{}, begun: map[string][]begunStream{}, refusedAt: map[string]time.Time{}}
+func newRestarts(clock clockwork.Clock) *restarts {
+	return &restarts{clock: clock, known: map[string]incarnation{}, begun: map[string][]begunStream{}, refusedAt: map[string]time.Time{}}
 }
 
 // begin records that an endpoint has begun a stream.
-func (l *lives) begin(key Key, e fleet.Endpoint) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.begun[e.Name()] = append(l.begun[e.Name()], begunStream{key: key, at: l.clock.Now()})
+func (r *restarts) begin(key Key, e fleet.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun[e.Name()] = append(r.begun[e.Name()], begunStream{key: key, at: r.clock.Now()})
 }
 
 // refused records that an endpoint refused a connection, so that it may be restarting.
-func (l *lives) refused(endpoint string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refusedAt[endpoint] = l.clock.Now()
+func (r *restarts) refused(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusedAt[endpoint] = r.clock.Now()
 }
 
 // mayHaveRestarted reports whether an endpoint may have been restarted without its entry having arrived.
-func (l *lives) mayHaveRestarted(endpoint string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	at, refused := l.refusedAt[endpoint]
-	return refused && l.clock.Since(at) < entryDelay
+func (r *restarts) mayHaveRestarted(endpoint string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, refused := r.refusedAt[endpoint]
+	return refused && r.clock.Since(at) < entryDelay
 }
 
 // observe updates the known incarnations and returns the streams whose version is doubtful. The source
 // confirmed the endpoints at the given time.
-func (l *lives) observe(endpoints []fleet.Endpoint, confirmed time.Time) []Key {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (r *restarts) observe(endpoints []fleet.Endpoint, confirmed time.Time) []Key {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var doubtful []Key
-	now := make(map[string]life, len(endpoints))
+	now := make(map[string]incarnation, len(endpoints))
 	for _, e := range endpoints {
-		current := life{id: e.ID, version: e.Version, confirmed: confirmed}
-		before, known := l.known[e.Name()]
+		current := incarnation{id: e.ID, version: e.Version, confirmed: confirmed}
+		before, known := r.known[e.Name()]
 		if known && (before.id != current.id || before.version != current.version) {
-			doubtful = append(doubtful, l.begunSince(e.Name(), before.confirmed.Add(-entryDelay))...)
+			doubtful = append(doubtful, r.begunSince(e.Name(), before.confirmed.Add(-entryDelay))...)
 		}
 		now[e.Name()] = current
 	}
-	l.known = now
-	l.forget(confirmed.Add(-entryDelay))
+	r.known = now
+	r.forget(confirmed.Add(-entryDelay))
 	return doubtful
 }
 
-func (l *lives) begunSince(name string, since time.Time) []Key {
+func (r *restarts) begunSince(name string, since time.Time) []Key {
 	var keys []Key
-	for _, b := range l.begun[name] {
+	for _, b := range r.begun[name] {
 		if !b.at.Before(since) {
 			keys = append(keys, b.key)
 		}
@@ -99,22 +99,22 @@
 }
 
 // forget drops what is older than a time.
-func (l *lives) forget(before time.Time) {
-	for name, list := range l.begun {
+func (r *restarts) forget(before time.Time) {
+	for name, list := range r.begun {
 		kept := list[:0]
 		for _, b := range list {
 			if !b.at.Before(before) {
 				kept = append(kept, b)
 			}
 		}
-		l.begun[name] = kept
+		r.begun[name] = kept
 		if len(kept) == 0 {
-			delete(l.begun, name)
+			delete(r.begun, name)
 		}
 	}
-	for id, at := range l.refusedAt {
-		if l.clock.Since(at) >= entryDelay {
-			delete(l.refusedAt, id)
+	for id, at := range r.refusedAt {
+		if r.clock.Since(at) >= entryDelay {
+			delete(r.refusedAt, id)
 		}
 	}
 }
