--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -277,6 +277,15 @@
 		Expect(c.instances[3].search(1, true).Origin).To(Equal(from("v1")))
 	})
 
+	It("is not certain of an endpoint that refused a connection, until its entry must have arrived", func() {
+		n := c.instances[0]
+		n.Refused("a")
+		Expect(n.MayHaveRestarted("a")).To(BeTrue())
+		Expect(n.MayHaveRestarted("b")).To(BeFalse())
+		c.advance(3 * time.Second)
+		Expect(n.MayHaveRestarted("a")).To(BeFalse())
+	})
+
 	It("is doubtful if two versions are named for one stream", func() {
 		c.instances[0].begin(1, v1)
 		c.advance(100 * time.Millisecond)
