--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,9 @@
 	bin/cobaltcroft-soak --seed 20005 --length 10s
 	bin/cobaltcroft-soak --seed 90002 --seeds 2 --length 20s
 	bin/cobaltcroft-soak --seed 91006 --length 12s
+	bin/cobaltcroft-soak --seed 96206 --length 12s
+	bin/cobaltcroft-soak --seed 101100 --length 12s --instances 7
+	bin/cobaltcroft-soak --seed 102104 --length 10s --instances 5
 	bin/cobaltcroft-soak --from 241ded6 --seed 30001 --length 18s
 
 soak-short: build
