origin: state that followed from other state is gone, one way to pass records on

Read again as a newcomer: each incarnation carried the time at which the source confirmed it, the same for all; the versions were collected into a map and a list before they were noted one by one; Leave repeated passOn; three loops were maps.DeleteFunc. Behaviour is as before: fifteen specs with the race detector, twice more, and the five mutants of this package are found.

--- a/pkg/origin/history.go
+++ b/pkg/origin/history.go
@@ -1,11 +1,14 @@
 package origin
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 )
 
 // maxHistory is how long a version is remembered after its last endpoint has gone.
@@ -29,7 +32,7 @@
 
 // observe records the versions of the known endpoints. If they are not current, versions may have been
 // missed, and the observation begins anew.
-func (h *history) observe(origins []Origin, current bool) {
+func (h *history) observe(endpoints []fleet.Endpoint, current bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -39,8 +42,8 @@
 	case h.since.IsZero():
 		h.since = now
 	}
-	for _, o := range origins {
-		h.noteLocked(o, now)
+	for _, e := range endpoints {
+		h.noteLocked(Of(e), now)
 	}
 	h.forgetLocked(now)
 }
@@ -60,16 +63,10 @@
 }
 
 func (h *history) forgetLocked(now time.Time) {
-	for service, versions := range h.seen {
-		for version, at := range versions {
-			if now.Sub(at) > maxHistory {
-				delete(versions, version)
-			}
-		}
-		if len(versions) == 0 {
-			delete(h.seen, service)
-		}
-	}
+	maps.DeleteFunc(h.seen, func(_ string, versions map[string]time.Time) bool {
+		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > maxHistory })
+		return len(versions) == 0
+	})
 }
 
 // Versions is what an instance knows of the software versions that have served.
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -47,7 +47,7 @@
 
 // Peers gives access to the other instances.
 type Peers interface {
-	// Live returns the other live instances that are not leaving.
+	// Live returns the other live instances that are not leaving, in a slice of its own.
 	Live() []Peer
 	// Send sends records to an instance. They may be lost. It must not block.
 	Send(to Peer, records []Record)
@@ -170,7 +170,7 @@
 	live := r.peers.Live()
 	r.mu.Lock()
 	before := r.members
-	r.members = slices.Clone(live)
+	r.members = live
 	r.mu.Unlock()
 	if !sameMembers(before, live) {
 		r.passOn(before, live)
@@ -180,16 +180,8 @@
 // observe updates the history and the incarnations of the endpoints.
 func (r *Registry) observe() {
 	endpoints, confirmed := r.view.Endpoints()
-	origins := map[Origin]bool{}
-	for _, e := range endpoints {
-		origins[Of(e)] = true
-	}
-	list := make([]Origin, 0, len(origins))
-	for o := range origins {
-		list = append(list, o)
-	}
 	current := !confirmed.IsZero() && r.clock.Since(confirmed) < maxEndpointAge
-	r.history.observe(list, current)
+	r.history.observe(endpoints, current)
 	for _, key := range r.restarts.observe(endpoints, confirmed) {
 		r.doubt(key)
 	}
@@ -231,12 +223,7 @@
 
 // Leave passes all records on, since this instance is about to exit.
 func (r *Registry) Leave() {
-	live := r.peers.Live()
-	for _, record := range r.table.all() {
-		if !record.Regional {
-			r.queue(record, keepers(record.Key, live))
-		}
-	}
+	r.passOn(nil, r.peers.Live())
 	r.flush()
 }
 
--- a/pkg/origin/restarts.go
+++ b/pkg/origin/restarts.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +22,9 @@
 	clock clockwork.Clock
 
 	mu sync.Mutex
-	// known are the incarnations by endpoint name.
-	known map[string]incarnation
+	// known are the incarnations by endpoint name, as the source last confirmed them at confirmed.
+	known     map[string]incarnation
+	confirmed time.Time
 	// begun are the streams begun here within entryDelay or since the source last confirmed the
 	// endpoints, by endpoint name.
 	begun map[string][]begunStream
@@ -33,8 +36,6 @@
 type incarnation struct {
 	id      string
 	version string
-	// confirmed is when the source last confirmed it.
-	confirmed time.Time
 }
 
 type begunStream struct {
@@ -76,14 +77,13 @@
 	var doubtful []Key
 	now := make(map[string]incarnation, len(endpoints))
 	for _, e := range endpoints {
-		current := incarnation{id: e.ID, version: e.Version, confirmed: confirmed}
-		before, known := r.known[e.Name()]
-		if known && (before.id != current.id || before.version != current.version) {
-			doubtful = append(doubtful, r.begunSince(e.Name(), before.confirmed.Add(-entryDelay))...)
+		current := incarnation{id: e.ID, version: e.Version}
+		if before, known := r.known[e.Name()]; known && before != current {
+			doubtful = append(doubtful, r.begunSince(e.Name(), r.confirmed.Add(-entryDelay))...)
 		}
 		now[e.Name()] = current
 	}
-	r.known = now
+	r.known, r.confirmed = now, confirmed
 	r.forget(confirmed.Add(-entryDelay))
 	return doubtful
 }
@@ -98,23 +98,13 @@
 	return keys
 }
 
-// forget drops what is older than a time.
+// forget drops the streams that were begun before a time, and old refusals.
 func (r *restarts) forget(before time.Time) {
 	for name, list := range r.begun {
-		kept := list[:0]
-		for _, b := range list {
-			if !b.at.Before(before) {
-				kept = append(kept, b)
-			}
-		}
-		r.begun[name] = kept
-		if len(kept) == 0 {
+		r.begun[name] = slices.DeleteFunc(list, func(b begunStream) bool { return b.at.Before(before) })
+		if len(r.begun[name]) == 0 {
 			delete(r.begun, name)
 		}
 	}
-	for id, at := range r.refusedAt {
-		if r.clock.Since(at) >= entryDelay {
-			delete(r.refusedAt, id)
-		}
-	}
+	maps.DeleteFunc(r.refusedAt, func(_ string, at time.Time) bool { return r.clock.Since(at) >= entryDelay })
 }
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -67,11 +68,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	for key, s := range t.records {
-		if !now.Before(s.expires) {
-			delete(t.records, key)
-		}
-	}
+	maps.DeleteFunc(t.records, func(_ Key, s stored) bool { return !now.Before(s.expires) })
 }
 
 // get returns the record of a stream.
