gateway: one name for the caller, the route's timeout, own links and a wait that ends with the drain

Read again as a newcomer: the caller's name was worked out in three places, the route's timeout with its default in two, the question whether this instance's own links are at fault in two, and two waits were the same eight lines. noteRefused was handed an error made up for it; its callers now ask. A refusal named a header of the platform, which only platform/ may know: its wording changes, status, reason and delay don't.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -192,13 +194,11 @@
 // outbound returns the request metadata for the endpoint.
 func (u *run) outbound(call *balance.Call) Outbound {
 	o := Outbound{
-		Endpoint:  call.Endpoint.Name(),
-		Remaining: u.deadline.Sub(u.Clock.Now()),
-		Urgency:   -1,
-		Inputs:    u.inputHandles(),
-	}
-	if u.organisation != nil {
-		o.Organisation = u.organisation.Name
+		Endpoint:     call.Endpoint.Name(),
+		Remaining:    u.deadline.Sub(u.Clock.Now()),
+		Organisation: u.caller(),
+		Urgency:      -1,
+		Inputs:       u.inputHandles(),
 	}
 	if u.service.Engine != nil {
 		o.Urgency = u.priority()
@@ -296,7 +296,9 @@
 		result = balance.Canceled
 	}
 	call.End(result, nil)
-	u.noteRefused(call.Endpoint, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		u.noteRefused(call.Endpoint)
+	}
 	u.logAttempt(call, begin, 0, outcome, err)
 	return outcome
 }
--- a/pkg/gateway/backoff.go
+++ b/pkg/gateway/backoff.go
@@ -29,10 +29,15 @@
 		return false
 	}
 	u.backoffWaited += rest
+	return u.wait(ctx, rest)
+}
+
+// wait waits for a time and reports whether neither ctx nor the instance's service has ended before.
+func (u *run) wait(ctx context.Context, d time.Duration) bool {
 	ctx, cancel := u.untilDrained(ctx)
 	defer cancel()
 	select {
-	case <-u.Clock.After(rest):
+	case <-u.Clock.After(d):
 		return true
 	case <-ctx.Done():
 		return false
--- a/pkg/gateway/canary.go
+++ b/pkg/gateway/canary.go
@@ -72,7 +72,7 @@
 	switch {
 	case outcome == resultNotRun || outcome == resultInputGone || outcome == resultBarred || outcome == resultLinkLost:
 		return nil
-	case outcome == resultUnreachable && u.Isolated != nil && u.Isolated(o.endpoint):
+	case outcome == resultUnreachable && u.isolated(o.endpoint):
 		return nil
 	case outcome == resultUnreachable:
 		s.Failed, s.Duration = true, 0
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,11 +32,7 @@
 // computeDigest returns the request's digest. It uses the host of the route, because a client can
 // spell the host in several ways.
 func (u *run) computeDigest() quarantine.Digest {
-	caller := ""
-	if u.organisation != nil {
-		caller = u.organisation.Name
-	}
-	return quarantine.Sum(caller, u.route.Host, u.request.URI, u.request.Body)
+	return quarantine.Sum(u.caller(), u.route.Host, u.request.URI, u.request.Body)
 }
 
 // connBrokenResult returns the result for a connection that broke with an error. If the context has
@@ -91,7 +86,7 @@
 		u.Quarantine.RecordCrash(u.digest, call.Endpoint.ID)
 	}
 	if state == httpconn.NotListening {
-		u.noteRefused(call.Endpoint, syscall.ECONNREFUSED)
+		u.noteRefused(call.Endpoint)
 	}
 	u.Log.WithFields(logrus.Fields{
 		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.digest.String(), "endpoint": call.Endpoint.ID,
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -311,12 +311,28 @@
 	return no
 }
 
+// caller returns the name of the organisation, or an empty string if the route needs none.
+func (u *run) caller() string {
+	if u.organisation == nil {
+		return ""
+	}
+	return u.organisation.Name
+}
+
+// isolated reports whether a failed connection to an endpoint may be due to this instance's links.
+func (u *run) isolated(e fleet.Endpoint) bool { return u.Isolated != nil && u.Isolated(e) }
+
+// routeTimeout returns the timeout of the route, or the default one if it has none.
+func (u *run) routeTimeout() time.Duration {
+	if u.route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return u.route.Timeout
+}
+
 // timeLimit returns how long the request may take.
 func (u *run) timeLimit() time.Duration {
-	limit := u.route.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
+	limit := u.routeTimeout()
 	if u.request.MaxWait > 0 {
 		limit = min(limit, u.request.MaxWait)
 	}
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -76,7 +76,7 @@
 
 // refuseUnknownStream has no retry delay if no instance will know the stream later either.
 func refuseUnknownStream(after time.Duration) *Refusal {
-	return &Refusal{http.StatusServiceUnavailable, after, "stream_unknown", "it is not known which software version began the stream, and only that one may continue it; the request has not run; name the stream in Resumes, or start it anew"}
+	return &Refusal{http.StatusServiceUnavailable, after, "stream_unknown", "it is not known which software version began the stream, and only that one may continue it; the request has not run; name the stream that is resumed, or start it anew"}
 }
 
 func refuseStreamGone() *Refusal {
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
@@ -78,11 +76,7 @@
 
 // streamKey returns the key of the stream whose first event was received by a request.
 func (u *run) streamKey(request string) origin.Key {
-	caller := ""
-	if u.organisation != nil {
-		caller = u.organisation.Name
-	}
-	return origin.KeyOf(caller, request)
+	return origin.KeyOf(u.caller(), request)
 }
 
 // onlyTarget returns the service of the route, or an empty string if it has several.
@@ -99,13 +93,7 @@
 }
 
 // resumeTime returns how long the streams of the route can be resumed.
-func (u *run) resumeTime() time.Duration {
-	timeout := u.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	return resumeFactor * timeout
-}
+func (u *run) resumeTime() time.Duration { return resumeFactor * u.routeTimeout() }
 
 // beginStream binds the stream to the endpoint that made its first event, or confirms the origin of a
 // resumed one.
@@ -148,8 +136,8 @@
 
 // noteRefused records that an endpoint refused a connection, unless that may be due to this instance's
 // links.
-func (u *run) noteRefused(e fleet.Endpoint, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) && (u.Isolated == nil || !u.Isolated(e)) {
+func (u *run) noteRefused(e fleet.Endpoint) {
+	if !u.isolated(e) {
 		u.Origins.Refused(e.ID)
 	}
 }
--- a/pkg/gateway/room.go
+++ b/pkg/gateway/room.go
@@ -31,14 +31,7 @@
 		return false
 	}
 	u.backoffWaited += roomPoll
-	ctx, cancel := u.untilDrained(ctx)
-	defer cancel()
-	select {
-	case <-u.Clock.After(roomPoll):
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return u.wait(ctx, roomPoll)
 }
 
 // rejectedForRoom records that an endpoint did not run the request, and reports whether it should be
