batch: an endpoint that answers an inspection gets calls before its next probe is due

Callers with stages were refused (busy, forecast 12 s) for up to three seconds after all links had come back, though the owner had asked the stage endpoints for their load and all nine had answered.

Cause: only a probe ended the state after a failed call; what the endpoint itself answered did not. The spec failed before.

--- a/pkg/batch/inspect.go
+++ b/pkg/batch/inspect.go
@@ -108,6 +108,10 @@
 		// The endpoint answers but does not report its load: it is assumed to be idle.
 	default:
 		w.applyReport(now, report, batching)
+		if w.needsProbe {
+			w.backoffUntil = now
+			b.markReached(s, w)
+		}
 	}
 }
 
--- a/pkg/batch/ledger_test.go
+++ b/pkg/batch/ledger_test.go
@@ -173,6 +173,23 @@
 		Expect(nextCall().endpoint).To(Equal("a"))
 	})
 
+	It("goes to an endpoint that answers an inspection before its next probe is due", func() {
+		e.reports["a"] = batch.Report{FreeBytes: 1000}
+		e.setUnreachable("a", true)
+		b := newBatcher()
+		b.Inspect(context.Background(), []batch.Queue{whole})
+		for probes := range 6 {
+			clock.Advance(5 * time.Second)
+			b.Tick()
+			Eventually(e.Probes).Should(Equal(probes + 1))
+		}
+		e.setUnreachable("a", false)
+		clock.Advance(2100 * time.Millisecond)
+		b.Inspect(context.Background(), []batch.Queue{whole})
+		submit(b, "r1", 1)
+		Expect(nextCall().endpoint).To(Equal("a"))
+	})
+
 	It("caps reported free memory at the configured memory", func() {
 		e.reports["a"] = batch.Report{FreeBytes: 1_000_000}
 		b := newBatcher()
--- a/pkg/batch/probe.go
+++ b/pkg/batch/probe.go
@@ -69,6 +69,11 @@
 		w.recordFailure(b.clock.Now())
 		return
 	}
+	b.markReached(s, w)
+}
+
+// markReached makes a worker available after its endpoint has answered.
+func (b *Batcher) markReached(s *service, w *worker) {
 	w.needsProbe = false
 	b.log.WithFields(logrus.Fields{"event": "endpoint_reached", "endpoint": w.endpoint.ID, "service": s.key.Service}).Info()
 	b.dispatch(s)
