reach: a failure domain that no path led to is told to have returned, however long that took

Whether none did was decided anew by each failed attempt, by evidence of the last 1.5 s alone, so that a late single failure forgot it and the back-offs, of up to 3 s, stayed. Now only a direct connection ends it.

--- a/pkg/reach/domain.go
+++ b/pkg/reach/domain.go
@@ -9,7 +9,7 @@
 	lastConnected time.Time
 	// outages contains the endpoints whose last direct connection attempt failed.
 	outages map[string]*outage
-	// lost is set while no path led to the failure domain when it was last tried.
+	// lost is set after no path led to the failure domain, until a direct connection succeeds.
 	lost bool
 	// logged is the number of outages in the last log event, path the path that was last logged.
 	logged int
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -114,7 +114,7 @@
 	if o := d.outages[endpoint]; o != nil {
 		o.tunneled, o.unreachedAt = false, now
 	}
-	d.lost = d.judge(now) == None
+	d.lost = d.lost || d.judge(now) == None
 }
 
 // Path returns the path to an endpoint.
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -111,6 +111,19 @@
 		Expect(path("one")).To(Equal(reach.Direct))
 	})
 
+	It("is told to lead to a failure domain again, however long none did", func() {
+		var returned []string
+		tracker.OnReturn(func(failureDomain string) { returned = append(returned, failureDomain) })
+		unreached("one")
+		unreached("two")
+		clock.Advance(2 * time.Second)
+		unreached("one")
+		tracker.Connected("zone-a", "three")
+		Expect(returned).To(Equal([]string{"zone-a"}))
+		tracker.Connected("zone-a", "one")
+		Expect(returned).To(HaveLen(1))
+	})
+
 	It("does not tell a failed endpoint from a failed link while nothing else in the failure domain was reached", func() {
 		unreached("one")
 		Expect(tracker.Isolated("zone-a", "one")).To(BeFalse())
