gateway: the spec of streams without endpoints of their version waits until each instance knows that they leave

Cause: the spec waited for one instance to hear of the endpoints' leaving from the store and then asked another, which heard 2 to 5 ms later and, rightly, went on at the version that began the stream until then (watch at 22.474, request answered by v1 begun at 22.472).

--- a/cmd/cobaltcroftd/gateway/resume_test.go
+++ b/cmd/cobaltcroftd/gateway/resume_test.go
@@ -234,12 +234,18 @@
 				d.Store.Put("servers/"+e.ID, e.Entry("draining"))
 			}
 		}
-		Eventually(func() string {
-			_, got := resume(all[1], c.first, c.lastEvent)
-			return got.Body
-		}).Should(ContainSubstring("stream_gone"))
-		Expect(versionsOf(c.first)).To(HaveLen(1))
-		Expect(c.read(all[2], "stream", 0)).To(Equal(http.StatusServiceUnavailable))
+		requests := []string{c.first}
+		for _, i := range all {
+			gone := func() answer {
+				id, got := resume(i, c.first, c.lastEvent)
+				requests = append(requests, id)
+				return got
+			}
+			Eventually(gone).Should(HaveField("Body", ContainSubstring("stream_gone")))
+			Expect(gone()).To(And(HaveField("Status", http.StatusServiceUnavailable), HaveField("Body", ContainSubstring("stream_gone"))))
+			Expect(runsOf(requests[len(requests)-1])).To(BeZero())
+		}
+		Expect(versionsOf(requests...)).To(HaveLen(1))
 	})
 
 	It("is refused by an instance that does not reach the others, and goes on at those", func() {
