reach: no path to an endpoint lasts while probes find none to others of its failure domain

Callers of instances that nobody connects to endpoints for were refused after 350 ms, in place of at once.

Cause: that no path leads to an endpoint was forgotten 1.5 s after the last failure of this very endpoint, and then a request tried it, 0.3 s directly with a tunneled attempt beside it. Probes renew eight endpoints of a failure domain drawn by lot each 0.2 s, so that of 15 endpoints one is now and then left out for 1.5 s, and of hundreds most are.

--- a/cmd/cobaltcroftd/gateway/partition_test.go
+++ b/cmd/cobaltcroftd/gateway/partition_test.go
@@ -133,16 +133,18 @@
 	DescribeTable("refuses at once when all instances are partitioned", func(state platformtest.LinkState) {
 		setAll(state)
 		statuses(partitioned, time.Now().Add(detectionBound))
-		for _, kind := range kinds {
-			began := time.Now()
-			r := partitioned.request(http.MethodPost, kind, newID(), "")
-			if kind == "staged" {
-				r = partitioned.staged(newID())
+		for until := time.Now().Add(trafficTime); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+			for _, kind := range kinds {
+				began := time.Now()
+				r := partitioned.request(http.MethodPost, kind, newID(), "")
+				if kind == "staged" {
+					r = partitioned.staged(newID())
+				}
+				got := send(r)
+				Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+				Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+				Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond), kind)
 			}
-			got := send(r)
-			Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
-			Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
-			Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond), kind)
 		}
 		setAll(platformtest.LinksUp)
 		Eventually(func() []int { return traffic(partitioned, kinds...) }, detectionBound).Should(HaveEach(http.StatusOK))
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -111,6 +111,18 @@
 		Expect(path("one")).To(Equal(reach.Direct))
 	})
 
+	It("stays none while probes find none to others of its failure domain", func() {
+		unreached("one")
+		for range 4 {
+			unreached("two")
+			unreached("three")
+			Expect(path("one")).To(Equal(reach.None))
+			clock.Advance(time.Second)
+		}
+		tracker.TunnelConnected("zone-a", "two")
+		Expect(path("one")).To(Equal(reach.Direct))
+	})
+
 	It("is told to lead to a failure domain again, however long none did", func() {
 		var returned []string
 		tracker.OnReturn(func(failureDomain string) { returned = append(returned, failureDomain) })
