reach: an endpoint that ended is found out through other instances, behind silent links too

Cause: asked for a tunnel to an engine that has ended, the other instance said that it could not connect; the dialer then tried its own silent link, 0.3 s, and the check for the sign of a crash gives up after 0.1 s ('silent' in place of 'ended'). The other instance's refusal had what was needed, but did not say whether the engine had refused its connection. Now it does (Tunnel-Endpoint-Refused, ignored by earlier builds), and where the path is tunneled that ends the attempt at once.

--- a/cmd/cobaltcroftd/gateway/quarantine_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_test.go
@@ -132,6 +132,19 @@
 		Expect(crashed()).To(Equal(4))
 	})
 
+	DescribeTable("is recognized by an instance that reaches its endpoints through others only", func(state platformtest.LinkState) {
+		links := d.NewLinks()
+		DeferCleanup(links.Close)
+		partitioned := start(links.Address(), instances[0].Peers)
+		links.Set(state)
+		Eventually(func() []int { return traffic(partitioned, "stream", "stream", "stream", "stream") }).Should(HaveEach(http.StatusOK))
+		Eventually(func() string { return sendFatal(partitioned, "stream").Body }).Should(ContainSubstring("quarantined"))
+		Expect(crashed()).To(BeNumerically("<=", maxCrashes))
+	},
+		Entry("when its links are silent", platformtest.LinksSilent),
+		Entry("when its links are reset and refused", platformtest.LinksReset),
+	)
+
 	It("is sent once more at most when all instances have started anew", func() {
 		for n := 0; sendFatal(instances[n%len(instances)], "stream").Status != http.StatusServiceUnavailable; n++ {
 			Expect(crashed()).To(BeNumerically("<=", maxCrashes))
--- a/pkg/reach/dialer.go
+++ b/pkg/reach/dialer.go
@@ -25,7 +25,7 @@
 	// ErrNoTunnel is returned by Tunnels if there is no other instance.
 	ErrNoTunnel = errors.New("there is no other instance")
 	// ErrUnreached is returned by Tunnels if another instance, which reaches other endpoints, could not
-	// connect to this one.
+	// connect to this one. If that was refused, the error is a syscall.ECONNREFUSED as well.
 	ErrUnreached = errors.New("another instance could not connect to the endpoint either")
 )
 
@@ -53,9 +53,15 @@
 	case None:
 		return nil, problem.New(problem.Unavailable, "use another endpoint", "neither this instance nor others can connect to endpoint %s", target.ID)
 	case Tunneled:
-		if conn, err := d.Tunnels.Dial(ctx, target); err == nil {
+		conn, err := d.Tunnels.Dial(ctx, target)
+		if err == nil {
 			return conn, nil
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// A silent direct path would hide for its timeout that the endpoint has ended.
+			d.Tracker.TunnelFailed(target.FailureDomain, target.ID)
+			return nil, err
+		}
 	case Direct:
 	}
 	return d.DialAnyPath(ctx, target)
--- a/pkg/reach/dialer_test.go
+++ b/pkg/reach/dialer_test.go
@@ -112,6 +112,16 @@
 		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(direct))
 	})
 
+	It("fails at once when another instance finds that nothing listens on the address", func(ctx SpecContext) {
+		direct.err = syscall.ETIMEDOUT
+		Expect(via(dialer.Dial(ctx, target))).To(BeIdenticalTo(tunnel))
+		direct.after, tunnel.err = time.Second, errors.Join(reach.ErrUnreached, syscall.ECONNREFUSED)
+		began := time.Now()
+		_, err := dialer.Dial(ctx, target)
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+	})
+
 	It("fails at once while neither path has worked lately", func(ctx SpecContext) {
 		direct.err, tunnel.err = syscall.ECONNREFUSED, reach.ErrUnreached
 		_, err := dialer.Dial(ctx, target)
--- a/service/tunnel/client.go
+++ b/service/tunnel/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
@@ -24,14 +25,25 @@
 // Client opens tunnels through other instances.
 type Client struct{ Token string }
 
-// RefusedError is returned if the other instance answered, but opened no tunnel.
-type RefusedError struct{ Reason string }
+// RefusedError is returned if the other instance answered, but opened no tunnel. If the endpoint had
+// refused its connection, errors.Is finds syscall.ECONNREFUSED in it.
+type RefusedError struct {
+	Reason string
+	// EndpointRefused is set if the endpoint refused the connection of the other instance, so that
+	// nothing listens on its address.
+	EndpointRefused bool
+}
 
 // Error implements error.
 func (e *RefusedError) Error() string {
 	return "the other instance opened no tunnel: " + e.Reason + " (remedy: use another endpoint)"
 }
 
+// Is makes a refused connection to the endpoint look like one of this instance.
+func (e *RefusedError) Is(target error) bool {
+	return e.EndpointRefused && target == error(syscall.ECONNREFUSED)
+}
+
 // IsUnreached reports whether err says that the other instance tried to connect to the endpoint, and
 // failed.
 func IsUnreached(err error) bool {
@@ -71,7 +83,7 @@
 		return problem.Wrap(err, problem.Unavailable, "use another instance; one of an earlier build opens no tunnels", "no answer to the request for a tunnel to endpoint %s", endpoint)
 	}
 	if response.StatusCode != http.StatusOK {
-		return &RefusedError{Reason: response.Header.Get(headerReason)}
+		return &RefusedError{Reason: response.Header.Get(headerReason), EndpointRefused: response.Header.Get(headerEndpointRefused) != ""}
 	}
 	if !stop() {
 		return ctx.Err()
--- a/service/tunnel/server.go
+++ b/service/tunnel/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -88,11 +89,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	endpoint, refusal := s.connect(r)
-	if refusal != "" {
-		w.Header().Set(headerReason, string(refusal))
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(refusal.status())
+	endpoint, refused := s.connect(r)
+	if refused != nil {
+		refused.write(w)
 		return
 	}
 	defer endpoint.Close()
@@ -115,40 +114,40 @@
 }
 
 // connect connects to the endpoint that a request names.
-func (s *Server) connect(r *http.Request) (net.Conn, reason) {
+func (s *Server) connect(r *http.Request) (net.Conn, *refusal) {
 	if r.Method != http.MethodConnect || subtle.ConstantTimeCompare([]byte(r.Header.Get(headerToken)), []byte(tokenPrefix+s.token)) != 1 {
-		return nil, reasonDenied
+		return nil, &refusal{reason: reasonDenied}
 	}
 	if s.open.Load() > maxTunnels {
-		return nil, reasonBusy
+		return nil, &refusal{reason: reasonBusy}
 	}
 	target, known := s.endpoints.Target(r.Header.Get(headerEndpoint))
 	if !known {
-		return nil, reasonUnknown
+		return nil, &refusal{reason: reasonUnknown}
 	}
 	switch s.endpoints.Path(target) {
 	case reach.Tunneled:
-		return nil, reasonPartitioned
+		return nil, &refusal{reason: reasonPartitioned}
 	case reach.None:
-		return nil, s.unreached(target)
+		return nil, s.unreached(target, nil)
 	case reach.Direct:
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), openTimeout)
 	defer cancel()
 	conn, err := s.endpoints.DialDirect(ctx, target)
 	if err != nil {
-		return nil, s.unreached(target)
+		return nil, s.unreached(target, err)
 	}
-	return conn, ""
+	return conn, nil
 }
 
-// unreached returns the reason if this instance could not connect to an endpoint. It is a witness
-// against the endpoint only if it reaches others.
-func (s *Server) unreached(target httpconn.Target) reason {
+// unreached returns the refusal if this instance could not connect to an endpoint. It is a witness
+// against the endpoint only if it reaches others. err is the error of an attempt made just now, if any.
+func (s *Server) unreached(target httpconn.Target, err error) *refusal {
 	if s.endpoints.Isolated(target) {
-		return reasonPartitioned
+		return &refusal{reason: reasonPartitioned}
 	}
-	return reasonUnreached
+	return &refusal{reason: reasonUnreached, endpointRefused: errors.Is(err, syscall.ECONNREFUSED)}
 }
 
 // carry copies in both directions until both have ended or one has failed.
--- a/service/tunnel/tunnel.go
+++ b/service/tunnel/tunnel.go
@@ -16,6 +16,9 @@
 	headerEndpoint = "Tunnel-Endpoint"
 	// headerReason has the reason of a refusal.
 	headerReason = "Tunnel-Reason"
+	// headerEndpointRefused is set in a refusal if the endpoint refused the connection: nothing listens
+	// on its address.
+	headerEndpointRefused = "Tunnel-Endpoint-Refused"
 	// tunnelHost is the host in requests that open a tunnel.
 	tunnelHost = "endpoint"
 	// maxHeaderBytes bounds the header of a request or response that opens a tunnel.
@@ -38,9 +41,16 @@
 	reasonDenied reason = "denied"
 )
 
+// refusal is the response of an instance that opened no tunnel.
+type refusal struct {
+	reason reason
+	// endpointRefused is set if the endpoint refused the connection of the instance.
+	endpointRefused bool
+}
+
 // status returns the HTTP status of a refusal.
-func (r reason) status() int {
-	switch r {
+func (r refusal) status() int {
+	switch r.reason {
 	case reasonUnreached:
 		return http.StatusBadGateway
 	case reasonUnknown:
@@ -51,3 +61,13 @@
 	}
 	return http.StatusServiceUnavailable
 }
+
+// write sends the refusal and closes the connection.
+func (r refusal) write(w http.ResponseWriter) {
+	w.Header().Set(headerReason, string(r.reason))
+	if r.endpointRefused {
+		w.Header().Set(headerEndpointRefused, "true")
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(r.status())
+}
--- a/service/tunnel/tunnel_test.go
+++ b/service/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -231,7 +232,9 @@
 
 		It("ends with the first that reaches others but not the endpoint", func(ctx SpecContext) {
 			Expect(listener.Close()).To(Succeed())
-			Expect(dial(ctx, member("one", "zone-a", peer))).To(MatchError(reach.ErrUnreached))
+			Expect(dial(ctx, member("one", "zone-a", peer))).To(And(MatchError(reach.ErrUnreached), MatchError(syscall.ECONNREFUSED)))
+			ends.setPath(reach.None)
+			Expect(dial(ctx, member("one", "zone-a", peer))).To(And(MatchError(reach.ErrUnreached), Not(MatchError(syscall.ECONNREFUSED))))
 		}, SpecTimeout(10*time.Second))
 	})
 })
