peer: one identity of other instances for the limits of endpoints and the origins of streams

throttle.Peer and origin.Peer had the same four fields, and service/handover converted members to each apart.

--- a/pkg/origin/keepers.go
+++ b/pkg/origin/keepers.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 )
 
 const (
@@ -19,14 +21,6 @@
 	maxAllAsked = 8
 )
 
-// Peer is another instance.
-type Peer struct {
-	Name          string
-	Incarnation   uint64
-	Address       string
-	FailureDomain string
-}
-
 // weight is the rank of an instance for a stream by rendezvous hashing; the highest comes first.
 func weight(key Key, name string) uint64 {
 	var b [16]byte
@@ -36,16 +30,16 @@
 }
 
 // keepers returns the instances that are told of a stream.
-func keepers(key Key, peers []Peer) []Peer {
-	chosen := make([]Peer, 0, keeperCount)
-	first := heaviest(key, peers, func(Peer) bool { return true })
+func keepers(key Key, peers []peer.Peer) []peer.Peer {
+	chosen := make([]peer.Peer, 0, keeperCount)
+	first := heaviest(key, peers, func(peer.Peer) bool { return true })
 	if first < 0 {
 		return chosen
 	}
 	chosen = append(chosen, peers[first])
-	second := heaviest(key, peers, func(p Peer) bool { return p.FailureDomain != peers[first].FailureDomain })
+	second := heaviest(key, peers, func(p peer.Peer) bool { return p.FailureDomain != peers[first].FailureDomain })
 	if second < 0 {
-		second = heaviest(key, peers, func(p Peer) bool { return p.Name != peers[first].Name })
+		second = heaviest(key, peers, func(p peer.Peer) bool { return p.Name != peers[first].Name })
 	}
 	if second >= 0 {
 		chosen = append(chosen, peers[second])
@@ -54,7 +48,7 @@
 }
 
 // heaviest returns the index of the matching peer with the highest weight, or -1 if none matches.
-func heaviest(key Key, peers []Peer, match func(Peer) bool) int {
+func heaviest(key Key, peers []peer.Peer, match func(peer.Peer) bool) int {
 	best, most := -1, uint64(0)
 	for i, p := range peers {
 		if !match(p) {
@@ -68,20 +62,20 @@
 }
 
 // peersToAsk returns the instances that are asked for a stream.
-func peersToAsk(key Key, peers []Peer) []Peer {
+func peersToAsk(key Key, peers []peer.Peer) []peer.Peer {
 	if len(peers) <= maxAllAsked {
 		return peers
 	}
 	list := keepers(key, peers)
-	rest := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return slices.Contains(list, p) })
-	slices.SortFunc(rest, func(a, b Peer) int { return cmp.Compare(weight(key, b.Name), weight(key, a.Name)) })
+	rest := slices.DeleteFunc(slices.Clone(peers), func(p peer.Peer) bool { return slices.Contains(list, p) })
+	slices.SortFunc(rest, func(a, b peer.Peer) int { return cmp.Compare(weight(key, b.Name), weight(key, a.Name)) })
 	return append(list, rest[:maxAsked-len(list)]...)
 }
 
 // inDomains returns the peers in the given failure domains; nil means any.
-func inDomains(domains []string, peers []Peer) []Peer {
+func inDomains(domains []string, peers []peer.Peer) []peer.Peer {
 	if domains == nil {
 		return peers
 	}
-	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !slices.Contains(domains, p.FailureDomain) })
+	return slices.DeleteFunc(slices.Clone(peers), func(p peer.Peer) bool { return !slices.Contains(domains, p.FailureDomain) })
 }
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 )
 
 const (
@@ -48,11 +49,11 @@
 // Peers gives access to the other instances.
 type Peers interface {
 	// Live returns the other live instances that are not leaving, in a slice of its own.
-	Live() []Peer
+	Live() []peer.Peer
 	// Send sends records to an instance. They may be lost. It must not block.
-	Send(to Peer, records []Record)
+	Send(to peer.Peer, records []Record)
 	// Ask asks an instance.
-	Ask(ctx context.Context, to Peer, q Query) (Answer, error)
+	Ask(ctx context.Context, to peer.Peer, q Query) (Answer, error)
 }
 
 // View is this instance's knowledge of the endpoints.
@@ -77,12 +78,12 @@
 	// pending are the records to be sent, by instance.
 	pending map[string]*delivery
 	// members are the live instances as of the last Tick.
-	members []Peer
+	members []peer.Peer
 }
 
 // delivery is the records for one instance.
 type delivery struct {
-	to      Peer
+	to      peer.Peer
 	records []Record
 }
 
@@ -133,7 +134,7 @@
 }
 
 // queue sends a record to instances, after a short time in which others are collected.
-func (r *Registry) queue(record Record, to []Peer) {
+func (r *Registry) queue(record Record, to []peer.Peer) {
 	if len(to) == 0 {
 		return
 	}
@@ -201,23 +202,23 @@
 	}
 }
 
-func sameMembers(a, b []Peer) bool {
-	known := make(map[Peer]bool, len(a))
+func sameMembers(a, b []peer.Peer) bool {
+	known := make(map[peer.Peer]bool, len(a))
 	for _, p := range a {
 		known[p] = true
 	}
-	return len(a) == len(b) && !slices.ContainsFunc(b, func(p Peer) bool { return !known[p] })
+	return len(a) == len(b) && !slices.ContainsFunc(b, func(p peer.Peer) bool { return !known[p] })
 }
 
 // passOn sends each record to those of its keepers that were not its keepers before, for example because
 // they have been restarted.
-func (r *Registry) passOn(before, now []Peer) {
+func (r *Registry) passOn(before, now []peer.Peer) {
 	for _, record := range r.table.all() {
 		if record.Regional {
 			continue
 		}
 		known := keepers(record.Key, before)
-		r.queue(record, slices.DeleteFunc(keepers(record.Key, now), func(p Peer) bool { return slices.Contains(known, p) }))
+		r.queue(record, slices.DeleteFunc(keepers(record.Key, now), func(p peer.Peer) bool { return slices.Contains(known, p) }))
 	}
 }
 
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -14,6 +14,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 )
 
 const (
@@ -36,14 +37,14 @@
 type node struct {
 	*origin.Registry
 	cluster *cluster
-	origin.Peer
+	peer.Peer
 	dead, leaving, cutOff bool
 }
 
 func newCluster(n int) *cluster {
 	c := &cluster{clock: clockwork.NewFakeClock(), endpoints: []fleet.Endpoint{{ID: "a", Service: service, Version: "v1"}}}
 	for i := range n {
-		c.instances = append(c.instances, &node{cluster: c, Peer: origin.Peer{Name: fmt.Sprint("i", i), Address: fmt.Sprint(i), FailureDomain: fmt.Sprint("zone-", i%3)}})
+		c.instances = append(c.instances, &node{cluster: c, Peer: peer.Peer{Name: fmt.Sprint("i", i), Address: fmt.Sprint(i), FailureDomain: fmt.Sprint("zone-", i%3)}})
 		c.restart(i)
 	}
 	return c
@@ -83,8 +84,8 @@
 }
 
 // Live implements origin.Peers.
-func (n *node) Live() []origin.Peer {
-	var list []origin.Peer
+func (n *node) Live() []peer.Peer {
+	var list []peer.Peer
 	for _, other := range n.cluster.instances {
 		if n.reaches(other) && !other.leaving {
 			list = append(list, other.Peer)
@@ -94,14 +95,14 @@
 }
 
 // Send implements origin.Peers.
-func (n *node) Send(to origin.Peer, records []origin.Record) {
+func (n *node) Send(to peer.Peer, records []origin.Record) {
 	if other := n.find(to); other != nil && n.reaches(other) {
 		other.Merge(records)
 	}
 }
 
 // Ask implements origin.Peers.
-func (n *node) Ask(_ context.Context, to origin.Peer, q origin.Query) (origin.Answer, error) {
+func (n *node) Ask(_ context.Context, to peer.Peer, q origin.Query) (origin.Answer, error) {
 	other := n.find(to)
 	if other == nil || !n.reaches(other) {
 		return origin.Answer{}, errors.New("unreachable")
@@ -109,7 +110,7 @@
 	return other.Answer(q), nil
 }
 
-func (n *node) find(to origin.Peer) *node {
+func (n *node) find(to peer.Peer) *node {
 	for _, other := range n.cluster.instances {
 		if other.Name == to.Name {
 			return other
@@ -316,7 +317,7 @@
 // silentPeers are live instances that do not answer.
 type silentPeers struct {
 	*node
-	live []origin.Peer
+	live []peer.Peer
 }
 
-func (p *silentPeers) Live() []origin.Peer { return p.live }
+func (p *silentPeers) Live() []peer.Peer { return p.live }
--- a/pkg/throttle/granting.go
+++ b/pkg/throttle/granting.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 )
 
 // HandleRequest answers a permit request of another instance.
@@ -45,15 +47,15 @@
 
 // chooseGrantor returns the instance that grants the calls to an endpoint. All instances with the
 // same members choose the same one.
-func chooseGrantor(candidates []Peer, id, domain string) Peer {
-	weight := func(p Peer) uint64 { return xxhash.Sum64String("grantor/" + id + "/" + p.Name) }
-	near := func(p Peer) int {
+func chooseGrantor(candidates []peer.Peer, id, domain string) peer.Peer {
+	weight := func(p peer.Peer) uint64 { return xxhash.Sum64String("grantor/" + id + "/" + p.Name) }
+	near := func(p peer.Peer) int {
 		if p.FailureDomain == domain {
 			return 1
 		}
 		return 0
 	}
-	return slices.MaxFunc(candidates, func(a, b Peer) int {
+	return slices.MaxFunc(candidates, func(a, b peer.Peer) int {
 		return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(weight(a), weight(b)))
 	})
 }
--- a/pkg/throttle/limit.go
+++ b/pkg/throttle/limit.go
@@ -34,12 +34,3 @@
 	Lifted bool  `json:"lifted"`
 	AgeMs  int64 `json:"age_ms"`
 }
-
-// Peer identifies an instance.
-type Peer struct {
-	Name          string
-	Address       string
-	FailureDomain string
-	// Incarnation increases with each start.
-	Incarnation uint64
-}
--- a/pkg/throttle/limiter.go
+++ b/pkg/throttle/limiter.go
@@ -9,6 +9,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 )
 
 // settleTime is how long after its start an instance may not know all members yet. It grants no
@@ -17,15 +19,15 @@
 
 // Peers gives access to the other instances.
 type Peers interface {
-	Self() Peer
+	Self() peer.Peer
 	// SelfLeaving reports whether this instance is leaving. It may serve requests for a while
 	// longer.
 	SelfLeaving() bool
 	// Live returns the other live instances that are not leaving, and Leaving those that are.
-	Live() []Peer
-	Leaving() []Peer
+	Live() []peer.Peer
+	Leaving() []peer.Peer
 	// RequestPermits requests permits from another instance.
-	RequestPermits(ctx context.Context, to Peer, ask PermitRequest) (PermitGrant, error)
+	RequestPermits(ctx context.Context, to peer.Peer, ask PermitRequest) (PermitGrant, error)
 }
 
 // Limiter enforces the rate limits of a Table across all instances. For each limited endpoint, one
@@ -50,7 +52,7 @@
 	members memberView
 	// share is the visible fraction of the instances; candidates are the eligible grantors.
 	share      float64
-	candidates []Peer
+	candidates []peer.Peer
 	endpoints  map[string]*endpoint
 }
 
@@ -58,7 +60,7 @@
 type endpoint struct {
 	// grantor grants the permits; own is set if that is this instance. resolved is cleared when
 	// the candidates may have changed.
-	grantor  Peer
+	grantor  peer.Peer
 	own      bool
 	resolved bool
 	// bucket limits the permits that this instance grants; reservedUntil is the latest retry time
@@ -80,7 +82,7 @@
 	return &Limiter{
 		table: table, peers: peers, domainOf: domainOf, clock: clock, log: log, settledAt: clock.Now().Add(settleTime),
 		start: func(ask func()) { go ask() }, random: rand.Float64,
-		share: 1, candidates: []Peer{peers.Self()}, endpoints: map[string]*endpoint{},
+		share: 1, candidates: []peer.Peer{peers.Self()}, endpoints: map[string]*endpoint{},
 	}
 }
 
@@ -103,8 +105,8 @@
 
 // eligibleGrantors returns the instances that have been live long enough to know all members and
 // are not leaving, or all instances if there are none.
-func (l *Limiter) eligibleGrantors(now time.Time, live []Peer) []Peer {
-	settled := slices.DeleteFunc(slices.Clone(live), func(p Peer) bool { return !l.members.settled(now, l.settledAt, p) })
+func (l *Limiter) eligibleGrantors(now time.Time, live []peer.Peer) []peer.Peer {
+	settled := slices.DeleteFunc(slices.Clone(live), func(p peer.Peer) bool { return !l.members.settled(now, l.settledAt, p) })
 	// The other instances choose another grantor as soon as they learn that this one is leaving.
 	if !l.peers.SelfLeaving() && !now.Before(l.settledAt) {
 		settled = append(settled, l.peers.Self())
--- a/pkg/throttle/limiter_test.go
+++ b/pkg/throttle/limiter_test.go
@@ -10,24 +10,25 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 )
 
 // fakePeers are peers that all give the same answer.
 type fakePeers struct {
-	live    []throttle.Peer
+	live    []peer.Peer
 	leaving bool
 	answer  throttle.PermitGrant
 	err     error
 	asked   []throttle.PermitRequest
-	to      []throttle.Peer
+	to      []peer.Peer
 }
 
-func (o *fakePeers) Self() throttle.Peer      { return throttle.Peer{Name: "self", FailureDomain: "far"} }
-func (o *fakePeers) SelfLeaving() bool        { return o.leaving }
-func (o *fakePeers) Live() []throttle.Peer    { return o.live }
-func (o *fakePeers) Leaving() []throttle.Peer { return nil }
-func (o *fakePeers) RequestPermits(_ context.Context, to throttle.Peer, ask throttle.PermitRequest) (throttle.PermitGrant, error) {
+func (o *fakePeers) Self() peer.Peer      { return peer.Peer{Name: "self", FailureDomain: "far"} }
+func (o *fakePeers) SelfLeaving() bool    { return o.leaving }
+func (o *fakePeers) Live() []peer.Peer    { return o.live }
+func (o *fakePeers) Leaving() []peer.Peer { return nil }
+func (o *fakePeers) RequestPermits(_ context.Context, to peer.Peer, ask throttle.PermitRequest) (throttle.PermitGrant, error) {
 	o.asked, o.to = append(o.asked, ask), append(o.to, to)
 	return o.answer, o.err
 }
@@ -39,7 +40,7 @@
 		peers   *fakePeers
 		limiter *throttle.Limiter
 	)
-	near := []throttle.Peer{{Name: "a", FailureDomain: "near"}, {Name: "b", FailureDomain: "near"}, {Name: "c", FailureDomain: "far"}}
+	near := []peer.Peer{{Name: "a", FailureDomain: "near"}, {Name: "b", FailureDomain: "near"}, {Name: "c", FailureDomain: "far"}}
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
@@ -168,7 +169,7 @@
 	})
 
 	It("are limited to the visible share of the recently live instances", func() {
-		peers.live = []throttle.Peer{{Name: "c", FailureDomain: "far"}}
+		peers.live = []peer.Peer{{Name: "c", FailureDomain: "far"}}
 		limiter.UpdateMembers()
 		peers.live = nil
 		limiter.UpdateMembers()
--- a/pkg/throttle/members.go
+++ b/pkg/throttle/members.go
@@ -1,6 +1,10 @@
 package throttle
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
+)
 
 // absentTTL is how long an instance that disappeared without leaving counts as partitioned away.
 // It is longer than a network partition between regions, which lasts an hour now and then. Of 400
@@ -24,7 +28,7 @@
 
 // update records the live and leaving instances and returns the visible fraction of all instances
 // that may be running.
-func (s *memberView) update(now time.Time, live, leaving []Peer) float64 {
+func (s *memberView) update(now time.Time, live, leaving []peer.Peer) float64 {
 	if s.members == nil {
 		s.members = map[string]memberRecord{}
 	}
@@ -49,7 +53,7 @@
 
 // settled reports whether a live peer has had time to learn all members. Peers that were there
 // before this instance settled count as settled, and stay so after a partition heals.
-func (s *memberView) settled(now, settledAt time.Time, p Peer) bool {
+func (s *memberView) settled(now, settledAt time.Time, p peer.Peer) bool {
 	first := s.members[p.Name].first
 	return !now.Before(settledAt) && (first.Before(settledAt) || now.Sub(first) >= settleTime)
 }
--- a/pkg/throttle/model_test.go
+++ b/pkg/throttle/model_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 )
 
@@ -52,7 +53,7 @@
 // modelInstance is one simulated instance.
 type modelInstance struct {
 	model *model
-	throttle.Peer
+	peer.Peer
 	table   *throttle.Table
 	limiter *throttle.Limiter
 	side    int
@@ -69,7 +70,7 @@
 	m := &model{clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 1)), limit: limit, demand: demand}
 	m.began = m.clock.Now()
 	for i := range n {
-		m.instances = append(m.instances, &modelInstance{model: m, Peer: throttle.Peer{Name: fmt.Sprintf("instance-%d", i), FailureDomain: fmt.Sprint(i % domains)}})
+		m.instances = append(m.instances, &modelInstance{model: m, Peer: peer.Peer{Name: fmt.Sprintf("instance-%d", i), FailureDomain: fmt.Sprint(i % domains)}})
 		m.restart(i)
 	}
 	return m
@@ -90,22 +91,22 @@
 }
 
 // Self implements throttle.Peers.
-func (i *modelInstance) Self() throttle.Peer { return i.Peer }
+func (i *modelInstance) Self() peer.Peer { return i.Peer }
 
 // SelfLeaving implements throttle.Peers.
 func (i *modelInstance) SelfLeaving() bool { return i.leaving }
 
 // Live implements throttle.Peers.
-func (i *modelInstance) Live() []throttle.Peer {
+func (i *modelInstance) Live() []peer.Peer {
 	return i.visible(false)
 }
 
 // Leaving implements throttle.Peers.
-func (i *modelInstance) Leaving() []throttle.Peer { return i.visible(true) }
+func (i *modelInstance) Leaving() []peer.Peer { return i.visible(true) }
 
 // visible returns the other instances that appear live to this one, by whether they are leaving.
-func (i *modelInstance) visible(leaving bool) []throttle.Peer {
-	var visible []throttle.Peer
+func (i *modelInstance) visible(leaving bool) []peer.Peer {
+	var visible []peer.Peer
 	for _, other := range i.model.instances {
 		if at, heard := i.lastHeard[other.Name]; heard && i.model.clock.Since(at) < suspectAfter && other.leaving == leaving {
 			visible = append(visible, other.Peer)
@@ -115,7 +116,7 @@
 }
 
 // RequestPermits implements throttle.Peers.
-func (i *modelInstance) RequestPermits(_ context.Context, to throttle.Peer, ask throttle.PermitRequest) (throttle.PermitGrant, error) {
+func (i *modelInstance) RequestPermits(_ context.Context, to peer.Peer, ask throttle.PermitRequest) (throttle.PermitGrant, error) {
 	for _, other := range i.model.instances {
 		if other.Name == to.Name && !other.dead && other.side == i.side {
 			return other.limiter.HandleRequest(ask), nil
--- a/service/handover/origins.go
+++ b/service/handover/origins.go
@@ -5,6 +5,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
 )
@@ -21,22 +22,15 @@
 var _ origin.Peers = (*OriginPeers)(nil)
 
 // Live implements origin.Peers.
-func (p *OriginPeers) Live() []origin.Peer {
-	members := p.LiveMembers()
-	list := make([]origin.Peer, len(members))
-	for i, m := range members {
-		list[i] = origin.Peer{Name: m.Name, Incarnation: m.Incarnation, Address: m.PeerAddress, FailureDomain: m.FailureDomain}
-	}
-	return list
-}
+func (p *OriginPeers) Live() []peer.Peer { return peersOf(p.LiveMembers()) }
 
 // Send implements origin.Peers.
-func (p *OriginPeers) Send(to origin.Peer, records []origin.Record) {
+func (p *OriginPeers) Send(to peer.Peer, records []origin.Record) {
 	p.Gossip.SendOrigins(to.Address, records)
 }
 
 // Ask implements origin.Peers.
-func (p *OriginPeers) Ask(ctx context.Context, to origin.Peer, q origin.Query) (origin.Answer, error) {
+func (p *OriginPeers) Ask(ctx context.Context, to peer.Peer, q origin.Query) (origin.Answer, error) {
 	var answer origin.Answer
 	err := p.Client.Call(ctx, to.Address, api.MethodOrigin, q, &answer)
 	return answer, err
--- a/service/handover/throttling.go
+++ b/service/handover/throttling.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/membership"
+	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
 	"github.com/cobaltcroft/cobaltcroft/pkg/throttle"
 	"github.com/cobaltcroft/cobaltcroft/service/api"
 	"github.com/cobaltcroft/cobaltcroft/service/peers"
@@ -23,32 +24,20 @@
 
 var _ throttle.Peers = (*ThrottlePeers)(nil)
 
-func throttlePeer(s membership.Instance) throttle.Peer {
-	return throttle.Peer{Name: s.Name, Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation}
-}
-
-func throttlePeers(members []membership.Member) []throttle.Peer {
-	list := make([]throttle.Peer, len(members))
-	for i, m := range members {
-		list[i] = throttlePeer(m.Instance)
-	}
-	return list
-}
-
 // Self implements throttle.Peers.
-func (p *ThrottlePeers) Self() throttle.Peer { return throttlePeer(p.Instance) }
+func (p *ThrottlePeers) Self() peer.Peer { return peerOf(p.Instance) }
 
 // SelfLeaving implements throttle.Peers.
 func (p *ThrottlePeers) SelfLeaving() bool { return p.IsLeaving() }
 
 // Live implements throttle.Peers.
-func (p *ThrottlePeers) Live() []throttle.Peer { return throttlePeers(p.LiveMembers()) }
+func (p *ThrottlePeers) Live() []peer.Peer { return peersOf(p.LiveMembers()) }
 
 // Leaving implements throttle.Peers.
-func (p *ThrottlePeers) Leaving() []throttle.Peer { return throttlePeers(p.LeavingMembers()) }
+func (p *ThrottlePeers) Leaving() []peer.Peer { return peersOf(p.LeavingMembers()) }
 
 // RequestPermits implements throttle.Peers.
-func (p *ThrottlePeers) RequestPermits(ctx context.Context, to throttle.Peer, ask throttle.PermitRequest) (throttle.PermitGrant, error) {
+func (p *ThrottlePeers) RequestPermits(ctx context.Context, to peer.Peer, ask throttle.PermitRequest) (throttle.PermitGrant, error) {
 	var grant throttle.PermitGrant
 	err := p.Client.Call(ctx, to.Address, api.MethodPermits, ask, &grant)
 	return grant, err
