--- a/service/tunnel/server.go
+++ b/service/tunnel/server.go
@@ -113,7 +113,7 @@
 	carry(caller, endpoint)
 }
 
-// connect connects to the endpoint that a request names.
+// connect connects to the endpoint that a request names, or returns why it does not.
 func (s *Server) connect(r *http.Request) (net.Conn, *refusal) {
 	if r.Method != http.MethodConnect || subtle.ConstantTimeCompare([]byte(r.Header.Get(headerToken)), []byte(tokenPrefix+s.token)) != 1 {
 		return nil, &refusal{reason: reasonDenied}
