reach: endpoints to which no path leads are probed in turn

Since requests don't try such an endpoint while probes find no path to others of its failure domain, so that the first one that is back is found by probes alone: eight of the domain each 0.2 s, drawn by lot. Of 38 endpoints one was then left out for 1.5 s in 17 of 100 cases (by calculation, not measured), of more for longer. In turn each of 38 is met within a second.

--- a/pkg/reach/prober.go
+++ b/pkg/reach/prober.go
@@ -1,8 +1,10 @@
 package reach
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +42,8 @@
 	Clock     clockwork.Clock
 	// running is the number of probes in progress.
 	running atomic.Int64
+	// round is the number of rounds so far.
+	round int
 }
 
 // Run probes until ctx is done.
@@ -54,6 +58,7 @@
 			for _, c := range p.Dialer.Tracker.ProbeCandidates() {
 				p.probeSome(ctx, c)
 			}
+			p.round++
 		}
 	}
 }
@@ -61,12 +66,7 @@
 // probeSome probes some endpoints of a failure domain in the background, unless many probes are in
 // progress.
 func (p *Prober) probeSome(ctx context.Context, c ProbeCandidates) {
-	targets, most := p.targets(c), maxTunneledProbes
-	if c.All {
-		most = maxProbes
-	}
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	for _, target := range targets[:min(most, len(targets))] {
+	for _, target := range p.choose(c) {
 		if p.running.Add(1) > maxRunning {
 			p.running.Add(-1)
 			return
@@ -78,10 +78,29 @@
 	}
 }
 
-func (p *Prober) targets(c ProbeCandidates) []httpconn.Target {
+// choose returns the endpoints of a failure domain that are probed in this round.
+func (p *Prober) choose(c ProbeCandidates) []httpconn.Target {
 	if c.All {
-		return p.Endpoints.InDomain(c.FailureDomain)
+		return p.nextInTurn(p.Endpoints.InDomain(c.FailureDomain))
 	}
+	targets := p.targets(c)
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:min(maxTunneledProbes, len(targets))]
+}
+
+// nextInTurn returns the endpoints whose turn it is in this round. Requests do not try an endpoint that
+// was not reached while none of its failure domain is, so that none may wait long for its probe.
+func (p *Prober) nextInTurn(targets []httpconn.Target) []httpconn.Target {
+	slices.SortFunc(targets, func(a, b httpconn.Target) int { return cmp.Compare(a.ID, b.ID) })
+	next := make([]httpconn.Target, 0, maxProbes)
+	for i := range min(maxProbes, len(targets)) {
+		next = append(next, targets[(p.round*maxProbes+i)%len(targets)])
+	}
+	return next
+}
+
+// targets returns the candidates that still exist.
+func (p *Prober) targets(c ProbeCandidates) []httpconn.Target {
 	var targets []httpconn.Target
 	for _, endpoint := range c.Endpoints {
 		if target, found := p.Endpoints.Target(endpoint); found {
