tunnel: where no other instance connects, each that answered is asked again, the first refused first

Trace: at 47:00.25 three engines of a service crashed; the fourth instance, asked for the second of them before it had connected to anything else, said that it was partitioned itself. Now all that answered are asked again, the one that refused the longest ago first, and one that connects is preferred from then on.

The new spec failed before (within ten rounds).

--- a/service/tunnel/peers.go
+++ b/service/tunnel/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,7 @@
 		conn, err := p.client.Open(ctx, peer.PeerAddress, target.ID)
 		if err == nil {
 			p.opened.Inc()
+			p.connected(peer.PeerAddress, target.FailureDomain)
 			return conn, nil
 		}
 		if IsUnreached(err) {
@@ -98,8 +100,9 @@
 	return append(near, far...)
 }
 
-// preferred returns the instances that are not avoided. If there are none, it returns one that answered
-// lately, though it could not connect: it may have met endpoints that had just failed.
+// preferred returns the instances that are not avoided. If there are none, it returns those that answered
+// lately, though they could not connect: one of them may have met endpoints that had just failed. That
+// one was not asked as long as others were, so that the order is that of the refusals.
 func (p *Peers) preferred(peers []membership.Member, failureDomain string) []membership.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,10 +117,20 @@
 			preferred = append(preferred, peer)
 		}
 	}
-	if len(preferred) == 0 && len(answered) > 0 {
-		return answered[:1]
+	if len(preferred) > 0 {
+		return preferred
 	}
-	return preferred
+	slices.SortStableFunc(answered, func(a, b membership.Member) int {
+		return p.avoid[route{a.PeerAddress, failureDomain}].Compare(p.avoid[route{b.PeerAddress, failureDomain}])
+	})
+	return answered
+}
+
+// connected records that an instance connects to a failure domain.
+func (p *Peers) connected(peer, failureDomain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.avoid, route{peer, failureDomain})
 }
 
 // avoidFor keeps an instance from being asked again for a while.
--- a/service/tunnel/tunnel_test.go
+++ b/service/tunnel/tunnel_test.go
@@ -34,6 +34,7 @@
 	mu       sync.Mutex
 	path     reach.Path
 	isolated bool
+	asked    int
 }
 
 func (e *endpoints) Isolated(httpconn.Target) bool {
@@ -55,9 +56,16 @@
 func (e *endpoints) Path(httpconn.Target) reach.Path {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.asked++
 	return e.path
 }
 
+func (e *endpoints) timesAsked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
 func (e *endpoints) setPath(path reach.Path) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -76,19 +84,24 @@
 		peer     string
 	)
 
+	// serve starts an instance with its view of the endpoints, and returns it with its peer address.
+	serve := func(view *endpoints) (*tunnel.Server, string) {
+		shared, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		_, tunnels := peers.Split(shared)
+		s := tunnel.NewServer(view, token, metrics.NewSet())
+		go func() { _ = s.Serve(tunnels) }()
+		DeferCleanup(s.Close)
+		return s, shared.Addr().String()
+	}
+
 	BeforeEach(func() {
 		var err error
 		listener, err = net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = listener.Close() })
 		ends = &endpoints{address: listener.Addr().String(), path: reach.Direct}
-		server = tunnel.NewServer(ends, token, metrics.NewSet())
-		shared, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		_, tunnels := peers.Split(shared)
-		go func() { _ = server.Serve(tunnels) }()
-		DeferCleanup(server.Close)
-		peer = shared.Addr().String()
+		server, peer = serve(ends)
 	})
 
 	// open opens a tunnel and returns both of its ends.
@@ -226,6 +239,22 @@
 			Expect(dialBy(ctx, p)).To(Succeed())
 		}, SpecTimeout(10*time.Second))
 
+		It("finds the one that connects again among others that do not", func(ctx SpecContext) {
+			partitioned := &endpoints{address: listener.Addr().String(), path: reach.Tunneled}
+			_, second := serve(partitioned)
+			_, third := serve(partitioned)
+			p := through(member("one", "zone-b", peer), member("two", "zone-b", second), member("three", "zone-a", third))
+			for range 10 {
+				ends.setPath(reach.Tunneled)
+				Expect(dialBy(ctx, p)).To(MatchError(ContainSubstring("partitioned")))
+				ends.setPath(reach.Direct)
+				Expect(dialBy(ctx, p)).To(Succeed())
+			}
+			asked := partitioned.timesAsked()
+			Expect(dialBy(ctx, p)).To(Succeed())
+			Expect(partitioned.timesAsked()).To(Equal(asked), "the one that connected last is asked first")
+		}, SpecTimeout(10*time.Second))
+
 		It("stays in the region of the endpoint", func(ctx SpecContext) {
 			Expect(dial(ctx, member("one", "zone-c", peer))).To(MatchError(reach.ErrNoTunnel))
 		}, SpecTimeout(10*time.Second))
