balance: cold endpoints are used while the only warm ones are ejected

The instances were partitioned, but that was not the cause: two others, started anew meanwhile, served. Trace: the engines' failure domain had returned from an evacuation, so that the two were cold to those who had seen it return; the only warm one had ended and was ejected, and as long as it was listed, the cold ones were left out for it. Now their warm-up owners use them then, at their limited rate; an ejected warm endpoint is the last resort of the other instances, as before.

--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -14,8 +14,8 @@
 // cold: it can serve only a few requests per second from all instances together, and collapses under
 // more. Dividing that rate among all instances would leave each less than one request per second (20
 // over 59 instances). Cold endpoints are
-// therefore avoided while any endpoint of the service is warm; if all are cold, each is used by a
-// single instance, its warm-up owner.
+// therefore avoided while any endpoint of the service is warm and not ejected; otherwise each is used
+// by a single instance, its warm-up owner.
 
 const (
 	// coldAfterReturn is how long the endpoints of a returned failure domain are assumed to be
@@ -81,7 +81,8 @@
 func (c *coldState) cold(now time.Time) bool { return now.Before(c.until) }
 
 // usable filters out endpoints that are backing off. Of the remaining ones it returns the warm
-// endpoints or, if there are none, the cold ones that this instance may call now.
+// endpoints, unless all of them are ejected or excluded and there are cold ones that this instance may
+// call now.
 func (b *Balancer) usable(now time.Time, candidates []fleet.Endpoint, spec CallSpec) []fleet.Endpoint {
 	candidates = b.backoffs.Available(candidates)
 	if spec.Cold.PerSecond <= 0 || !b.updateCold(now, candidates) {
@@ -90,15 +91,18 @@
 	remaining := false
 	warm := make([]fleet.Endpoint, 0, len(candidates))
 	for _, e := range candidates {
-		if !b.peek(e.ID).cold.cold(now) {
+		if s := b.peek(e.ID); !s.cold.cold(now) {
 			warm = append(warm, e)
-			remaining = remaining || !spec.Exclude[e.ID]
+			remaining = remaining || !spec.Exclude[e.ID] && !now.Before(s.ejectedUntil)
 		}
 	}
 	if remaining {
 		return warm
 	}
-	return b.warmupTargets(now, candidates, spec)
+	if targets := b.warmupTargets(now, candidates, spec); len(targets) > 0 {
+		return targets
+	}
+	return warm
 }
 
 // updateCold applies the endpoint entries and reports whether any endpoint is cold.
--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -119,6 +119,16 @@
 		Expect(picks(200, balance.CallSpec{Cold: spec(true).Cold})).To(HaveLen(6))
 	})
 
+	It("receive calls from their warm-up owner while the only warm endpoint is ejected", func() {
+		setCold(time.Minute, 1, 2, 3, 4, 5)
+		eject := func() { b.Pick(all[:1], spec(true)).End(balance.Unreachable, nil) }
+		eject()
+		owned := b.Pick(all, spec(true))
+		Expect(owned.Endpoint.ID).NotTo(Equal("e0"))
+		owned.End(balance.Succeeded, nil)
+		Expect(b.Pick(all, spec(false)).Endpoint.ID).To(Equal("e0"), "it is the last resort of others")
+	})
+
 	It("receive no calls from instances other than their warm-up owner", func() {
 		setCold(time.Minute, 0, 1, 2, 3, 4, 5)
 		Expect(picks(100, spec(false))).To(BeEmpty())
