gateway: the spec of streams at split routes waits until each instance knows the split

It waited for one instance and then took a stream up at the next one; an instance that had not heard yet would not know the service.

--- a/cmd/cobaltcroftd/gateway/resume_test.go
+++ b/cmd/cobaltcroftd/gateway/resume_test.go
@@ -287,10 +287,12 @@
 		d.Config.Routes[2].Service = ""
 		d.Config.Routes[2].Split = []platformtest.RouteTarget{{Service: "model", Weight: 50}, {Service: "second-model", Weight: 50}}
 		d.PutConfig()
-		Eventually(func() int {
-			id, _ := all[0].ask("stream")
-			return len(d.Runs("second-model", id))
-		}).Should(Equal(1))
+		for _, i := range all {
+			Eventually(func() int {
+				id, _ := i.ask("stream")
+				return len(d.Runs("second-model", id))
+			}).Should(Equal(1))
+		}
 		for n := range 12 {
 			var c client
 			Expect(c.read(all[n%3], "stream", 2)).To(Equal(http.StatusOK))
