--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -34,8 +34,8 @@
 	// minEvidence is the number of endpoints of a failure domain that a judgement about all of them
 	// needs, since a single one may have failed itself.
 	minEvidence = 2
-	// noneTTL is how long the failure of all paths to an endpoint counts. Probes renew it while it
-	// lasts.
+	// noneTTL is how long the failure of all paths to a single endpoint counts. Where it is found for
+	// minEvidence endpoints of a failure domain, probes renew it while it lasts.
 	noneTTL = 1500 * time.Millisecond
 )
 
