reach: a failure domain is judged once for the path to an endpoint, and its specs build trackers in one place

Read again: Path judged the domain, and unreached judged it a second time for endpoints that had failed a while ago. Four specs built the same tracker.

--- a/pkg/reach/dialer_test.go
+++ b/pkg/reach/dialer_test.go
@@ -9,11 +9,9 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
@@ -63,9 +61,7 @@
 
 	BeforeEach(func() {
 		direct, tunnel = &fakePath{}, &fakePath{}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		tracker = reach.NewTracker(clockwork.NewRealClock(), metrics.NewSet(), logrus.NewEntry(log))
+		tracker = newTracker(clockwork.NewRealClock(), io.Discard)
 		silent = make(chan bool, 10)
 		dialer = &reach.Dialer{Direct: direct, Tunnels: tunnel, Tracker: tracker, OnTunneled: func(_ httpconn.Target, s bool) { silent <- s }}
 	})
--- a/pkg/reach/domain.go
+++ b/pkg/reach/domain.go
@@ -55,14 +55,14 @@
 // tunnelsFailed reports whether other instances lately could not connect to the endpoint either.
 func (o *outage) tunnelsFailed(now time.Time) bool { return now.Sub(o.unreachedAt) < noneTTL }
 
-// unreached reports whether no path to an endpoint is left. While probes find none to others of the
-// failure domain, this lasts until one does, since a probe meets each endpoint only now and then.
-func (d *domain) unreached(now time.Time, endpoint string) bool {
+// unreached reports whether no path to an endpoint is left. While probes find none to the failure domain
+// as a whole, this lasts until one does, since a probe meets each endpoint only now and then.
+func (d *domain) unreached(now time.Time, endpoint string, whole Path) bool {
 	o := d.outages[endpoint]
 	if o == nil || !d.current(o) || o.unreachedAt.IsZero() {
 		return false
 	}
-	return o.tunnelsFailed(now) || d.judge(now) == None
+	return o.tunnelsFailed(now) || whole == None
 }
 
 // tunnels reports whether an endpoint itself is reached through other instances.
--- a/pkg/reach/prober_test.go
+++ b/pkg/reach/prober_test.go
@@ -8,11 +8,9 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
@@ -48,9 +46,7 @@
 			u.endpoints = append(u.endpoints, httpconn.Target{ID: fmt.Sprintf("i-%02d", n), FailureDomain: "zone-a"})
 		}
 		clock := clockwork.NewFakeClock()
-		log := logrus.New()
-		log.SetOutput(GinkgoWriter)
-		tracker := reach.NewTracker(clock, metrics.NewSet(), logrus.NewEntry(log))
+		tracker := newTracker(clock, GinkgoWriter)
 		for _, target := range u.endpoints[:2] {
 			tracker.Failed(target.FailureDomain, target.ID)
 			tracker.TunnelFailed(target.FailureDomain, target.ID)
--- a/pkg/reach/tracker.go
+++ b/pkg/reach/tracker.go
@@ -126,10 +126,11 @@
 		return Direct
 	}
 	now := t.clock.Now()
+	whole := d.judge(now)
 	switch {
-	case d.judge(now) == Tunneled || d.tunnels(endpoint):
+	case whole == Tunneled || d.tunnels(endpoint):
 		return Tunneled
-	case d.unreached(now, endpoint):
+	case d.unreached(now, endpoint, whole):
 		return None
 	}
 	return Direct
--- a/pkg/reach/tracker_test.go
+++ b/pkg/reach/tracker_test.go
@@ -4,11 +4,9 @@
 	"bytes"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/reach"
 )
@@ -23,9 +21,7 @@
 
 	BeforeEach(func() {
 		clock, out = clockwork.NewFakeClock(), &bytes.Buffer{}
-		log := logrus.New()
-		log.SetOutput(out)
-		tracker = reach.NewTracker(clock, metrics.NewSet(), logrus.NewEntry(log))
+		tracker = newTracker(clock, out)
 	})
 
 	It("counts the endpoints of a failure domain that were reached and those that were not", func() {
@@ -73,9 +69,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		log := logrus.New()
-		log.SetOutput(GinkgoWriter)
-		tracker = reach.NewTracker(clock, metrics.NewSet(), logrus.NewEntry(log))
+		tracker = newTracker(clock, GinkgoWriter)
 	})
 
 	It("leads through other instances where only these connect", func() {
