peers: datagrams of both kinds are signed and verified by the same code

The bounds check and the comparison stood twice since origins of streams have datagrams of their own. No behaviour changes; specs with the race detector pass.

--- a/service/peers/datagram.go
+++ b/service/peers/datagram.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(signature(heartbeatLabel, body, secret), body...), nil
+	return sign(heartbeatLabel, body, secret), nil
 }
 
 // rotate returns up to maxLeaving endpoints, rotating with the sequence number.
@@ -100,11 +100,12 @@
 
 // decode verifies and decodes a datagram.
 func decode(data, secret []byte) (datagram, error) {
-	if len(data) < signatureSize || !hmac.Equal(data[:signatureSize], signature(heartbeatLabel, data[signatureSize:], secret)) {
+	body, signed := verify(heartbeatLabel, data, secret)
+	if !signed {
 		return datagram{}, problem.New(problem.Denied, "give all instances the same tokens.peers", "the datagram is not signed with the peer token")
 	}
 	var wire pb.Heartbeat
-	if err := proto.Unmarshal(data[signatureSize:], &wire); err != nil {
+	if err := proto.Unmarshal(body, &wire); err != nil {
 		return datagram{}, problem.Wrap(err, problem.Invalid, "run one version of the program", "invalid heartbeat")
 	}
 	b := datagram{
@@ -205,6 +206,20 @@
 	originsLabel   = "origins:"
 )
 
+// sign returns a datagram with its signature in front of the body.
+func sign(label string, body, secret []byte) []byte {
+	return append(signature(label, body, secret), body...)
+}
+
+// verify returns the body of a datagram, and whether it has the signature of that kind.
+func verify(label string, data, secret []byte) (body []byte, signed bool) {
+	if len(data) < signatureSize {
+		return nil, false
+	}
+	body = data[signatureSize:]
+	return body, hmac.Equal(data[:signatureSize], signature(label, body, secret))
+}
+
 func signature(label string, body, secret []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
 	mac.Write([]byte(label))
--- a/service/peers/datagram_test.go
+++ b/service/peers/datagram_test.go
@@ -90,7 +90,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		// Decoding any signed body must not panic.
 		body := data[min(signatureSize, len(data)):]
-		b, err := decode(append(signature(heartbeatLabel, body, secret), body...), secret)
+		b, err := decode(sign(heartbeatLabel, body, secret), secret)
 		if err != nil {
 			return
 		}
--- a/service/peers/origins.go
+++ b/service/peers/origins.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"crypto/hmac"
 	"math"
 	"time"
 
@@ -37,17 +36,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(signature(originsLabel, body, secret), body...), nil
+	return sign(originsLabel, body, secret), nil
 }
 
 // decodeOrigins verifies and decodes a datagram of records. It returns false if the datagram is of
 // another kind or invalid.
 func decodeOrigins(data, secret []byte) ([]origin.Record, bool) {
-	if len(data) < signatureSize || !hmac.Equal(data[:signatureSize], signature(originsLabel, data[signatureSize:], secret)) {
+	body, signed := verify(originsLabel, data, secret)
+	if !signed {
 		return nil, false
 	}
 	var wire pb.StreamOrigins
-	if err := proto.Unmarshal(data[signatureSize:], &wire); err != nil {
+	if err := proto.Unmarshal(body, &wire); err != nil {
 		return nil, false
 	}
 	var records []origin.Record
--- a/service/peers/origins_test.go
+++ b/service/peers/origins_test.go
@@ -55,7 +55,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		// Decoding any signed body must not panic.
 		body := data[min(signatureSize, len(data)):]
-		_, _ = decodeOrigins(append(signature(originsLabel, body, secret), body...), secret)
+		_, _ = decodeOrigins(sign(originsLabel, body, secret), secret)
 	})
 }
 
