--- a/cmd/cobaltcroftd/gateway/resume_test.go
+++ b/cmd/cobaltcroftd/gateway/resume_test.go
@@ -90,6 +90,17 @@
 	return strings.Count(c.body.String(), "id: ") == events
 }
 
+// resume sends a request that resumes a stream, and returns its ID with the response.
+func resume(i *instance, first, last string) (string, answer) {
+	id := newID()
+	r := i.request(http.MethodPost, "stream", id, "")
+	if first != "" {
+		r.Header.Set("Resumes", first)
+	}
+	r.Header.Set("Last-Event-Id", last)
+	return id, send(r)
+}
+
 var _ = Describe("a stream while endpoints of two software versions serve", func() {
 	const streamEvents = 8
 	var (
@@ -204,17 +215,6 @@
 		return n
 	}
 
-	// resume sends a request that resumes a stream, and returns its ID with the response.
-	resume := func(i *instance, first, last string) (string, answer) {
-		id := newID()
-		r := i.request(http.MethodPost, "stream", id, "")
-		if first != "" {
-			r.Header.Set("Resumes", first)
-		}
-		r.Header.Set("Last-Event-Id", last)
-		return id, send(r)
-	}
-
 	It("is refused at once, as not run, where nobody knows which version began it", func() {
 		for _, first := range []string{"", newID()} {
 			began := time.Now()
@@ -315,14 +315,12 @@
 		first := start(d.Address())
 		second := start(d.Address(), first.Peers)
 		for _, i := range []*instance{first, second} {
-			resume := func() int {
-				r := i.request(http.MethodPost, "stream", newID(), "")
-				r.Header.Set("Resumes", newID())
-				r.Header.Set("Last-Event-Id", "3")
-				return send(r).Status
+			status := func() int {
+				_, got := resume(i, newID(), "3")
+				return got.Status
 			}
-			Eventually(resume).Should(Equal(http.StatusOK))
-			Consistently(resume, 3*time.Second, 100*time.Millisecond).Should(Equal(http.StatusOK))
+			Eventually(status).Should(Equal(http.StatusOK))
+			Consistently(status, 3*time.Second, 100*time.Millisecond).Should(Equal(http.StatusOK))
 		}
 	})
 })
