gateway: log lines of requests and of broken connections name the parts of the prompt

With the parts named, a part that stands at each end and in no request that was answered can be told from many different requests that end engines.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,8 @@
 	// harmlessAfter is how long a stream must run after its first event before its request is
 	// considered harmless. Requests that crashed endpoints did so 35 to 80 ms after they began to run.
 	harmlessAfter = 300 * time.Millisecond
+	// maxLoggedParts limits the parts of a prompt in one log line. A client can send thousands.
+	maxLoggedParts = 16
 )
 
 // crashCheck tracks whether an attempt has shown that the request does not crash endpoints.
@@ -90,10 +93,19 @@
 	}
 	u.Log.WithFields(logrus.Fields{
 		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.digest.String(), "endpoint": call.Endpoint.ID,
-		"sign": string(state), "ends": u.Quarantine.CrashCount(u.digest),
+		"sign": string(state), "ends": u.Quarantine.CrashCount(u.digest), "prompt": u.promptIDs(),
 	}).Info()
 }
 
+// promptIDs returns the IDs of the prompt's parts, for log lines.
+func (u *run) promptIDs() string {
+	var ids []string
+	for _, p := range u.request.Parts[:min(len(u.request.Parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // expectedUp reports whether the endpoint was expected to keep running. A draining endpoint exits
 // on its own and interrupts what it still runs.
 func (u *run) expectedUp(e fleet.Endpoint) bool {
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -404,6 +404,9 @@
 	if u.digest != (quarantine.Digest{}) {
 		fields["digest"] = u.digest.String()
 	}
+	if len(u.request.Parts) > 0 {
+		fields["prompt"] = u.promptIDs()
+	}
 	if u.request.Resumes != "" {
 		fields["resumes"] = u.request.Resumes
 	}
