gateway, reach: an end that an instance meets as its links fall silent is seen

Cause: the check of an endpoint whose connection broke gave up after 0.1 s, which is when the dialer begins to ask another instance; and where that one met a refusal while the direct path was silent, the dialer reported the silence.

Change: the check goes on in the background for a second, the client waits for 0.1 s of it as before. The dialer ends its race when another instance, which reaches other endpoints, finds that nothing listens, and says so. Calls that are broken off because their link is silent are followed by such a check as well.

--- a/cmd/cobaltcroftd/gateway/quarantine_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_test.go
@@ -145,6 +145,25 @@
 		Entry("when its links are reset and refused", platformtest.LinksReset),
 	)
 
+	It("is recognized when the links of its instance fall silent as the endpoint ends", func() {
+		links := d.NewLinks()
+		DeferCleanup(links.Close)
+		partitioned := start(links.Address(), instances[0].Peers)
+		for _, e := range d.EnginesOf("model") {
+			e.CrashOn(fatal, func() { links.Set(platformtest.LinksCut) })
+		}
+		for n := range 3 {
+			links.Set(platformtest.LinksUp)
+			Eventually(func() []int { return traffic(partitioned, "fixed", "fixed", "fixed") }).Should(HaveEach(http.StatusOK))
+			Eventually(func() int {
+				sendFatal(partitioned, "fixed")
+				return crashed()
+			}).Should(Equal(n + 1))
+		}
+		Eventually(func() string { return sendFatal(instances[0], "fixed").Body }).Should(ContainSubstring("quarantined"))
+		Expect(crashed()).To(BeNumerically("<=", maxCrashes))
+	})
+
 	It("is sent once more at most when all instances have started anew", func() {
 		for n := 0; sendFatal(instances[n%len(instances)], "stream").Status != http.StatusServiceUnavailable; n++ {
 			Expect(crashed()).To(BeNumerically("<=", maxCrashes))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -97,6 +97,9 @@
 			u.reportReaderFailed(ctx, call.Endpoint.ID)
 			fallthrough
 		case resultLinkLost:
+			if !u.crash.harmless {
+				u.startProbe(call)
+			}
 			u.tried[call.Endpoint.ID] = true
 			u.mayHaveRun = true
 			if !u.route.Repeatable() || u.streamBegun && !u.canContinue() {
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// crashProbeTimeout limits how long a client waits for the probe of an endpoint whose
-	// connection broke. An endpoint whose process has exited refuses within one round trip, 3 ms
-	// between failure domains.
-	crashProbeTimeout = 100 * time.Millisecond
+	// crashProbeTimeout limits the probe of an endpoint whose connection broke. It leaves time to ask
+	// another instance if the link to the endpoint is silent.
+	crashProbeTimeout = time.Second
+	// maxProbeWait limits how long a client waits for the probe. An endpoint whose process has exited
+	// refuses within one round trip, 3 ms between failure domains.
+	maxProbeWait = 100 * time.Millisecond
 	// harmlessAfter is how long a stream must run after its first event before its request is
 	// considered harmless. Requests that crashed endpoints did so 35 to 80 ms after they began to run.
 	harmlessAfter = 300 * time.Millisecond
@@ -96,23 +98,43 @@
 // prompt.
 func (u *run) answerComplete() { u.Quarantine.RanWell(u.subject) }
 
-// probeEndpoint checks whether an endpoint whose connection broke has crashed, and if so records
-// the crash for the request. A broken connection alone does not prove a crash.
+// probeEndpoint checks whether an endpoint whose connection broke has crashed, and waits for the result
+// for a while. A broken connection alone does not prove a crash.
 func (u *run) probeEndpoint(ctx context.Context, call *balance.Call) {
 	if u.crash.harmless {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
-	defer cancel()
-	state := u.Conns.Probe(ctx, u.target(call))
-	if state == httpconn.NotListening && u.expectedUp(call.Endpoint) {
-		u.Quarantine.RecordCrash(u.subject, call.Endpoint.ID)
+	select {
+	case <-u.startProbe(call):
+	case <-u.Clock.After(maxProbeWait):
+	case <-ctx.Done():
+	}
+}
+
+// startProbe checks in the background whether an endpoint has crashed, and if so records the crash for the
+// request, which may end before.
+func (u *run) startProbe(call *balance.Call) <-chan struct{} {
+	target := u.target(call)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+		defer cancel()
+		u.recordProbe(call.Endpoint, u.Conns.Probe(ctx, target))
+	}()
+	return done
+}
+
+// recordProbe records the result of the probe of an endpoint.
+func (u *run) recordProbe(e fleet.Endpoint, state httpconn.ProbeResult) {
+	if state == httpconn.NotListening && u.expectedUp(e) {
+		u.Quarantine.RecordCrash(u.subject, e.ID)
 	}
 	if state == httpconn.NotListening {
-		u.noteRefused(call.Endpoint)
+		u.noteRefused(e)
 	}
 	u.Log.WithFields(logrus.Fields{
-		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.subject.Request.String(), "endpoint": call.Endpoint.ID,
+		"event": "endpoint_broke_off", "id": u.request.ID, "digest": u.subject.Request.String(), "endpoint": e.ID,
 		"sign": string(state), "ends": u.Quarantine.CrashCount(u.subject.Request), "prompt": u.promptIDs(),
 	}).Info()
 }
--- a/pkg/reach/dialer.go
+++ b/pkg/reach/dialer.go
@@ -103,6 +103,10 @@
 			go d.awaitDirect(target, direct)
 			return r.conn, nil
 		}
+		if errors.Is(r.err, syscall.ECONNREFUSED) {
+			go closeLate(direct)
+			return d.finish(ctx, target, r.err, r)
+		}
 		first := <-direct
 		if first.err == nil {
 			return first.conn, nil
@@ -148,6 +152,10 @@
 		return nil, ctx.Err()
 	}
 	d.Tracker.TunnelFailed(target.FailureDomain, target.ID)
+	if errors.Is(tunneled.err, syscall.ECONNREFUSED) {
+		// Another instance, which reaches others, has found that nothing listens on the address.
+		return nil, tunneled.err
+	}
 	witnessed := errors.Is(tunneled.err, ErrUnreached) || errors.Is(tunneled.err, ErrNoTunnel)
 	if !witnessed && d.Tracker.Isolated(target.FailureDomain, target.ID) {
 		// The error must not look as if the endpoint itself had refused.
--- a/pkg/reach/dialer_test.go
+++ b/pkg/reach/dialer_test.go
@@ -118,6 +118,15 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 	})
 
+	It("fails as refused, without waiting, when another instance finds that nothing listens behind a silent direct path", func(ctx SpecContext) {
+		direct.after, direct.err = time.Second, errors.New("timeout")
+		tunnel.err = errors.Join(reach.ErrUnreached, syscall.ECONNREFUSED)
+		began := time.Now()
+		_, err := dialer.Dial(ctx, target)
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	It("fails at once while neither path has worked lately", func(ctx SpecContext) {
 		direct.err, tunnel.err = syscall.ECONNREFUSED, reach.ErrUnreached
 		_, err := dialer.Dial(ctx, target)
