tunnel, gateway: answers that end with their connection

Two faults, both found by specs that failed before:

- Through another instance such an answer was taken as broken off, each time: the end of a tunnel may be that of the instance which carries it.
That instance now sends what the endpoint writes in frames (chunks of HTTP/1.1) where it is asked to, and the last frame says that the endpoint has closed its connection.
Between builds it is as before.

--- a/cmd/cobaltcroftd/gateway/partition_test.go
+++ b/cmd/cobaltcroftd/gateway/partition_test.go
@@ -84,6 +84,17 @@
 		Entry("when only new connections are refused", platformtest.LinksRefuse),
 	)
 
+	It("passes on answers that end with their connection", func() {
+		for _, e := range append(d.EnginesOf("simple"), d.EnginesOf("model")...) {
+			e.SetUnframed(true)
+		}
+		links.Set(platformtest.LinksReset)
+		statuses(partitioned, time.Now().Add(detectionBound))
+		Expect(statuses(partitioned, time.Now().Add(trafficTime))).To(And(HaveLen(1), HaveKey(http.StatusOK)))
+		id := newID()
+		Expect(send(partitioned.request(http.MethodPost, "fixed", id, ""))).To(And(HaveField("Body", events(id, 8)), HaveField("Whole", true)))
+	})
+
 	It("does not keep others from being served, whichever of the instances it is", func() {
 		for n := range all {
 			linksOf[n].Set(platformtest.LinksSilent)
--- a/cmd/cobaltcroftd/gateway/quarantine_parts_test.go
+++ b/cmd/cobaltcroftd/gateway/quarantine_parts_test.go
@@ -182,6 +182,16 @@
 		Expect(crashed()).To(Equal(before))
 	})
 
+	It("are refused where answers end with their connection, also if an endpoint ends between two events", func() {
+		for _, e := range d.EnginesOf("model") {
+			e.SetUnframed(true)
+		}
+		proper := startPromptClients(instances, soundPart)
+		Eventually(proper.count).Should(BeNumerically(">=", 30))
+		expectQuarantined("fixed", soundPart, fatalPart)
+		Expect(askPrompt(instances[0], "fixed", soundPart)).To(And(HaveField("Status", http.StatusOK), HaveField("Whole", true)))
+	})
+
 	It("are sent once more at most when all instances have started anew", func() {
 		expectQuarantined("fixed", soundPart, fatalPart)
 		Eventually(func() int { return d.Store.Calls("/cobaltcroft/kv-txn") }).Should(BeNumerically(">=", 1))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -98,7 +98,7 @@
 			fallthrough
 		case resultLinkLost:
 			if !u.crash.harmless {
-				u.startProbe(call)
+				u.startProbe(call, func() {})
 			}
 			u.tried[call.Endpoint.ID] = true
 			u.mayHaveRun = true
@@ -365,7 +365,7 @@
 		return either(err != nil, connBrokenResult(ctx, err), resultFailed)
 	}
 	if answer.Status < http.StatusMultipleChoices {
-		u.answerComplete()
+		u.answerComplete(call, answer)
 	} else {
 		u.markHarmless()
 	}
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -95,8 +95,16 @@
 }
 
 // answerComplete records that the answer is complete, which clears the request and the parts of its
-// prompt.
-func (u *run) answerComplete() { u.Quarantine.RanWell(u.subject) }
+// prompt. The end of an answer without a length may be that of its endpoint.
+func (u *run) answerComplete(call *balance.Call, answer *httpconn.Response) {
+	if answer.Framed || u.crash.harmless {
+		u.Quarantine.RanWell(u.subject)
+		return
+	}
+	if _, suspect := u.Quarantine.Suspected(u.subject); suspect || len(u.subject.Parts) > 0 {
+		u.startProbe(call, func() { u.Quarantine.RanWell(u.subject) })
+	}
+}
 
 // probeEndpoint checks whether an endpoint whose connection broke has crashed, and waits for the result
 // for a while. A broken connection alone does not prove a crash.
@@ -105,22 +113,26 @@
 		return
 	}
 	select {
-	case <-u.startProbe(call):
+	case <-u.startProbe(call, func() {}):
 	case <-u.Clock.After(maxProbeWait):
 	case <-ctx.Done():
 	}
 }
 
 // startProbe checks in the background whether an endpoint has crashed, and if so records the crash for the
-// request, which may end before.
-func (u *run) startProbe(call *balance.Call) <-chan struct{} {
+// request, which may end before. onAlive is called if the endpoint has not.
+func (u *run) startProbe(call *balance.Call, onAlive func()) <-chan struct{} {
 	target := u.target(call)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		u.recordProbe(call.Endpoint, u.Conns.Probe(ctx, target))
+		state := u.Conns.Probe(ctx, target)
+		if state == httpconn.Alive {
+			onAlive()
+		}
+		u.recordProbe(call.Endpoint, state)
 	}()
 	return done
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -34,7 +34,7 @@
 		}
 		if err == io.EOF && events.atBoundary() && u.streamBegun {
 			call.End(balance.Succeeded, nil)
-			u.answerComplete()
+			u.answerComplete(call, answer)
 			u.logEnd(answer.Status, "answered")
 			return resultDone
 		}
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -51,6 +51,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Framed reports whether the body has a length or chunks. The body of others ends with the connection,
+	// whatever ended that.
+	Framed bool
 }
 
 // NotSentError is returned if no part of the call reached the endpoint.
@@ -137,9 +140,11 @@
 	}
 	p.heard(x)
 	x.response = response
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: x}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: x, Framed: framed(response)}, nil
 }
 
+func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // exchange is a call in progress. It implements io.ReadCloser for the response body.
 type exchange struct {
 	pool      *Pool
--- a/service/tunnel/client.go
+++ b/service/tunnel/client.go
@@ -58,41 +58,49 @@
 	if err != nil {
 		return nil, problem.Wrap(err, problem.Unavailable, "use another instance", "cannot connect to peer %s", peer)
 	}
-	if err := c.open(ctx, conn, endpoint); err != nil {
+	framed, err := c.open(ctx, conn, endpoint)
+	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	httpconn.SetSilenceTimeout(conn)
-	return &tunnel{conn}, nil
+	if framed {
+		return &tunnel{Conn: conn, frames: newFrameReader(conn)}, nil
+	}
+	return &tunnel{Conn: conn}, nil
 }
 
-// open requests the tunnel on a connection to the other instance.
-func (c Client) open(ctx context.Context, conn net.Conn, endpoint string) error {
+// open requests the tunnel on a connection to the other instance, and returns whether it sends frames.
+func (c Client) open(ctx context.Context, conn net.Conn, endpoint string) (framed bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	if err := conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return err
+		return false, err
 	}
-	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Host: tunnelHost}, Host: tunnelHost, Header: http.Header{headerToken: {tokenPrefix + c.Token}, headerEndpoint: {endpoint}}}
+	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Host: tunnelHost}, Host: tunnelHost, Header: http.Header{headerToken: {tokenPrefix + c.Token}, headerEndpoint: {endpoint}, headerFrames: {framesChunked}}}
 	if err := request.Write(conn); err != nil {
-		return problem.Wrap(err, problem.Unavailable, "use another instance", "cannot request a tunnel to endpoint %s", endpoint)
+		return false, problem.Wrap(err, problem.Unavailable, "use another instance", "cannot request a tunnel to endpoint %s", endpoint)
 	}
 	// The endpoint sends nothing before a request, so that the reader buffers no bytes of the tunnel.
 	response, err := http.ReadResponse(bufio.NewReaderSize(io.LimitReader(conn, maxHeaderBytes), maxHeaderBytes), request)
 	if err != nil {
-		return problem.Wrap(err, problem.Unavailable, "use another instance; one of an earlier build opens no tunnels", "no answer to the request for a tunnel to endpoint %s", endpoint)
+		return false, problem.Wrap(err, problem.Unavailable, "use another instance; one of an earlier build opens no tunnels", "no answer to the request for a tunnel to endpoint %s", endpoint)
 	}
 	if response.StatusCode != http.StatusOK {
-		return &RefusedError{Reason: response.Header.Get(headerReason), EndpointRefused: response.Header.Get(headerEndpointRefused) != ""}
+		return false, &RefusedError{Reason: response.Header.Get(headerReason), EndpointRefused: response.Header.Get(headerEndpointRefused) != ""}
 	}
 	if !stop() {
-		return ctx.Err()
+		return false, ctx.Err()
 	}
-	return conn.SetDeadline(time.Time{})
+	return response.Header.Get(headerFrames) == framesChunked, conn.SetDeadline(time.Time{})
 }
 
 // tunnel is the connection to an endpoint through another instance.
-type tunnel struct{ net.Conn }
+type tunnel struct {
+	net.Conn
+	// frames reads what the other instance sends in frames; nil if it is of an earlier build.
+	frames io.Reader
+}
 
 // SetLinger is that of the connection to the other instance.
 func (t *tunnel) SetLinger(seconds int) error {
@@ -103,9 +111,12 @@
 	return tcp.SetLinger(seconds)
 }
 
-// Read implements net.Conn. The end of a tunnel does not show whether the endpoint closed its
-// connection or the other instance has ended, so that it is an error.
+// Read implements net.Conn. Without frames, the end of a tunnel does not show whether the endpoint closed
+// its connection or the other instance has ended, so that it is an error.
 func (t *tunnel) Read(buffer []byte) (int, error) {
+	if t.frames != nil {
+		return t.frames.Read(buffer)
+	}
 	n, err := t.Conn.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
--- a/service/tunnel/server.go
+++ b/service/tunnel/server.go
@@ -105,12 +105,19 @@
 		return
 	}
 	httpconn.SetSilenceTimeout(underlying(caller))
+	response, toCaller := "HTTP/1.1 200 OK\r\n", sink(rawSink{caller})
+	if r.Header.Get(headerFrames) == framesChunked {
+		response, toCaller = response+headerFrames+": "+framesChunked+"\r\n", newFrameSink(caller)
+	}
 	// The caller sends nothing before it has this response.
-	if _, err := io.WriteString(caller, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(caller, response+"\r\n"); err != nil {
 		return
 	}
 	s.opened.Inc()
-	carry(caller, endpoint)
+	var both sync.WaitGroup
+	both.Go(func() { forward(toCaller, endpoint) })
+	both.Go(func() { forward(rawSink{endpoint}, caller) })
+	both.Wait()
 }
 
 // connect connects to the endpoint that a request names, or returns why it does not.
@@ -150,14 +157,6 @@
 	return &refusal{reason: reasonUnreached, endpointRefused: errors.Is(err, syscall.ECONNREFUSED)}
 }
 
-// carry copies in both directions until both have ended or one has failed.
-func carry(caller, endpoint net.Conn) {
-	var both sync.WaitGroup
-	both.Go(func() { forward(caller, endpoint) })
-	both.Go(func() { forward(endpoint, caller) })
-	both.Wait()
-}
-
 // track registers the connections of a tunnel. It returns false if the server is closed.
 func (s *Server) track(conns ...net.Conn) bool {
 	s.mu.Lock()
@@ -176,9 +175,9 @@
 	}
 }
 
-// forward copies what it reads from one connection to another. When either side ends, both are
-// closed: a connection to an endpoint is not used in one direction alone.
-func forward(to, from net.Conn) {
+// forward copies what it reads from a connection to the other side of a tunnel. When either side ends, both
+// are closed: a connection to an endpoint is not used in one direction alone.
+func forward(to sink, from net.Conn) {
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buffer)
@@ -190,10 +189,10 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			_ = to.Close()
+			to.end()
 			return
 		case err != nil:
-			httpconn.Reset(underlying(to))
+			to.reset()
 			return
 		}
 	}
