--- a/cmd/cobaltcroft-soak/cmds/cmds.go
+++ b/cmd/cobaltcroft-soak/cmds/cmds.go
@@ -103,7 +103,7 @@
 		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
 		return false
 	}
-	fmt.Printf("seed %d: %d breaches, requests by outcome %v; %d limits, %d requests held against them; %d drills of the store, %d probes of the configuration; %d fetches of prompt parts; %d partitions, %d of them not compared, %d requests there; %s; %s\n", seed, len(report.Violations), report.Counts, report.Limits, report.LimitedRequests, report.Drills, report.Probes, report.Fetches, report.Partitions, report.CrossedPartitions, report.PartitionedRequests, report.Streams, report.Rollout)
+	fmt.Printf("seed %d: %d breaches, requests by outcome %v; %d limits, %d requests held against them; %d drills of the store, %d probes of the configuration; %d fetches of prompt parts; %d partitions, %d of them not compared, %d requests there; %d requests with the fatal part; %s; %s\n", seed, len(report.Violations), report.Counts, report.Limits, report.LimitedRequests, report.Drills, report.Probes, report.Fetches, report.Partitions, report.CrossedPartitions, report.PartitionedRequests, report.FatalParts, report.Streams, report.Rollout)
 	if len(report.Violations) == 0 {
 		_ = os.RemoveAll(dir)
 		return true
