--- a/cmd/cobaltcroftd/gateway/operators.go
+++ b/cmd/cobaltcroftd/gateway/operators.go
@@ -38,7 +38,7 @@
 	return json.NewEncoder(w).Encode(g.quarantine.List())
 }
 
-// clearQuarantine releases a request at all instances.
+// clearQuarantine releases a request, or a part of prompts, at all instances.
 func (g *Gateway) clearQuarantine(w http.ResponseWriter, r bunrouter.Request) error {
 	digest, err := quarantine.ParseDigest(r.Param("digest"))
 	switch {
@@ -46,7 +46,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return nil
 	case !g.quarantine.IsQuarantined(digest):
-		unheld := problem.New(problem.NotFound, "list quarantined requests with GET /quarantine", "no request with digest %s is quarantined", digest)
+		unheld := problem.New(problem.NotFound, "list what is quarantined with GET /quarantine", "no request or part with digest %s is quarantined", digest)
 		http.Error(w, unheld.Error(), http.StatusNotFound)
 		return nil
 	}
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -67,7 +67,7 @@
 const quarantinedRetryAfter = 10 * time.Minute
 
 func refuseQuarantined() *Refusal {
-	return &Refusal{http.StatusServiceUnavailable, quarantinedRetryAfter, "quarantined", "endpoints crashed while running this request; this attempt has not run; do not retry it, and report the digest in the logs to the operators of the service"}
+	return &Refusal{http.StatusServiceUnavailable, quarantinedRetryAfter, "quarantined", "endpoints crashed while running this request, or others with a part of its prompt; this attempt has not run; do not retry it, and report the digest in the logs to the operators of the service"}
 }
 
 func refuseStopping() *Refusal {
--- a/pkg/quarantine/manager.go
+++ b/pkg/quarantine/manager.go
@@ -150,9 +150,13 @@
 // have some but are not quarantined: unreachable instances may have seen the others. This limits the
 // crashes on each side of a partition, and after a restart of all instances, to one.
 func (m *Manager) LoadCrashes(ctx context.Context, s Subject) {
+	due := m.takeLoads(s)
+	if len(due) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	for _, l := range m.takeLoads(s) {
+	for _, l := range due {
 		m.load(ctx, l.kind, l.digest)
 	}
 }
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -213,3 +214,25 @@
 		})
 	})
 })
+
+// BenchmarkRefused measures what each request costs in a table with 2,400 requests and 900 parts.
+func BenchmarkRefused(b *testing.B) {
+	m := newManager(clockwork.NewRealClock(), func() {})
+	for n := range 2400 {
+		m.RecordCrash(subject(n, fmt.Sprint(n%900)), incarnation(n/10))
+	}
+	s := subject(-1, "system", "subject", "session")
+	b.ReportAllocs()
+	for b.Loop() {
+		m.LoadCrashes(b.Context(), s)
+		m.Refused(s)
+		m.Suspected(s)
+		m.RanWell(s)
+	}
+}
+
+func BenchmarkSumPart(b *testing.B) {
+	for b.Loop() {
+		quarantine.SumPart("cobalt-llm", "5c1e07a2")
+	}
+}
