balance: an endpoint that starts long after its failure domain returned is not taken for cold

Cause: the time that covers the delay until entries report it was counted from when an endpoint was first met, not from the return. Now it counts from when the return was first met, for all endpoints of the domain; those that start later report by themselves. The spec fails before.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -103,6 +103,8 @@
 	// silentUntil is when a failure domain that is suspected to be unreachable may be used
 	// normally again.
 	silentUntil map[string]time.Time
+	// returns contains the last known return of each failure domain from an evacuation.
+	returns map[string]domainReturn
 }
 
 const (
@@ -144,7 +146,7 @@
 
 // New returns a balancer without observations.
 func New(clock clockwork.Clock, backoffs *notice.Backoffs) *Balancer {
-	return &Balancer{clock: clock, backoffs: backoffs, endpoints: map[string]*endpointState{}, models: map[string]*prefillModel{}, silentUntil: map[string]time.Time{}}
+	return &Balancer{clock: clock, backoffs: backoffs, endpoints: map[string]*endpointState{}, models: map[string]*prefillModel{}, silentUntil: map[string]time.Time{}, returns: map[string]domainReturn{}}
 }
 
 // Call is a call in flight at an endpoint.
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -59,12 +59,31 @@
 	sentAt time.Time
 }
 
-// update applies an endpoint entry. Durations count from the time of receipt.
-func (c *coldState) update(now time.Time, e *fleet.Endpoint) {
+// domainReturn is the return of a failure domain from an evacuation.
+type domainReturn struct {
+	revision revision.Revision
+	// seenAt is when this instance first met an endpoint of the failure domain after it.
+	seenAt time.Time
+}
+
+// returnOf returns the return that an endpoint's entry names.
+func (b *Balancer) returnOf(now time.Time, e *fleet.Endpoint) domainReturn {
+	if e.Returned == 0 {
+		return domainReturn{}
+	}
+	if b.returns[e.FailureDomain].revision != e.Returned {
+		b.returns[e.FailureDomain] = domainReturn{e.Returned, now}
+	}
+	return b.returns[e.FailureDomain]
+}
+
+// update applies an endpoint entry. Durations count from the time of receipt, but for what follows a return:
+// the entries of endpoints that start later report by themselves whether they are cold.
+func (c *coldState) update(now time.Time, e *fleet.Endpoint, last domainReturn) {
 	reported := now.Add(time.Duration(e.ColdMs) * time.Millisecond)
 	switch {
 	case e.Returned != c.returned:
-		c.until = later(reported, now.Add(coldAfterReturn))
+		c.until = later(reported, last.seenAt.Add(coldAfterReturn))
 	case e.ColdRevision != c.revision:
 		c.until = reported
 	}
@@ -115,7 +134,7 @@
 			continue
 		}
 		s := b.state(e.ID)
-		s.cold.update(now, e)
+		s.cold.update(now, e, b.returnOf(now, e))
 		cold = cold || s.cold.cold(now)
 	}
 	return cold
--- a/pkg/balance/cold_test.go
+++ b/pkg/balance/cold_test.go
@@ -119,6 +119,18 @@
 		Expect(picks(200, balance.CallSpec{Cold: spec(true).Cold})).To(HaveLen(6))
 	})
 
+	It("do not include an endpoint that starts long after its failure domain returned", func() {
+		for n := range 3 {
+			all[n].Returned = 9
+		}
+		before := all[:2]
+		for n := range before {
+			Expect(b.Pick(before[n:n+1], spec(false))).To(BeNil())
+		}
+		clock.Advance(8 * time.Second)
+		Expect(b.Pick(all[2:3], spec(false))).NotTo(BeNil())
+	})
+
 	It("receive calls from their warm-up owner while the only warm endpoint is ejected", func() {
 		setCold(time.Minute, 1, 2, 3, 4, 5)
 		eject := func() { b.Pick(all[:1], spec(true)).End(balance.Unreachable, nil) }
