--- a/service/peers/ends_test.go
+++ b/service/peers/ends_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/cobaltcroft/cobaltcroft/api/cobaltcroft/v1"
 	"github.com/cobaltcroft/cobaltcroft/pkg/control"
@@ -39,6 +40,24 @@
 	g.Expect(got).To(Equal(b))
 }
 
+// An earlier build takes each of ends for that of a whole request.
+func TestDatagramTellsEndsUnderPartsOfPromptsApart(t *testing.T) {
+	g := NewWithT(t)
+	b := typicalDatagram()
+	b.heartbeat.Ends = someEnds(3)
+	b.heartbeat.Ends[2].Kind = quarantine.PromptPart
+	data, err := encode(b, secret)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := decode(data, secret)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(b))
+	body, _ := verify(heartbeatLabel, data, secret)
+	var wire pb.Heartbeat
+	g.Expect(proto.Unmarshal(body, &wire)).To(Succeed())
+	g.Expect(wire.GetEnds()).To(HaveLen(2))
+	g.Expect(wire.GetPartEnds()).To(HaveLen(1))
+}
+
 // An end without a request digest or an endpoint must not count towards a quarantine.
 func TestEndsThatNameNothingAreDropped(t *testing.T) {
 	digest := quarantine.Sum("organisation", "", "/", nil)
