--- a/pkg/quarantine/crash.go
+++ b/pkg/quarantine/crash.go
@@ -23,6 +23,14 @@
 	return "request"
 }
 
+// limit returns the maximum number of suspects of the kind in a table.
+func (k Kind) limit() int {
+	if k == PromptPart {
+		return maxParts
+	}
+	return maxRequests
+}
+
 // Crash records that an endpoint crashed while running a request, or one with a part of a prompt.
 type Crash struct {
 	Kind   Kind
--- a/pkg/quarantine/gossip.go
+++ b/pkg/quarantine/gossip.go
@@ -48,7 +48,10 @@
 	}
 	activeFirst := func(a, b Crash) int {
 		if a.Cleared != b.Cleared {
-			return either(a.Cleared, 1, -1)
+			if a.Cleared {
+				return 1
+			}
+			return -1
 		}
 		return cmp.Compare(a.Age, b.Age)
 	}
@@ -82,13 +85,6 @@
 	return list
 }
 
-func either[T any](condition bool, yes, no T) T {
-	if condition {
-		return yes
-	}
-	return no
-}
-
 // activeIncarnations returns the incarnations whose crashes are not cleared.
 func (r *suspect) activeIncarnations() []string {
 	var incarnations []string
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -216,7 +216,7 @@
 // evictIfFull removes the suspect of a kind with the oldest last crash if the table is full of them,
 // preferring those that are not quarantined.
 func (t *Table) evictIfFull(k Kind) {
-	if t.counts[k] < either(k == PromptPart, maxParts, maxRequests) {
+	if t.counts[k] < k.limit() {
 		return
 	}
 	var candidate Digest
