--- a/cmd/cobaltcroftd/gateway/suite_test.go
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -46,6 +46,15 @@
 	return i
 }
 
+// startGroup starts a number of instances that know each other.
+func startGroup(store string, n int) []*instance {
+	all := []*instance{start(store)}
+	for len(all) < n {
+		all = append(all, start(store, all[0].Peers))
+	}
+	return all
+}
+
 func launch(store string, peers ...string) *instance {
 	return launchWith(func(*settings.Gateway) {}, store, peers...)
 }
