quarantine, reach: specs for two mutants that survived

Parts with as many ends, each of which has three of its own, are refused both; a refusal that another instance met is believed also when the direct path has failed before.

--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -101,6 +101,14 @@
 		Expect(refused("second")).To(BeTrue())
 	})
 
+	It("hold no part against another one that explains too few of its crashes", func() {
+		crashUnder(3, "first")
+		crashUnder(1, "first", "second")
+		crashUnder(3, "second")
+		Expect(refused("first")).To(BeTrue())
+		Expect(refused("second")).To(BeTrue())
+	})
+
 	It("are told apart by a request that runs well with one of them", func() {
 		crashUnder(3, "shared", "fatal")
 		m.RanWell(subject(-1, "shared"))
--- a/pkg/reach/dialer_test.go
+++ b/pkg/reach/dialer_test.go
@@ -127,6 +127,13 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 
+	It("fails as refused when another instance finds that nothing listens, after the direct path has failed", func(ctx SpecContext) {
+		direct.err = syscall.ETIMEDOUT
+		tunnel.err = errors.Join(reach.ErrUnreached, syscall.ECONNREFUSED)
+		_, err := dialer.Dial(ctx, target)
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	})
+
 	It("fails at once while neither path has worked lately", func(ctx SpecContext) {
 		direct.err, tunnel.err = syscall.ECONNREFUSED, reach.ErrUnreached
 		_, err := dialer.Dial(ctx, target)
