--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -73,9 +73,6 @@
 	return r != nil && r.quarantined
 }
 
-// IsSuspect reports whether an endpoint has crashed while running the request.
-func (t *Table) IsSuspect(d Digest) bool { return t.CrashCount(d) > 0 }
-
 // CrashCount returns the number of endpoints that have crashed while running the request.
 func (t *Table) CrashCount(d Digest) int {
 	t.mu.Lock()
