--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 for program in target/cobaltcroftd bin/review-cases; do
   [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build.sh" >&2; exit 2; }
 done
-exec bin/review-cases silent-store target/cobaltcroftd review/3/record.txt
+exec bin/review-cases crashed-engine target/cobaltcroftd review/3/record.txt
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -15,6 +15,8 @@
 var plays = map[string]play{
 	"restarted-versions": playRestartedVersions,
 	"silent-store":       playSilentStore,
+	"crashed-engine":     playCrashedEngine,
+	"stale-seeds":        playStaleSeeds,
 	"optional-stage":     playOptionalStage,
 }
 
--- a/review/_cases/optional.go
+++ b/review/_cases/optional.go
@@ -157,6 +157,9 @@
 	round("third", "review", "1,1,2", 9)
 	round("fourth", "review", "0,1,2", 36)
 	round("fifth", "brief", "1,4,2", 9)
+	for _, g := range gateways {
+		s.notef("%s holds %d descriptors", g.name, g.descriptors())
+	}
 	for _, e := range makers {
 		for _, r := range e.Runs() {
 			s.notef("%s of %s made piece %d of stage %d of %s from %d results", e.ID, e.Service, r.Piece, r.Stage, r.ID, len(r.Inputs))
--- a/review/_cases/simple.go
+++ b/review/_cases/simple.go
@@ -31,6 +31,7 @@
 
 	mu       sync.Mutex
 	leaving  bool
+	limit    int
 	running  int
 	arrivals []*arrival
 }
@@ -59,6 +60,13 @@
 	e.stage.store.Remove("servers/" + e.id)
 }
 
+// setLimit makes the server name how many requests a second it takes from all machines together.
+func (e *server) setLimit(perSecond int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = perSecond
+}
+
 // end ends the server with all its connections.
 func (e *server) end() { _ = e.http.Close() }
 
@@ -69,6 +77,9 @@
 		h.Set("Server-Leaving", "1")
 		h.Set("Connection", "close")
 	}
+	if e.limit > 0 {
+		h.Set("Server-Limit", strconv.Itoa(e.limit))
+	}
 	e.mu.Unlock()
 	id := r.Header.Get("Cobaltcroft-Request-Id")
 	switch r.URL.Path {
--- a/review/_cases/stage.go
+++ b/review/_cases/stage.go
@@ -122,6 +122,7 @@
 type gateway struct {
 	stage    *stage
 	name     string
+	zone     string
 	settings string
 	requests string
 	ready    string
@@ -133,55 +134,76 @@
 	ended   chan struct{}
 }
 
-// addGateways starts gateways, one in each of the zones, with settings as those that the template of the
-// deploy file gives a machine of a small deployment.
+// addGateways starts gateways, one in each of the zones. The first three are the seeds of all.
 func (s *stage) addGateways(zones ...string) ([]*gateway, error) {
-	regions := map[string]string{}
 	var list []*gateway
-	for i, zone := range zones {
-		regions[zone] = "attica"
-		g := &gateway{stage: s, name: fmt.Sprintf("front-%s-%d", zone, i+1)}
-		for _, address := range []*string{&g.requests, &g.ready, &g.peers, &g.metrics} {
-			var err error
-			if *address, err = s.freePort(); err != nil {
-				return nil, err
-			}
-		}
-		list = append(list, g)
-	}
 	var seeds []string
-	for _, g := range list[:min(3, len(list))] {
-		seeds = append(seeds, g.peers)
-	}
-	for i, g := range list {
-		settings := map[string]any{
-			"instance": g.name, "failure_domain": zones[i], "regions": regions,
-			"listen": map[string]string{"requests": g.requests, "readiness": g.ready, "peers": g.peers, "metrics": g.metrics},
-			"peers":  seeds, "peer_token": "deployment-at-" + s.address, "store": s.address,
-			"machine":   map[string]any{"processor_share": 0.4, "processor_speed": 1, "link_mbps": 1000.0},
-			"memory_mb": 284, "stop_grace_seconds": 8, "start_wait_ms": 600,
-			"retries": map[string]any{"ratio": 0.2, "slack": 52, "window_seconds": 10},
-			"log":     map[string]string{"default": "info"},
-		}
-		data, err := json.Marshal(settings)
+	for i, zone := range zones {
+		g, err := s.newGateway(fmt.Sprintf("front-%s-%d", zone, i+1), zone)
 		if err != nil {
 			return nil, err
 		}
-		g.settings = filepath.Join(s.dir, g.name+".json")
-		if err := os.WriteFile(g.settings, data, 0o600); err != nil {
-			return nil, err
+		list = append(list, g)
+		if i < maxSeeds {
+			seeds = append(seeds, g.peers)
 		}
-		s.mu.Lock()
-		s.gateways = append(s.gateways, g)
-		s.mu.Unlock()
-		if err := g.start(); err != nil {
+	}
+	for _, g := range list {
+		if err := g.launch(seeds); err != nil {
 			return nil, err
 		}
-		s.notef("%s of zone %s takes requests at %s, process %d", g.name, zones[i], g.requests, g.command.Process.Pid)
 	}
 	return list, nil
 }
 
+// maxSeeds is the number of machines that the settings name at most.
+const maxSeeds = 3
+
+// newGateway returns a gateway with free addresses, which is not started.
+func (s *stage) newGateway(name, zone string) (*gateway, error) {
+	g := &gateway{stage: s, name: name, zone: zone, settings: filepath.Join(s.dir, name+".json")}
+	for _, address := range []*string{&g.requests, &g.ready, &g.peers, &g.metrics} {
+		var err error
+		if *address, err = s.freePort(); err != nil {
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// launch writes the settings of a gateway and starts it for the first time.
+func (g *gateway) launch(seeds []string) error {
+	if err := g.writeSettings(seeds); err != nil {
+		return err
+	}
+	g.stage.mu.Lock()
+	g.stage.gateways = append(g.stage.gateways, g)
+	g.stage.mu.Unlock()
+	if err := g.start(); err != nil {
+		return err
+	}
+	g.stage.notef("%s of zone %s takes requests at %s, process %d", g.name, g.zone, g.requests, g.command.Process.Pid)
+	return nil
+}
+
+// writeSettings writes the settings that the template of the deploy file gives a machine of a small deployment.
+func (g *gateway) writeSettings(seeds []string) error {
+	store := g.stage.address
+	data, err := json.Marshal(map[string]any{
+		"instance": g.name, "failure_domain": g.zone, "regions": map[string]string{zoneA: "attica", zoneB: "attica", zoneC: "attica"},
+		"listen": map[string]string{"requests": g.requests, "readiness": g.ready, "peers": g.peers, "metrics": g.metrics},
+		"peers":  seeds, "peer_token": "deployment-at-" + store, "store": store,
+		"machine":   map[string]any{"processor_share": 0.4, "processor_speed": 1, "link_mbps": 1000.0},
+		"memory_mb": 284, "stop_grace_seconds": 8, "start_wait_ms": 600,
+		"retries": map[string]any{"ratio": 0.2, "slack": 52, "window_seconds": 10},
+		"log":     map[string]string{"default": "info"},
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(g.settings, data, 0o600)
+}
+
 func (g *gateway) start() error {
 	log, err := os.OpenFile(filepath.Join(g.stage.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -213,6 +235,17 @@
 	}
 }
 
+// descriptors returns the number of file descriptors that the process holds.
+func (g *gateway) descriptors() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", g.command.Process.Pid))
+	if err != nil {
+		return -1
+	}
+	return len(entries)
+}
+
 // kill ends the process and waits for its end.
 func (g *gateway) kill() {
 	g.mu.Lock()
