Review: the program of the cases is a test binary

The program is a test, so its files are test files now, and review/build.sh builds it with go test -c.

--- a/review/_cases/config.go
+++ b/review/_cases/config_test.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 const (
 	hostName = "jepu9.example"
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts: review/_cases, with the project's own stand-ins of platform/platformtest.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o bin/review-cases ./review/_cases
+go test -c -o bin/review-cases ./review/_cases
