origin: streams of an endpoint that crashed go on where their version serves

What callers saw: one of four engines of a single software version crashes and is back under its ID after 0.3 s.

Cause: the registry compared incarnation and version together when an entry changed, and took all streams of the last three seconds for begun by either of the two incarnations. It went by the time alone, so that a stream on a connection opened long before the restart was doubtful too.

Ruled out: two records of one stream (there was one version), records that are gone (known=doubtful, not unknown).

Change: a connection leads to one incarnation as long as it lasts. Shortly after a stream has begun on a new connection, the endpoint is asked when it started. If it is the listed incarnation, the streams on connections opened before the question are its own, whatever happens next. Without that evidence an entry that names another version makes streams doubtful as before, one that names the same version does not, unless a third incarnation was seen in between. An endpoint that says to be another incarnation than the listed one continues no streams until its entry has come. On related paths: first events that come after the restart, entries that are away in between, and streams begun at the new incarnation before it was observed are judged by their own incarnation. The line of a doubt names both incarnations and versions, and questions are counted by their result.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -259,7 +259,7 @@
 	rolloutPeers := &handover.RolloutPeers{Client: g.client, Instance: self, Live: g.group.Live}
 	g.rollouts = rollout.NewManager(rolloutView{g.follower}, rolloutPeers, g.store, s.Rollouts.Share, g.clock, g.logs.For("rollout"))
 	originPeers := &handover.OriginPeers{Client: g.client, Gossip: g.gossip, LiveMembers: g.group.Live}
-	g.origins = origin.New(originPeers, originView{g.follower}, g.clock, g.metrics, g.logs.For("origin"))
+	g.origins = origin.New(originPeers, originView{g.follower}, originEndpoints{g}, g.clock, g.metrics, g.logs.For("origin"))
 	g.gossip.OnOrigins(g.origins.Merge)
 	g.executor = pkggateway.New(pkggateway.Options{
 		View:      g.follower.View,
--- a/cmd/cobaltcroftd/gateway/views.go
+++ b/cmd/cobaltcroftd/gateway/views.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
+	"github.com/cobaltcroft/cobaltcroft/platform"
 )
 
 // batchView is the batcher's view of services and endpoints.
@@ -48,3 +51,17 @@
 	view := v.follower.View()
 	return view.Fleet.All(), view.Confirmed
 }
+
+// originEndpoints asks endpoints for the origin registry.
+type originEndpoints struct{ *Gateway }
+
+var _ origin.Endpoints = originEndpoints{}
+
+// Incarnation implements origin.Endpoints. An endpoint with a rate limit is not asked: the question would
+// use up a permit that a request needs.
+func (o originEndpoints) Incarnation(ctx context.Context, e fleet.Endpoint) (string, error) {
+	if _, limited := o.rateLimits.PerSecond(e.ID); limited {
+		return "", problem.New(problem.Overloaded, "go by the endpoint's entry alone", "endpoint %s has a rate limit", e.ID)
+	}
+	return platform.Incarnations{Conns: o.conns}.Incarnation(ctx, e)
+}
--- a/pkg/fleet/incarnation.go
+++ b/pkg/fleet/incarnation.go
@@ -21,6 +21,10 @@
 	return e
 }
 
+// HasIncarnation reports whether the ID identifies an incarnation. If not, it is the name, and a restart of
+// the endpoint cannot be told from it.
+func (e Endpoint) HasIncarnation() bool { return e.Entry != "" }
+
 // RestoreEntry restores the Entry of an endpoint that was received from another instance. Instances without
 // support for incarnations forward the ID but drop the Entry; using that ID as the name would
 // address the wrong endpoint. Instances that support incarnations always send both.
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -97,15 +97,15 @@
 func (u *run) resumeTime() time.Duration { return resumeFactor * u.routeTimeout() }
 
 // beginStream binds the stream to the endpoint that made its first event, or confirms the origin of a
-// resumed one.
-func (u *run) beginStream(e fleet.Endpoint) {
+// resumed one. The connection that carries it was opened at the given time.
+func (u *run) beginStream(e fleet.Endpoint, connectedAt time.Time) {
 	from := origin.Of(e)
 	u.origin = &from
 	if !u.route.Resume {
 		return
 	}
 	begun := origin.Stream{
-		Key: u.streamKey(u.request.ID), Endpoint: e, TTL: u.resumeTime(), Domains: u.allowedDomains,
+		Key: u.streamKey(u.request.ID), Endpoint: e, ConnectedAt: connectedAt, TTL: u.resumeTime(), Domains: u.allowedDomains,
 		Local: u.allowedDomains == nil || slices.Contains(u.allowedDomains, u.Domain),
 	}
 	u.Origins.Begin(begun)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -52,7 +52,7 @@
 		u.firstEventAfter = u.Clock.Since(u.request.Arrived)
 		u.firstEventSeconds.Update(u.firstEventAfter.Seconds())
 		u.freeInputs()
-		u.beginStream(call.Endpoint)
+		u.beginStream(call.Endpoint, answer.ConnectedAt)
 		if err := u.responder.StartStream(answer.Status, httpconn.EndToEnd(answer.Header)); err != nil {
 			u.abandonStream()
 			return false
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -51,6 +51,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// ConnectedAt is when the connection that carries the response was opened. It leads to the same
+	// incarnation of the endpoint since.
+	ConnectedAt time.Time
 	// Framed reports whether the body has a length or chunks. The body of others ends with the connection,
 	// whatever ended that.
 	Framed bool
@@ -140,7 +143,7 @@
 	}
 	p.heard(x)
 	x.response = response
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: x, Framed: framed(response)}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: x, ConnectedAt: c.openedAt, Framed: framed(response)}, nil
 }
 
 func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -90,6 +90,8 @@
 	net.Conn
 	reader *bufio.Reader
 	target Target
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// idleSince is the end of the last call; expires is when the connection must be closed.
 	idleSince time.Time
 	expires   time.Time
@@ -176,7 +178,7 @@
 	if err != nil {
 		return nil, notSent(problem.Wrap(err, problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s at %s", target.ID, target.Address))
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), target: target}, nil
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), target: target, openedAt: p.clock.Now()}, nil
 }
 
 // tunneled reports whether the connection leads through another instance. Such a connection is not
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -65,14 +65,19 @@
 // Registry knows the origins of streams, together with those of the other instances. It is safe for
 // concurrent use.
 type Registry struct {
-	peers    Peers
-	view     View
-	clock    clockwork.Clock
-	log      *logrus.Entry
-	table    *table
-	history  *history
-	restarts *restarts
-	found    map[Source]*metrics.Counter
+	peers     Peers
+	view      View
+	endpoints Endpoints
+	clock     clockwork.Clock
+	log       *logrus.Entry
+	table     *table
+	history   *history
+	restarts  *restarts
+	found     map[Source]*metrics.Counter
+	// confirmations count what endpoints said when asked which incarnation they are, doubted the streams
+	// whose version became doubtful.
+	confirmations confirmationCounters
+	doubted       *metrics.Counter
 
 	mu sync.Mutex
 	// pending are the records to be sent, by instance.
@@ -87,12 +92,23 @@
 	records []Record
 }
 
+// confirmationCounters count the results of asking endpoints which incarnation they are.
+type confirmationCounters struct{ listed, unlisted, unanswered *metrics.Counter }
+
+func newConfirmationCounters(set *metrics.Set) confirmationCounters {
+	counter := func(result string) *metrics.Counter {
+		return set.NewCounter(`cobaltcroft_incarnations_asked_total{result="` + result + `"}`)
+	}
+	return confirmationCounters{listed: counter("listed"), unlisted: counter("unlisted"), unanswered: counter("unanswered")}
+}
+
 // New returns a registry without records. Tick must be called once per second.
-func New(peers Peers, view View, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Registry {
+func New(peers Peers, view View, endpoints Endpoints, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Registry {
 	r := &Registry{
-		peers: peers, view: view, clock: clock, log: log,
+		peers: peers, view: view, endpoints: endpoints, clock: clock, log: log,
 		table: newTable(clock), history: newHistory(clock), restarts: newRestarts(clock),
 		found: map[Source]*metrics.Counter{}, pending: map[string]*delivery{},
+		confirmations: newConfirmationCounters(set), doubted: set.NewCounter("cobaltcroft_streams_doubtful_total"),
 	}
 	for _, source := range []Source{Here, Elsewhere, OnlyVersion, Unknown, Doubtful} {
 		r.found[source] = set.NewCounter(`cobaltcroft_streams_resumed_total{known="` + string(source) + `"}`)
@@ -105,6 +121,8 @@
 type Stream struct {
 	Key      Key
 	Endpoint fleet.Endpoint
+	// ConnectedAt is when the connection to the endpoint that carries the stream was opened.
+	ConnectedAt time.Time
 	// TTL is how long its client may resume it.
 	TTL time.Duration
 	// Domains are the failure domains that may hold its record; nil means any. Local is set if that of
@@ -118,7 +136,11 @@
 func (r *Registry) Begin(s Stream) {
 	record := Record{Key: s.Key, Origin: Of(s.Endpoint), TTL: s.TTL, Regional: s.Domains != nil}
 	r.history.note(record.Origin)
-	r.restarts.begin(s.Key, s.Endpoint)
+	doubtful, ask := r.restarts.begin(s)
+	record.Doubtful = doubtful
+	if ask {
+		r.clock.AfterFunc(confirmDelay, func() { r.confirm(s.Endpoint) })
+	}
 	if s.Local {
 		record = r.table.put(record)
 	}
@@ -183,22 +205,26 @@
 	endpoints, confirmed := r.view.Endpoints()
 	current := !confirmed.IsZero() && r.clock.Since(confirmed) < maxEndpointAge
 	r.history.observe(endpoints, current)
-	for _, key := range r.restarts.observe(endpoints, confirmed) {
-		r.doubt(key)
+	for _, d := range r.restarts.observe(endpoints, confirmed) {
+		r.markDoubtful(d)
 	}
 }
 
-// doubt records that the version that began a stream is not certain.
-func (r *Registry) doubt(key Key) {
-	record, known := r.table.get(key)
+// markDoubtful records that the version that began a stream is not certain.
+func (r *Registry) markDoubtful(d doubt) {
+	record, known := r.table.get(d.key)
 	if !known {
 		return
 	}
 	record.Doubtful = true
 	r.table.put(record)
-	r.log.WithFields(logrus.Fields{"event": "stream_origin_doubtful", "key": uint64(key), "software": record.Origin.Version}).Info()
+	r.doubted.Inc()
+	r.log.WithFields(logrus.Fields{
+		"event": "stream_origin_doubtful", "key": uint64(d.key), "software": record.Origin.Version,
+		"listed": d.listed.id, "endpoint": d.now.id, "other_software": d.now.version,
+	}).Info()
 	if !record.Regional {
-		r.queue(record, keepers(key, r.peers.Live()))
+		r.queue(record, keepers(d.key, r.peers.Live()))
 	}
 }
 
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -28,12 +28,14 @@
 	clock     *clockwork.FakeClock
 	instances []*node
 	endpoints []fleet.Endpoint
+	// running are the IDs of the incarnations that endpoints say they are, by name. The others do not say.
+	running map[string]string
 	// silentSince is when the source stopped to confirm the endpoints; zero while it does.
 	silentSince time.Time
 	tickedAt    time.Time
 }
 
-// node is one instance. It implements origin.Peers and origin.View.
+// node is one instance. It implements origin.Peers, origin.View and origin.Endpoints.
 type node struct {
 	*origin.Registry
 	cluster *cluster
@@ -54,8 +56,8 @@
 func (c *cluster) restart(i int) {
 	n := c.instances[i]
 	n.dead, n.leaving = false, false
-	n.Incarnation++
-	n.Registry = origin.New(n, n, c.clock, metrics.NewSet(), logging.Discard().For("origin"))
+	n.Peer.Incarnation++
+	n.Registry = origin.New(n, n, n, c.clock, metrics.NewSet(), logging.Discard().For("origin"))
 }
 
 // advance lets time pass, with a Tick of each instance in each second.
@@ -128,11 +130,31 @@
 	return n.cluster.endpoints, confirmed
 }
 
+// Incarnation implements origin.Endpoints.
+func (n *node) Incarnation(_ context.Context, e fleet.Endpoint) (string, error) {
+	running, says := n.cluster.running[e.Name()]
+	if !says {
+		return "", errors.New("no answer")
+	}
+	return running, nil
+}
+
+// begin begins a stream on a connection that is opened for it.
 func (n *node) begin(key origin.Key, e fleet.Endpoint) {
-	n.Begin(origin.Stream{Key: key, Endpoint: e, TTL: lifetime, Local: true})
+	n.Begin(origin.Stream{Key: key, Endpoint: e, ConnectedAt: n.cluster.clock.Now(), TTL: lifetime, Local: true})
 	n.Flush()
 }
 
+// beginAsked begins a stream and lets the time pass until its endpoint has been asked which incarnation it
+// is.
+func (n *node) beginAsked(key origin.Key, e fleet.Endpoint) {
+	before := n.Confirmations()
+	n.begin(key, e)
+	n.cluster.advance(100 * time.Millisecond)
+	Eventually(n.Confirmations).Should(BeNumerically(">", before))
+	n.cluster.advance(100 * time.Millisecond)
+}
+
 // search resumes a stream at an instance.
 func (n *node) search(key origin.Key, named bool) origin.Finding {
 	done := make(chan origin.Finding, 1)
@@ -255,7 +277,7 @@
 			other.cutOff = other != n
 		}
 		silent := &silentPeers{node: n, live: live}
-		r := origin.New(silent, n, c.clock, metrics.NewSet(), logging.Discard().For("origin"))
+		r := origin.New(silent, n, n, c.clock, metrics.NewSet(), logging.Discard().For("origin"))
 		n.Registry = r
 		Expect(n.search(1, true)).To(Equal(origin.Finding{Source: origin.Unknown, Unanswered: true}))
 	})
@@ -270,6 +292,107 @@
 		}
 	})
 
+	// LOST: after a crash of an endpoint none of its streams went on, though its version served elsewhere.
+	Describe("when its endpoint is restarted under its name", func() {
+		listed := fleet.Endpoint{ID: "a@1", Entry: "a", Service: service, Version: "v1"}
+		restarted := func(born int, version string) fleet.Endpoint {
+			return fleet.Endpoint{ID: fmt.Sprint("a@", born), Entry: "a", Service: service, Version: version}
+		}
+		list := func(endpoints ...fleet.Endpoint) {
+			c.endpoints = append(endpoints, v2)
+			c.advance(1100 * time.Millisecond)
+		}
+		found := func(key origin.Key) {
+			GinkgoHelper()
+			for _, n := range c.instances {
+				Expect(n.search(key, true)).To(And(HaveField("Origin", from("v1")), HaveField("Known()", true)))
+			}
+		}
+		doubtful := func(key origin.Key) {
+			GinkgoHelper()
+			for _, n := range c.instances {
+				Expect(n.search(key, true).Source).To(Equal(origin.Doubtful))
+			}
+		}
+
+		BeforeEach(func() {
+			c.running = map[string]string{"a": "a@1"}
+			list(listed)
+		})
+
+		It("stays known if that is of the same version, also where the endpoint does not say which incarnation it is", func() {
+			c.running = nil
+			c.instances[0].begin(1, listed)
+			list(restarted(2, "v1"))
+			found(1)
+		})
+
+		It("stays known if that is of another version and the endpoint had said which incarnation it was", func() {
+			c.instances[0].beginAsked(1, listed)
+			c.running["a"] = "a@2"
+			list(restarted(2, "v2"))
+			found(1)
+		})
+
+		It("stays known on a connection that was opened before the endpoint said which incarnation it was", func() {
+			connectedAt := c.clock.Now()
+			c.instances[0].beginAsked(1, listed)
+			c.instances[0].Begin(origin.Stream{Key: 2, Endpoint: listed, ConnectedAt: connectedAt, TTL: lifetime, Local: true})
+			list(restarted(2, "v2"))
+			found(2)
+		})
+
+		It("is doubtful if it began after that, before the entry named the other version", func() {
+			c.instances[0].beginAsked(1, listed)
+			c.running["a"] = "a@2"
+			c.instances[0].beginAsked(2, listed)
+			list(restarted(2, "v2"))
+			found(1)
+			doubtful(2)
+		})
+
+		It("is doubtful if an incarnation that was never listed may have begun it", func() {
+			c.running["a"] = "a@2"
+			c.instances[0].beginAsked(1, listed)
+			list(restarted(3, "v1"))
+			doubtful(1)
+		})
+
+		It("stays known if the incarnation that was seen before its entry came is of the same version", func() {
+			c.running["a"] = "a@2"
+			c.instances[0].beginAsked(1, listed)
+			list(restarted(2, "v1"))
+			found(1)
+		})
+
+		It("is doubtful if its first event comes after the entry named the other version", func() {
+			c.running = nil
+			list(restarted(2, "v2"))
+			c.instances[0].begin(1, listed)
+			doubtful(1)
+		})
+
+		It("is doubtful if the entry is away for a while before it names the other version", func() {
+			c.running = nil
+			c.instances[0].begin(1, listed)
+			list()
+			c.advance(6 * time.Second)
+			list(restarted(2, "v2"))
+			doubtful(1)
+		})
+
+		It("goes on at the restarted endpoint only when its entry has come", func() {
+			n := c.instances[0]
+			c.running["a"] = "a@2"
+			n.beginAsked(1, listed)
+			Expect(n.MayHaveRestarted("a@1")).To(BeTrue())
+			c.advance(6 * time.Second)
+			Expect(n.MayHaveRestarted("a@1")).To(BeTrue())
+			list(restarted(2, "v1"))
+			Expect(n.MayHaveRestarted("a@2")).To(BeFalse())
+		})
+	})
+
 	It("stays known if its endpoint is restarted as another version long after", func() {
 		c.instances[0].begin(1, v1)
 		c.advance(6 * time.Second)
