pipeline: a stage that is left out waits for nothing, and each wait ends

What callers saw: requests that leave out one of two first stages which a third reads get no answer at the instance that plans them, at any time, and 503 after 2 s at the others. A chain whose first stage is left out does the same.

Cause: a first stage waits for the inputs of a stage at the same distance from the end. Distance counts stages with pieces, so that one without stands where its reader stands, and waits for itself. That wait was on a channel alone. Ruled out: a stage call that does not end (none is sent), and the hand-over of plans (the planner's own requests hang too).

Change: a stage without pieces waits for nothing. Waits for other stages end with the context. A plan ends at its deadline, since the instance that handed it over may not be able to cancel it.

--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/optional_stages_test.go
@@ -0,0 +1,63 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+// CONFIG: at the instance that planned them such requests got no answer, at the others a refusal after 2 s.
+var _ = Describe("requests that leave out stages", func() {
+	var (
+		d   *platformtest.Deployment
+		all []*instance
+	)
+
+	BeforeEach(func() {
+		d = deploy(2)
+		all = startGroup(d.Address(), 3)
+	})
+
+	// setStages gives the staged route other stages, and waits until all instances know them.
+	setStages := func(stages ...platformtest.RouteStage) {
+		d.Config.Routes[4].Stages = stages
+		d.Config.Routes[4].PathPrefix = "/changed/"
+		d.PutConfig()
+		for _, i := range all {
+			Eventually(func() int { return send(i.request(http.MethodPost, "staged", newID(), "")).Status }).Should(Equal(http.StatusNotFound))
+		}
+	}
+
+	ask := func(i *instance, pieces string) (string, answer) {
+		id := newID()
+		r := i.request(http.MethodPost, "changed", id, "")
+		r.Header.Set("Cobaltcroft-Pieces", pieces)
+		r.Header.Set("Cobaltcroft-Piece-Key", "key-of-"+id)
+		return id, send(r)
+	}
+
+	It("are served at each instance, after a change of the configuration too", func() {
+		setStages(platformtest.RouteStage{Service: "first"}, platformtest.RouteStage{Service: "second"}, platformtest.RouteStage{Service: "third", SinceRev: []int{0, 1}, Bytes: 6000})
+		var group sync.WaitGroup
+		for _, pieces := range []string{"1,1,2", "0,1,2", "1,0,2", "0,2,1"} {
+			for range 3 {
+				for _, i := range all {
+					group.Go(func() {
+						defer GinkgoRecover()
+						begin := time.Now()
+						id, got := ask(i, pieces)
+						Expect(got.Status).To(Equal(http.StatusOK), pieces)
+						Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
+						Expect(d.Runs("model", id)).To(HaveLen(1))
+					})
+				}
+			}
+		}
+		group.Wait()
+	})
+})
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -115,13 +115,14 @@
 // dependencies returns, for each stage, the stages that must be completed before it starts. For a
 // stage without inputs that would complete long before the others, these are the dependencies of a
 // stage at the same distance from the end; otherwise its results would occupy memory while the
-// others run.
+// others run. Those are further from the end than the stage itself, so that none waits for itself.
+// This holds only for a stage that has pieces: one without stands at the same distance as its reader.
 func (p *Plan) dependencies() [][]int {
 	tails := p.remainingStages()
 	waits := make([][]int, len(p.Stages))
 	for i, stage := range p.Stages {
 		waits[i] = stage.After
-		if len(stage.After) > 0 {
+		if len(stage.After) > 0 || stage.Pieces == 0 {
 			continue
 		}
 		for j, other := range p.Stages {
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -82,10 +82,13 @@
 	return batch.Queue{Service: service, Part: part.Number, Parts: part.Of}
 }
 
-// Run executes the remaining stages of a plan unless it would miss its due time. If ctx ends first,
-// completed results are freed.
+// Run executes the remaining stages of a plan unless it would miss its due time. If ctx or the plan's
+// deadline ends first, completed results are freed.
 func (p *Planner) Run(ctx context.Context, part Part, plan Plan) Outcome {
 	begin := p.clock.Now()
+	// The instance that handed the plan over may not be able to cancel it.
+	ctx, cancel := p.untilDeadline(ctx, &plan)
+	defer cancel()
 	plan.dropMalformed()
 	p.inspect(ctx, part, &plan)
 	for _, made := range plan.Completed {
@@ -112,6 +115,16 @@
 	return outcome
 }
 
+// untilDeadline returns a context that ends with ctx or at the deadline of a plan.
+func (p *Planner) untilDeadline(ctx context.Context, plan *Plan) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := p.clock.AfterFunc(plan.Deadline.Sub(p.clock.Now()), cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // logDecision logs and counts the admission or refusal of a plan.
 func (p *Planner) logDecision(part Part, plan *Plan, d decision) {
 	p.log.WithFields(logrus.Fields{
@@ -229,9 +242,7 @@
 	stage := &e.plan.Stages[i]
 	queue := queueOf(e.part, stage.Service)
 	defer e.removePieces(queue, e.plan, len(e.missing[i]))
-	for _, before := range e.dependencies[i] {
-		<-e.done[before]
-	}
+	e.awaitDependencies(ctx, i)
 	if len(e.missing[i]) == 0 || ctx.Err() != nil || e.failed() {
 		return
 	}
@@ -254,6 +265,17 @@
 	}
 }
 
+// awaitDependencies waits until the dependencies of a stage have ended, or ctx is done.
+func (e *execution) awaitDependencies(ctx context.Context, i int) {
+	for _, before := range e.dependencies[i] {
+		select {
+		case <-e.done[before]:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // reportProgress reports a completed stage unless it was the last one.
 func (e *execution) reportProgress(i int) {
 	e.mu.Lock()
