gateway: a request whose stage would have no input is refused at arrival

What callers saw: of a chain of stages whose first is left out, the second has pieces and nothing to read.

Cause: nothing checked that what a request leaves out is not the only input of what it asks for. The planner skipped empty stages and went on.

Change: a request that leaves out all stages which another one of its stages reads is refused at once, as not run, with 400, after which clients do not retry, since no instance can serve it. A request whose last stages are left out is served without results, as before: several deployments have requests that leave out their only stage.

--- a/cmd/cobaltcroftd/gateway/optional_stages_test.go
+++ b/cmd/cobaltcroftd/gateway/optional_stages_test.go
@@ -60,4 +60,29 @@
 		}
 		group.Wait()
 	})
+
+	It("are served without any results where they leave out all", func() {
+		setStages(platformtest.RouteStage{Service: "first"}, platformtest.RouteStage{Service: "second", SinceRev: []int{0}})
+		for _, pieces := range []string{"0,0", "1,0", "0"} {
+			for _, i := range all {
+				id, got := ask(i, pieces)
+				Expect(got.Status).To(Equal(http.StatusOK), pieces)
+				Expect(d.Runs("model", id)).To(HaveLen(1))
+			}
+		}
+	})
+
+	It("are refused at once, not run, at each instance, where a stage would have no input", func() {
+		setStages(platformtest.RouteStage{Service: "first"}, platformtest.RouteStage{Service: "second", SinceRev: []int{0}}, platformtest.RouteStage{Service: "third", SinceRev: []int{1}})
+		for _, pieces := range []string{"0,1,1", "0,0,1", "1,0,1"} {
+			for _, i := range all {
+				begin := time.Now()
+				id, got := ask(i, pieces)
+				Expect(got).To(And(HaveField("Status", http.StatusBadRequest), HaveField("Body", ContainSubstring("stage_without_input"))), pieces)
+				Expect(got.Header.Get("Retry-After")).To(BeEmpty())
+				Expect(time.Since(begin)).To(BeNumerically("<", 500*time.Millisecond))
+				Expect(d.Runs("model", id)).To(BeEmpty())
+			}
+		}
+	})
 })
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -224,6 +224,10 @@
 		u.refuse(refuseQuarantined())
 		return
 	}
+	if refusal := u.checkPieces(); refusal != nil {
+		u.refuse(refusal)
+		return
+	}
 	ctx, cancel := u.until(ctx, u.deadline)
 	defer cancel()
 	if refusal := u.bindResumed(ctx); refusal != nil {
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -62,6 +63,12 @@
 	return &Refusal{http.StatusServiceUnavailable, after, "pieces_not_made", "the stages of the request did not finish in time; it has not run; retry after the delay in Retry-After"}
 }
 
+// refuseStageWithoutInput uses status 400, after which clients do not retry: no instance can serve the
+// request.
+func refuseStageWithoutInput(stage int) *Refusal {
+	return &Refusal{http.StatusBadRequest, 0, "stage_without_input", fmt.Sprintf("stage %d has pieces, but all stages that it reads are left out; the request has not run; send pieces for one of them, or none for it", stage)}
+}
+
 // quarantinedRetryAfter is the retry delay for a quarantined request, which stays so until its
 // endpoints are fixed or an operator releases it.
 const quarantinedRetryAfter = 10 * time.Minute
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -23,6 +23,16 @@
 	ReaderFailed(planner, endpoint string)
 }
 
+// checkPieces refuses a request that leaves out all stages that another one reads. The endpoint that runs
+// the request needs no results if the request has none.
+func (u *run) checkPieces() *Refusal {
+	plan := pipeline.Plan{Stages: u.stages()}
+	if stage := plan.StageWithoutInput(); stage >= 0 {
+		return refuseStageWithoutInput(stage)
+	}
+	return nil
+}
+
 // runStages runs the route's stages.
 func (u *run) runStages(ctx context.Context) *Refusal {
 	if len(u.route.Stages) == 0 || len(u.request.Pieces) == 0 {
@@ -74,7 +84,7 @@
 	call, domain := u.Balancer.Estimate(candidates, u.constraints())
 	plan := pipeline.Plan{
 		Request:        u.request.ID,
-		Stages:         make([]pipeline.Stage, len(u.route.Stages)),
+		Stages:         u.stages(),
 		Key:            u.request.PieceKey,
 		Due:            u.objectiveEnd().Add(-call),
 		Deadline:       u.deadline,
@@ -83,13 +93,19 @@
 		AllowedDomains: u.allowedDomains,
 		Readers:        u.readers(candidates),
 	}
+	return plan
+}
+
+// stages returns the route's stages with the request's pieces.
+func (u *run) stages() []pipeline.Stage {
+	stages := make([]pipeline.Stage, len(u.route.Stages))
 	for i, stage := range u.route.Stages {
-		plan.Stages[i] = pipeline.Stage{Service: stage.Service, After: stage.After, Bytes: stage.Bytes}
+		stages[i] = pipeline.Stage{Service: stage.Service, After: stage.After, Bytes: stage.Bytes}
 		if i < len(u.request.Pieces) {
-			plan.Stages[i].Pieces = u.request.Pieces[i]
+			stages[i].Pieces = u.request.Pieces[i]
 		}
 	}
-	return plan
+	return stages
 }
 
 // maxReaders limits the endpoints offered to the planner.
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -5,6 +5,7 @@
 package pipeline
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
@@ -97,6 +98,15 @@
 	return read
 }
 
+// StageWithoutInput returns the index of a stage whose pieces would read results of others, all of which
+// are left out; -1 if there is none.
+func (p *Plan) StageWithoutInput() int {
+	return slices.IndexFunc(p.Stages, func(s Stage) bool {
+		hasPieces := func(before int) bool { return p.Stages[before].Pieces > 0 }
+		return s.Pieces > 0 && len(s.After) > 0 && !slices.ContainsFunc(s.After, hasPieces)
+	})
+}
+
 // remainingStages returns, for each stage, the number of stages with pieces on the longest path
 // from it to the end, including itself.
 func (p *Plan) remainingStages() []int {
