gateway: a request may have as many pieces as the settings say

Cause: Cobaltcroft-Pieces is a number from outside, and the planner allocates and loops over each piece before it decides, which no deadline ends.

Change: max_pieces (1,000; 1 to 20,000) bounds the pieces of all stages of a request together. It is compared before anything is allocated; a request with more is refused at arrival, as not run, with 400. The deployments at hand have 25 pieces in a stage at most.

Now four entries, up to two numbers whose sum overflows, are refused within 0.5 s at three instances, and staged requests after them are served. Larger numbers were not run on the code before, since they would take more memory than the machine may give.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -282,6 +282,7 @@
 		Rollouts:   g.rollouts.Participant,
 		Origins:    g.origins,
 		Held:       g.held,
+		MaxPieces:  s.MaxPieces,
 		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
 	g.addViewGauges()
--- a/cmd/cobaltcroftd/gateway/optional_stages_test.go
+++ b/cmd/cobaltcroftd/gateway/optional_stages_test.go
@@ -86,3 +86,24 @@
 		}
 	})
 })
+
+// A count of pieces that no sound client sends made an instance plan them, and others wait for it.
+var _ = DescribeTable("a request with more pieces than one may have is refused at once, and holds up no others", func(pieces string) {
+	d := deploy(2)
+	all := startGroup(d.Address(), 3)
+	for _, i := range all {
+		r := i.staged(newID())
+		r.Header.Set("Cobaltcroft-Pieces", pieces)
+		begin := time.Now()
+		Expect(send(r)).To(And(HaveField("Status", http.StatusBadRequest), HaveField("Body", ContainSubstring("too_many_pieces"))))
+		Expect(time.Since(begin)).To(BeNumerically("<", 500*time.Millisecond))
+	}
+	for _, i := range all {
+		Expect(send(i.staged(newID())).Status).To(Equal(http.StatusOK))
+	}
+},
+	Entry("in all", "334,333,333,1"),
+	Entry("in one stage", "1,1000000,1,1"),
+	Entry("more than memory holds", "2000000000,1,1,1"),
+	Entry("more than a sum holds", "9223372036854775807,1,9223372036854775807,1"),
+)
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -73,6 +73,8 @@
 	// Origins knows which software version began each stream. If nil, streams that clients resume are
 	// refused.
 	Origins Origins
+	// MaxPieces is the maximum number of pieces of all stages of a request together; 0 means unlimited.
+	MaxPieces int
 	// Held accounts for the memory of buffered responses. Optional.
 	Held *memquota.Quota
 	// StartWait lets requests wait for the first view. Optional.
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -69,6 +69,10 @@
 	return &Refusal{http.StatusBadRequest, 0, "stage_without_input", fmt.Sprintf("stage %d has pieces, but all stages that it reads are left out; the request has not run; send pieces for one of them, or none for it", stage)}
 }
 
+func refuseTooManyPieces(most int) *Refusal {
+	return &Refusal{http.StatusBadRequest, 0, "too_many_pieces", fmt.Sprintf("the stages of the request have more than %d pieces together; the request has not run; send fewer, or ask the operators to raise max_pieces", most)}
+}
+
 // quarantinedRetryAfter is the retry delay for a quarantined request, which stays so until its
 // endpoints are fixed or an operator releases it.
 const quarantinedRetryAfter = 10 * time.Minute
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -23,9 +23,12 @@
 	ReaderFailed(planner, endpoint string)
 }
 
-// checkPieces refuses a request that leaves out all stages that another one reads. The endpoint that runs
-// the request needs no results if the request has none.
+// checkPieces refuses a request with too many pieces, or one that leaves out all stages that another one
+// reads. The endpoint that runs the request needs no results if the request has none.
 func (u *run) checkPieces() *Refusal {
+	if u.tooManyPieces() {
+		return refuseTooManyPieces(u.MaxPieces)
+	}
 	plan := pipeline.Plan{Stages: u.stages()}
 	if stage := plan.StageWithoutInput(); stage >= 0 {
 		return refuseStageWithoutInput(stage)
@@ -33,6 +36,22 @@
 	return nil
 }
 
+// tooManyPieces reports whether the request has more pieces than one may have. It adds no numbers before it
+// has compared them, so that the sum cannot overflow.
+func (u *run) tooManyPieces() bool {
+	if u.MaxPieces <= 0 {
+		return false
+	}
+	left := u.MaxPieces
+	for _, n := range u.request.Pieces {
+		if n > left {
+			return true
+		}
+		left -= n
+	}
+	return false
+}
+
 // runStages runs the route's stages.
 func (u *run) runStages(ctx context.Context) *Refusal {
 	if len(u.route.Stages) == 0 || len(u.request.Pieces) == 0 {
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -35,9 +35,11 @@
 	StopGraceSeconds float64 `json:"stop_grace_seconds"`
 	// StartWaitMs is how long after the start of the instance, in milliseconds, requests wait for the
 	// first view; 0 refuses them at once.
-	StartWaitMs int             `json:"start_wait_ms"`
-	Retries     GatewayRetries  `json:"retries"`
-	Rollouts    GatewayRollouts `json:"rollouts"`
+	StartWaitMs int `json:"start_wait_ms"`
+	// MaxPieces is the maximum number of pieces of all stages of a request together.
+	MaxPieces int             `json:"max_pieces"`
+	Retries   GatewayRetries  `json:"retries"`
+	Rollouts  GatewayRollouts `json:"rollouts"`
 	// Log maps layers to log levels; "default" applies to all other layers.
 	Log map[string]string `json:"log"`
 }
@@ -96,6 +98,7 @@
 		Machine:          GatewayMachine{ProcessorSpeed: 1},
 		MemoryMB:         256,
 		StopGraceSeconds: 8,
+		MaxPieces:        1000,
 		Retries:          GatewayRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 		Rollouts:         GatewayRollouts{Share: 0.1},
 	}
@@ -134,6 +137,8 @@
 	maxGrace    = 600
 	// maxStartWaitMs is the longest wait for the first view in milliseconds.
 	maxStartWaitMs = 5000
+	// maxPiecesLimit bounds the memory and time that the plan of one request takes.
+	maxPiecesLimit = 20_000
 	// maxProcessors and maxLinkMbps are far above those of any machine. They detect values in the wrong
 	// unit.
 	maxProcessors = 1024
@@ -164,6 +169,7 @@
 	c.count("memory_mb", int64(g.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.duration("stop_grace_seconds", Duration(g.StopGrace()), time.Second, maxGrace*time.Second)
 	c.count("start_wait_ms", int64(g.StartWaitMs), 0, maxStartWaitMs)
+	c.count("max_pieces", int64(g.MaxPieces), 1, maxPiecesLimit)
 	c.duration("retries.window_seconds", Duration(g.Retries.Window()), time.Second, maxGrace*time.Second)
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
 		c.add("retries", fmt.Sprintf("ratio %g, slack %g", g.Retries.Ratio, g.Retries.Slack), "use numbers of 0 or more")
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -65,6 +65,8 @@
 		Entry("grace", `"stop_grace_seconds": 8`, `"stop_grace_seconds": 0`, `stop_grace_seconds is "0s"`, "use 1s to"),
 		Entry("start wait below 0", `"start_wait_ms": 600`, `"start_wait_ms": -1`, `start_wait_ms is "-1"`, "use 0 to 5000"),
 		Entry("start wait in another unit", `"start_wait_ms": 600`, `"start_wait_ms": 600000`, `start_wait_ms is "600000"`, "use 0 to 5000"),
+		Entry("no pieces", `"start_wait_ms": 600`, `"max_pieces": 0`, `max_pieces is "0"`, "use 1 to 20000"),
+		Entry("too many pieces", `"start_wait_ms": 600`, `"max_pieces": 20001`, `max_pieces is "20001"`, "use 1 to 20000"),
 		Entry("retries", `"ratio": 0.2`, `"ratio": -1`, "retries is", "0 or more"),
 		Entry("not JSON", `"instance"`, `instance`, "do not parse", "docs/SETTINGS.md"),
 	)
