gateway: an endpoint is asked which incarnation it is before a stream goes on there

Cause: the version of an endpoint was taken from the entry known under its name, whatever process had the address. Only an instance that the endpoint had refused a connection distrusted it. Ruled out: a wrong record (each names the version that began the stream). Telling others of a refused connection would mend this case alone, since nobody need have been refused one.

Change: before each attempt that continues a stream, inside its answer or taken up by its client, the endpoint's report is asked for its start time. Another incarnation, or one that does not answer within half a second, is passed by and the next endpoint of the version is asked; an endpoint that does not say goes by its entry. An endpoint with a rate limit is asked only here, and not after it has begun a stream.

--- a/cmd/cobaltcroftd/gateway/crashed_streams_test.go
+++ b/cmd/cobaltcroftd/gateway/crashed_streams_test.go
@@ -24,8 +24,12 @@
 		observeTime = 2 * time.Second
 		// downTime is how long the endpoints are down.
 		downTime = 100 * time.Millisecond
-		// clientPause is how long a client waits until it takes its stream up.
-		clientPause = 2500 * time.Millisecond
+		// lateEntry is when an endpoint writes its first entry if it does not do so at once.
+		lateEntry = 1200 * time.Millisecond
+		// longPause and shortPause are how long a client waits until it takes its stream up: until the
+		// entries of the restarted endpoints have come, and until these endpoints listen.
+		longPause  = 2500 * time.Millisecond
+		shortPause = 300 * time.Millisecond
 		// minTakenUp is the number of streams that the rule needs.
 		minTakenUp = 12
 	)
@@ -79,7 +83,7 @@
 		return versions
 	}
 
-	DescribeTable("go on at the endpoints of their version", func(version string, entryAfter time.Duration, wantShare float64) {
+	DescribeTable("go on at the endpoints of their version", func(version string, entryAfter, pause time.Duration, wantShare float64) {
 		clients := make([]*client, streamCount)
 		takenUp := make([]int, streamCount)
 		var group sync.WaitGroup
@@ -90,7 +94,7 @@
 				defer GinkgoRecover()
 				c.read(all[0], "stream", 0)
 				if c.first != "" && !c.whole(streamEvents) {
-					time.Sleep(clientPause)
+					time.Sleep(pause)
 					takenUp[n] = c.read(all[1+n%2], "stream", 0)
 				}
 			})
@@ -122,9 +126,11 @@
 		Expect(total).To(BeNumerically(">=", minTakenUp))
 		Expect(float64(wentOn)/float64(total)).To(BeNumerically(">=", wantShare), "%d of %d", wentOn, total)
 	},
-		Entry("if they are back as the same version", "", time.Duration(0), 1.0),
-		Entry("if they are back as the same version and their entries come later", "", 1200*time.Millisecond, 1.0),
+		Entry("if they are back as the same version", "", time.Duration(0), longPause, 1.0),
+		Entry("if they are back as the same version and their entries come later", "", lateEntry, longPause, 1.0),
 		// The streams that began right before the crash may be the other version's.
-		Entry("if they are back as another version", "v2", time.Duration(0), 0.5),
+		Entry("if they are back as another version", "v2", time.Duration(0), longPause, 0.5),
+		// ORDER: instances that had not met the crash let streams go on at the other version.
+		Entry("if they are back as another version and their entries have not come", "v2", lateEntry, shortPause, 1.0),
 	)
 })
--- a/cmd/cobaltcroftd/gateway/views.go
+++ b/cmd/cobaltcroftd/gateway/views.go
@@ -8,7 +8,6 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
-	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 	"github.com/cobaltcroft/cobaltcroft/platform"
 )
@@ -57,11 +56,13 @@
 
 var _ origin.Endpoints = originEndpoints{}
 
-// Incarnation implements origin.Endpoints. An endpoint with a rate limit is not asked: the question would
-// use up a permit that a request needs.
+// Incarnation implements origin.Endpoints.
 func (o originEndpoints) Incarnation(ctx context.Context, e fleet.Endpoint) (string, error) {
-	if _, limited := o.rateLimits.PerSecond(e.ID); limited {
-		return "", problem.New(problem.Overloaded, "go by the endpoint's entry alone", "endpoint %s has a rate limit", e.ID)
-	}
 	return platform.Incarnations{Conns: o.conns}.Incarnation(ctx, e)
 }
+
+// Limited implements origin.Endpoints. A question uses up a permit of an endpoint with a rate limit.
+func (o originEndpoints) Limited(e fleet.Endpoint) bool {
+	_, limited := o.rateLimits.PerSecond(e.ID)
+	return limited
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -243,6 +243,9 @@
 		call.End(balance.Canceled, nil)
 		return resultNotRun
 	}
+	if outcome, confirmed := u.confirmEndpoint(ctx, call); !confirmed {
+		return outcome
+	}
 	begin := u.Clock.Now()
 	u.crash = crashCheck{}
 	u.versionSample = u.beginSample(call, begin)
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/route"
 )
@@ -17,6 +21,10 @@
 // for one timeout before it breaks, and its client may be refused for another.
 const resumeFactor = 2
 
+// confirmTimeout bounds the time to ask an endpoint which incarnation it is before it continues a stream.
+// An endpoint that is silent for longer would hold up the stream, which another one may continue.
+const confirmTimeout = 500 * time.Millisecond
+
 // Origins knows which software version began each stream.
 type Origins interface {
 	// Begin records the origin of a stream, before its first event is sent.
@@ -27,6 +35,8 @@
 	Refused(endpoint string)
 	// MayHaveRestarted reports whether the version of an endpoint is not certain now.
 	MayHaveRestarted(endpoint string) bool
+	// Confirm asks an endpoint which incarnation it is. The error is set if it does not answer.
+	Confirm(ctx context.Context, e fleet.Endpoint) (origin.Confirmation, error)
 }
 
 // noOrigins knows no streams.
@@ -42,6 +52,10 @@
 
 func (noOrigins) MayHaveRestarted(string) bool { return false }
 
+func (noOrigins) Confirm(context.Context, fleet.Endpoint) (origin.Confirmation, error) {
+	return origin.NotStated, nil
+}
+
 // resumes reports whether the client resumes a stream.
 func (u *run) resumes() bool {
 	return u.route.Kind == route.Stream && (u.request.LastEvent != "" || u.request.Resumes != "")
@@ -127,6 +141,32 @@
 	})
 }
 
+// confirmEndpoint asks the endpoint that is to continue a stream which incarnation it is. Its entry tells
+// of a restart only some time later, and until then its name stands for a version that may be gone. It
+// reports whether the endpoint may continue the stream, and the result of the attempt if not.
+func (u *run) confirmEndpoint(ctx context.Context, call *balance.Call) (attemptResult, bool) {
+	if u.origin == nil {
+		return resultDone, true
+	}
+	begin := u.Clock.Now()
+	asking, cancel := u.until(ctx, begin.Add(confirmTimeout))
+	defer cancel()
+	confirmation, err := u.Origins.Confirm(asking, call.Endpoint)
+	switch {
+	case confirmation == origin.Listed || confirmation == origin.NotStated:
+		return resultDone, true
+	case httpconn.IsBlocked(err):
+		call.End(balance.Canceled, nil)
+		u.logAttempt(call, begin, 0, resultBarred, err)
+		return resultBarred, false
+	case errors.Is(err, syscall.ECONNREFUSED):
+		u.noteRefused(call.Endpoint)
+	}
+	call.End(either(confirmation == origin.NoAnswer && ctx.Err() == nil, balance.Unreachable, balance.Canceled), nil)
+	u.logAttempt(call, begin, 0, resultUnreachable, err)
+	return resultUnreachable, false
+}
+
 // canContinue reports whether an endpoint that was not tried yet may continue the stream.
 func (u *run) canContinue() bool {
 	if u.lastEvent == "" {
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -76,7 +76,7 @@
 	found     map[Source]*metrics.Counter
 	// confirmations count what endpoints said when asked which incarnation they are, doubted the streams
 	// whose version became doubtful.
-	confirmations confirmationCounters
+	confirmations map[Confirmation]*metrics.Counter
 	doubted       *metrics.Counter
 
 	mu sync.Mutex
@@ -92,27 +92,20 @@
 	records []Record
 }
 
-// confirmationCounters count the results of asking endpoints which incarnation they are.
-type confirmationCounters struct{ listed, unlisted, unanswered *metrics.Counter }
-
-func newConfirmationCounters(set *metrics.Set) confirmationCounters {
-	counter := func(result string) *metrics.Counter {
-		return set.NewCounter(`cobaltcroft_incarnations_asked_total{result="` + result + `"}`)
-	}
-	return confirmationCounters{listed: counter("listed"), unlisted: counter("unlisted"), unanswered: counter("unanswered")}
-}
-
 // New returns a registry without records. Tick must be called once per second.
 func New(peers Peers, view View, endpoints Endpoints, clock clockwork.Clock, set *metrics.Set, log *logrus.Entry) *Registry {
 	r := &Registry{
 		peers: peers, view: view, endpoints: endpoints, clock: clock, log: log,
 		table: newTable(clock), history: newHistory(clock), restarts: newRestarts(clock),
 		found: map[Source]*metrics.Counter{}, pending: map[string]*delivery{},
-		confirmations: newConfirmationCounters(set), doubted: set.NewCounter("cobaltcroft_streams_doubtful_total"),
+		confirmations: map[Confirmation]*metrics.Counter{}, doubted: set.NewCounter("cobaltcroft_streams_doubtful_total"),
 	}
 	for _, source := range []Source{Here, Elsewhere, OnlyVersion, Unknown, Doubtful} {
 		r.found[source] = set.NewCounter(`cobaltcroft_streams_resumed_total{known="` + string(source) + `"}`)
 	}
+	for _, result := range []Confirmation{Listed, Unlisted, NotStated, NoAnswer} {
+		r.confirmations[result] = set.NewCounter(`cobaltcroft_incarnations_asked_total{result="` + string(result) + `"}`)
+	}
 	set.NewGauge("cobaltcroft_stream_origins", func() float64 { return float64(r.table.count()) })
 	return r
 }
@@ -139,7 +132,7 @@
 	doubtful, ask := r.restarts.begin(s)
 	record.Doubtful = doubtful
 	if ask {
-		r.clock.AfterFunc(confirmDelay, func() { r.confirm(s.Endpoint) })
+		r.clock.AfterFunc(confirmDelay, func() { r.confirmBegun(s.Endpoint) })
 	}
 	if s.Local {
 		record = r.table.put(record)
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -15,6 +15,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
 	"github.com/cobaltcroft/cobaltcroft/pkg/peer"
+	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
 const (
@@ -30,6 +31,8 @@
 	endpoints []fleet.Endpoint
 	// running are the IDs of the incarnations that endpoints say they are, by name. The others do not say.
 	running map[string]string
+	// limited are the names of the endpoints with a rate limit.
+	limited map[string]bool
 	// silentSince is when the source stopped to confirm the endpoints; zero while it does.
 	silentSince time.Time
 	tickedAt    time.Time
@@ -136,9 +139,15 @@
 	if !says {
 		return "", errors.New("no answer")
 	}
+	if running == "" {
+		return "", problem.New(problem.Invalid, "go by its entry", "it does not say")
+	}
 	return running, nil
 }
 
+// Limited implements origin.Endpoints.
+func (n *node) Limited(e fleet.Endpoint) bool { return n.cluster.limited[e.Name()] }
+
 // begin begins a stream on a connection that is opened for it.
 func (n *node) begin(key origin.Key, e fleet.Endpoint) {
 	n.Begin(origin.Stream{Key: key, Endpoint: e, ConnectedAt: n.cluster.clock.Now(), TTL: lifetime, Local: true})
@@ -381,6 +390,30 @@
 			doubtful(1)
 		})
 
+		It("does not ask an endpoint with a rate limit which incarnation it is, until a request depends on it", func() {
+			n := c.instances[0]
+			c.limited = map[string]bool{"a": true}
+			n.begin(1, listed)
+			c.advance(time.Second)
+			Consistently(n.Confirmations).WithTimeout(30 * time.Millisecond).Should(BeZero())
+			Expect(n.Confirm(context.Background(), listed)).To(Equal(origin.Listed))
+		})
+
+		It("is told by an endpoint that says which incarnation it is, does not say, or does not answer", func(ctx SpecContext) {
+			n := c.instances[0]
+			Expect(n.Confirm(ctx, listed)).To(Equal(origin.Listed))
+			c.running["a"] = "a@2"
+			Expect(n.Confirm(ctx, listed)).To(Equal(origin.Unlisted))
+			Expect(n.MayHaveRestarted("a@1")).To(BeTrue())
+			c.running["a"] = ""
+			Expect(n.Confirm(ctx, listed)).To(Equal(origin.NotStated))
+			Expect(n.Confirm(ctx, v2)).To(Equal(origin.NotStated))
+			c.running = nil
+			got, err := n.Confirm(ctx, listed)
+			Expect(got).To(Equal(origin.NoAnswer))
+			Expect(err).To(HaveOccurred())
+		})
+
 		It("goes on at the restarted endpoint only when its entry has come", func() {
 			n := c.instances[0]
 			c.running["a"] = "a@2"
