discovery: one call without an answer is no outage of the source

What callers saw: all open connections to the store go silent once while new ones work, and an engine's entry goes. Requests that can't be repeated reach that engine 2.7 s and more afterwards (2 s allowed), and some are lost.

Cause: the follower kept endpoints without an entry for 2 s more once 2 s had passed since it last heard of the source, which is the time of a single watch that gets no answer. Ruled out: a late removal (it arrives with the next watch, in time).

Change: an outage also needs two calls that fail in a row. A higher threshold was tried and dropped: it would lose endpoints after outages just below it.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -47,6 +47,9 @@
 	// historyGone and documentHistoryGone make the next watch of that kind return ErrHistoryGone.
 	historyGone         bool
 	documentHistoryGone bool
+	// silent makes the next watch of endpoints get no answer, hung all of them until it is reset.
+	silent bool
+	hung   bool
 	// answersLate delays responses until the context of the call is done.
 	answersLate bool
 	relays      []string
@@ -71,6 +74,12 @@
 	change(s)
 }
 
+func (s *fakeSource) watchCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 // loseHistory sets a new state and makes the next watch of both kinds return ErrHistoryGone.
 func (s *fakeSource) loseHistory(next sourceState) {
 	s.set(func(s *fakeSource) {
@@ -113,6 +122,13 @@
 
 func (s *fakeSource) Watch(ctx context.Context, since revision.Revision, wait time.Duration, _ discovery.Progress) (discovery.Changes, error) {
 	s.set(func(s *fakeSource) { s.watches++ })
+	if s.consume(&s.silent) {
+		<-ctx.Done()
+		return discovery.Changes{}, ctx.Err()
+	}
+	if err := s.awaitUnhung(ctx); err != nil {
+		return discovery.Changes{}, err
+	}
 	state, err := s.await(ctx, since, wait, &s.historyGone)
 	changes := discovery.Changes{Revision: state.Revision}
 	for _, e := range state.Endpoints {
@@ -155,6 +171,19 @@
 	}
 }
 
+// awaitUnhung waits until the source is not hung.
+func (s *fakeSource) awaitUnhung(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		hung := s.hung
+		s.mu.Unlock()
+		if !hung || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (s *fakeSource) isLate() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -388,6 +417,50 @@
 		Consistently(ready).WithTimeout(500 * time.Millisecond).Should(Equal(2))
 	})
 
+	// DRAIN: an endpoint that had gone got requests for two seconds more.
+	Describe("whose connection to the source falls silent", func() {
+		// fallSilent waits until a watch has got no answer.
+		fallSilent := func() {
+			GinkgoHelper()
+			put(store, state(5, 4, 3, "a", "b"))
+			Eventually(ready).Should(Equal(2))
+			before := store.watchCount()
+			store.set(func(s *fakeSource) { s.silent = true })
+			Eventually(store.watchCount).Should(BeNumerically(">", before+1))
+		}
+
+		It("does not retain an endpoint that went meanwhile", func() {
+			put(store, state(5, 4, 3, "a", "b"))
+			Eventually(ready).Should(Equal(2))
+			before := store.watchCount()
+			store.set(func(s *fakeSource) { s.silent = true })
+			Eventually(store.watchCount).Should(BeNumerically(">", before))
+			store.loseHistory(state(9, 4, 3, "b"))
+			Eventually(listed).Should(Equal(revision.Revision(9)))
+			Expect(ready()).To(Equal(1))
+		})
+
+		It("retains an endpoint whose entry expired while the source itself was silent", func() {
+			put(store, state(5, 4, 3, "a", "b"))
+			Eventually(ready).Should(Equal(2))
+			store.set(func(s *fakeSource) { s.hung = true })
+			Eventually(func() time.Duration { return f.View().FleetAge(time.Now()) }).Should(BeNumerically(">", 2900*time.Millisecond))
+			store.loseHistory(state(9, 4, 3, "b"))
+			store.set(func(s *fakeSource) { s.hung = false })
+			Eventually(listed).Should(Equal(revision.Revision(9)))
+			Expect(ready()).To(Equal(2))
+			Eventually(ready).Should(Equal(1))
+		})
+
+		It("does not retain an endpoint that goes after the source has been reached again", func() {
+			fallSilent()
+			Consistently(ready).WithTimeout(500 * time.Millisecond).Should(Equal(2))
+			store.loseHistory(state(9, 4, 3, "b"))
+			Eventually(listed).Should(Equal(revision.Revision(9)))
+			Expect(ready()).To(Equal(1))
+		})
+	})
+
 	It("accepts a newer version from a peer, however long ago the peer heard of the source", func() {
 		put(store, state(5, 4, 3, "a"))
 		Eventually(version).Should(Equal(uint64(3)))
--- a/pkg/discovery/endpoints.go
+++ b/pkg/discovery/endpoints.go
@@ -53,13 +53,15 @@
 		begin := f.clock.Now()
 		if !f.View().Confirmed.IsZero() && f.requestFromRelays(ctx) {
 			fullRead = false
+			f.failedCalls.Store(0)
 			sleep(ctx, f.clock, minRelayInterval-f.clock.Since(begin))
 			continue
 		}
-		err := f.requestFromSource(ctx, fullRead)
+		err := f.requestFromSource(ctx, fullRead, !reached)
 		switch {
 		case err == nil:
 			fullRead = false
+			f.failedCalls.Store(0)
 			retry.Reset()
 			reached = f.logReachability(reached, nil)
 			sleep(ctx, f.clock, watchInterval(first)-f.clock.Since(begin))
@@ -68,6 +70,7 @@
 			f.log.WithFields(logrus.Fields{"event": "history_gone", "of": "endpoints", "revision": f.View().listed.Revision}).Info()
 			fullRead = true
 		case ctx.Err() == nil:
+			f.failedCalls.Add(1)
 			reached = f.logReachability(reached, err)
 			sleep(ctx, f.clock, retry.NextBackOff())
 		}
@@ -105,12 +108,16 @@
 
 // requestFromSource reads all endpoints or watches for changes since the view's revision. A
 // response is delivered even after the call has timed out, because the next watch continues from
-// it.
-func (f *Follower) requestFromSource(ctx context.Context, fullRead bool) error {
+// it. After a failed call the watch does not wait for changes, so that it tells at once whether the source
+// is reachable on a new connection.
+func (f *Follower) requestFromSource(ctx context.Context, fullRead, afterFailure bool) error {
 	if fullRead {
 		return f.readState(ctx)
 	}
 	wait := f.watchTimeout()
+	if afterFailure {
+		wait = 0
+	}
 	callCtx, transfer := newTransfer(ctx, f.clock, wait+responseGrace)
 	defer transfer.end()
 	f.endpointCall.Store(transfer)
--- a/pkg/discovery/follower.go
+++ b/pkg/discovery/follower.go
@@ -61,6 +61,8 @@
 	// fires when endpoints retained after an outage have to be dropped.
 	outageGrace    outageGrace
 	outageGraceEnd <-chan time.Time
+	// failedCalls is the number of calls for endpoints that have failed in a row.
+	failedCalls atomic.Int32
 	// removals contains recently removed entries, and settled fires when the source has been restored
 	// for so long that its entries are believed. Both are only accessed by the goroutine of Run.
 	removals removals
@@ -218,7 +220,7 @@
 		view.Confirmed = at
 	}
 	if heard.After(view.lastHeard) {
-		if f.outageGrace.sourceConfirmed(view.lastHeard, heard) {
+		if f.outageGrace.sourceConfirmed(view.lastHeard, heard, int(f.failedCalls.Load())) {
 			f.outageGraceEnd = f.clock.After(f.outageGrace.until.Sub(now))
 		}
 		view.lastHeard = heard
--- a/pkg/discovery/outage.go
+++ b/pkg/discovery/outage.go
@@ -10,6 +10,10 @@
 	// outageThreshold is how long the source must be unreachable before entries of live endpoints
 	// may have expired there.
 	outageThreshold = 2 * time.Second
+	// minOutageCalls is how many calls in a row must have failed. A single one may have met a
+	// connection that fell silent while the source serves others; the next one is made on a new
+	// connection, and without waiting for changes.
+	minOutageCalls = 2
 	// reregistrationGrace is how long live endpoints may take to register again after an outage.
 	reregistrationGrace = 2 * time.Second
 )
@@ -21,9 +25,10 @@
 type outageGrace struct{ until time.Time }
 
 // sourceConfirmed records that the source confirmed the view at now, after it last did so at
-// before, which is zero if it never did. It reports whether an outage has ended.
-func (l *outageGrace) sourceConfirmed(before, now time.Time) bool {
-	if before.IsZero() || now.Sub(before) < outageThreshold {
+// before, which is zero if it never did, and after a number of calls that failed in a row. It reports
+// whether an outage has ended.
+func (l *outageGrace) sourceConfirmed(before, now time.Time, failedCalls int) bool {
+	if before.IsZero() || now.Sub(before) < outageThreshold || failedCalls < minOutageCalls {
 		return false
 	}
 	l.until = now.Add(reregistrationGrace)
