discovery: the spec of a silent source waits for two failed watches, not for a time

It failed twice in a row when its source hung before the first watch, which begins a second after the first read: the age of 2.9 s was then reached within one call. Traced by the order of the calls. The check is the same.

--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -156,7 +156,8 @@
 			put(store, state(5, 4, 3, "a", "b"))
 			Eventually(ready).Should(Equal(2))
 			store.set(func(s *fakeSource) { s.hung = true })
-			Eventually(func() time.Duration { return f.View().FleetAge(time.Now()) }).Should(BeNumerically(">", 2900*time.Millisecond))
+			// The third one is started when two have failed.
+			Eventually(store.hungWatchCount).Should(BeNumerically(">=", 3))
 			store.loseHistory(state(9, 4, 3, "b"))
 			store.set(func(s *fakeSource) { s.hung = false })
 			Eventually(listed).Should(Equal(revision.Revision(9)))
--- a/pkg/discovery/fake_source_test.go
+++ b/pkg/discovery/fake_source_test.go
@@ -39,6 +39,8 @@
 	// silent makes the next watch of endpoints get no answer, hung all of them until it is reset.
 	silent bool
 	hung   bool
+	// hungWatches is the number of watches that were started while the source hung.
+	hungWatches int
 	// answersLate delays responses until the context of the call is done.
 	answersLate bool
 	relays      []string
@@ -69,6 +71,12 @@
 	return s.watches
 }
 
+func (s *fakeSource) hungWatchCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hungWatches
+}
+
 // loseHistory sets a new state and makes the next watch of both kinds return ErrHistoryGone.
 func (s *fakeSource) loseHistory(next sourceState) {
 	s.set(func(s *fakeSource) {
@@ -162,6 +170,11 @@
 
 // awaitUnhung waits until the source is not hung.
 func (s *fakeSource) awaitUnhung(ctx context.Context) error {
+	s.set(func(s *fakeSource) {
+		if s.hung {
+			s.hungWatches++
+		}
+	})
 	for {
 		s.mu.Lock()
 		hung := s.hung
