bootclock, gateway: one context with a deadline of the clock, and a silent report is no fault

The gateway and the planner each had a context that ends at a time of the injected clock; bootclock.WithDeadline serves both.

An endpoint that does not answer the question before a stream goes on counted as unreachable, as if no connection had been made. A sound endpoint may be silent for a second: only one without a connection counts so now.

--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -15,6 +15,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/bootclock"
 	"github.com/cobaltcroft/cobaltcroft/pkg/discovery"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
@@ -230,7 +231,7 @@
 		u.refuse(refusal)
 		return
 	}
-	ctx, cancel := u.until(ctx, u.deadline)
+	ctx, cancel := bootclock.WithDeadline(ctx, u.Clock, u.deadline)
 	defer cancel()
 	if refusal := u.bindResumed(ctx); refusal != nil {
 		u.refuse(refusal)
@@ -251,17 +252,6 @@
 	}
 }
 
-// until returns a context that ends at the given time of the clock. Go's context deadlines do not
-// advance while the machine is suspended.
-func (u *run) until(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	timer := u.Clock.AfterFunc(at.Sub(u.Clock.Now()), cancel)
-	return ctx, func() {
-		timer.Stop()
-		cancel()
-	}
-}
-
 // resolve determines the route, service and organisation.
 func (u *run) resolve() *Refusal {
 	table := u.view.Table
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
+	"github.com/cobaltcroft/cobaltcroft/pkg/bootclock"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
@@ -149,7 +150,7 @@
 		return resultDone, true
 	}
 	begin := u.Clock.Now()
-	asking, cancel := u.until(ctx, begin.Add(confirmTimeout))
+	asking, cancel := bootclock.WithDeadline(ctx, u.Clock, begin.Add(confirmTimeout))
 	defer cancel()
 	confirmation, err := u.Origins.Confirm(asking, call.Endpoint)
 	switch {
@@ -162,7 +163,8 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		u.noteRefused(call.Endpoint)
 	}
-	call.End(either(confirmation == origin.NoAnswer && ctx.Err() == nil, balance.Unreachable, balance.Canceled), nil)
+	// A sound endpoint may be silent for a second: only one without a connection counts as unreachable.
+	call.End(either(httpconn.NotSent(err) && asking.Err() == nil, balance.Unreachable, balance.Canceled), nil)
 	u.logAttempt(call, begin, 0, resultUnreachable, err)
 	return resultUnreachable, false
 }
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/bootclock"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 )
@@ -60,7 +61,7 @@
 	ctx, cancel := u.untilDrained(ctx)
 	defer cancel()
 	begin := u.Clock.Now()
-	ctx, stop := u.until(ctx, u.stagesDeadline())
+	ctx, stop := bootclock.WithDeadline(ctx, u.Clock, u.stagesDeadline())
 	defer stop()
 	plan := u.plan()
 	outcome := u.Stages.Run(ctx, plan)
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/batch"
+	"github.com/cobaltcroft/cobaltcroft/pkg/bootclock"
 )
 
 // Batcher processes pieces in batches. It is implemented by batch.Batcher.
@@ -87,7 +88,7 @@
 func (p *Planner) Run(ctx context.Context, part Part, plan Plan) Outcome {
 	begin := p.clock.Now()
 	// The instance that handed the plan over may not be able to cancel it.
-	ctx, cancel := p.untilDeadline(ctx, &plan)
+	ctx, cancel := bootclock.WithDeadline(ctx, p.clock, plan.Deadline)
 	defer cancel()
 	plan.dropMalformed()
 	p.inspect(ctx, part, &plan)
@@ -115,16 +116,6 @@
 	return outcome
 }
 
-// untilDeadline returns a context that ends with ctx or at the deadline of a plan.
-func (p *Planner) untilDeadline(ctx context.Context, plan *Plan) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	timer := p.clock.AfterFunc(plan.Deadline.Sub(p.clock.Now()), cancel)
-	return ctx, func() {
-		timer.Stop()
-		cancel()
-	}
-}
-
 // logDecision logs and counts the admission or refusal of a plan.
 func (p *Planner) logDecision(part Part, plan *Plan, d decision) {
 	p.log.WithFields(logrus.Fields{
