--- a/pkg/pipeline/graphs_test.go
+++ b/pkg/pipeline/graphs_test.go
@@ -123,6 +123,13 @@
 		}
 	})
 
+	It("completes it without a deadline", func() {
+		plan := pipeline.Plan{Request: "r", Stages: []pipeline.Stage{{Service: "s", Pieces: 1}}, Due: clock.Now().Add(time.Minute)}
+		for range 200 {
+			Expect(p.Run(context.Background(), pipeline.Part{Of: 1}, plan).Reason).To(BeEmpty())
+		}
+	})
+
 	It("ends at the deadline, though stages wait for each other and its caller does not cancel it", func() {
 		done := run([]pipeline.Stage{{After: []int{1}, Pieces: 1}, {After: []int{0}, Pieces: 1}})
 		Consistently(done).WithTimeout(30 * time.Millisecond).ShouldNot(Receive())
--- a/pkg/pipeline/plan.go
+++ b/pkg/pipeline/plan.go
@@ -31,7 +31,7 @@
 	// Key identifies the input of the stages that read no other stage.
 	Key string `json:"key,omitempty"`
 	// Due is when the stages must be completed for the request to meet its objective. Deadline is
-	// when the request is abandoned.
+	// when the request is abandoned; zero means never.
 	Due      time.Time `json:"-"`
 	Deadline time.Time `json:"-"`
 	Priority int       `json:"priority"`
--- a/pkg/pipeline/planner.go
+++ b/pkg/pipeline/planner.go
@@ -87,9 +87,12 @@
 // deadline ends first, completed results are freed.
 func (p *Planner) Run(ctx context.Context, part Part, plan Plan) Outcome {
 	begin := p.clock.Now()
-	// The instance that handed the plan over may not be able to cancel it.
-	ctx, cancel := bootclock.WithDeadline(ctx, p.clock, plan.Deadline)
-	defer cancel()
+	if !plan.Deadline.IsZero() {
+		// The instance that handed the plan over may not be able to cancel it.
+		var cancel context.CancelFunc
+		ctx, cancel = bootclock.WithDeadline(ctx, p.clock, plan.Deadline)
+		defer cancel()
+	}
 	plan.dropMalformed()
 	p.inspect(ctx, part, &plan)
 	for _, made := range plan.Completed {
