batch: the spec of an inspection waits until each probe's outcome is recorded

Traced: the stand-in counts a probe before its outcome is recorded. If the clock goes on and the batcher ticks in between, the probe is still under way, and its back-off counts from the later time, so that no further probe is due. Its counts and bounds are as they were.

--- a/pkg/batch/export_test.go
+++ b/pkg/batch/export_test.go
@@ -18,3 +18,17 @@
 	}
 	return ids
 }
+
+// Probing reports whether the outcome of a probe is still to be recorded.
+func (b *Batcher) Probing() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		for _, w := range s.workers {
+			if w.probing {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/batch/ledger_test.go
+++ b/pkg/batch/ledger_test.go
@@ -182,6 +182,8 @@
 			clock.Advance(5 * time.Second)
 			b.Tick()
 			Eventually(e.Probes).Should(Equal(probes + 1))
+			// The next back-off counts from when the outcome is recorded.
+			Eventually(b.Probing).Should(BeFalse())
 		}
 		e.setUnreachable("a", false)
 		clock.Advance(2100 * time.Millisecond)
