--- a/cmd/cobaltcroft-soak/cmds/cmds.go
+++ b/cmd/cobaltcroft-soak/cmds/cmds.go
@@ -2,6 +2,7 @@
 package cmds
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -15,7 +16,16 @@
 
 const exitBreach = 1
 
+// errBreach is returned when a check failed.
+var errBreach = errors.New("a check failed")
+
+// commandLine is the command line: faults are played unless another command is named.
 type commandLine struct {
+	Faults faultsCommand `cmd:"" default:"withargs" help:"Play faults on the instances."`
+	Crowd  crowdCommand  `cmd:"" help:"Have most new connections come to one instance."`
+}
+
+type faultsCommand struct {
 	Program   string        `default:"bin/cobaltcroftd" type:"path" help:"The program whose instances are run."`
 	From      string        `help:"Begin with the program of an earlier commit, replace the instances one after the other by the present one, go back, and forward again; last: the newest of the landings."`
 	IfThere   bool          `help:"Where the history lacks the commit of --from, such as in a shallow clone, say so and play nothing."`
@@ -28,21 +38,28 @@
 	Dir       string        `help:"Where settings and logs are kept; a temporary folder if not given. That of a seed without a breach is removed."`
 }
 
-// Main runs the seeds and exits with status 1 if a check failed.
+// Main runs the command and exits with status 1 if a check failed.
 func Main() {
 	var line commandLine
-	kong.Parse(&line, kong.Name("cobaltcroft-soak"), kong.Description("Plays faults on real instances before stand-ins of the platform, and checks what must always hold."))
+	ctx := kong.Parse(&line, kong.Name("cobaltcroft-soak"), kong.Description("Plays faults on real instances before stand-ins of the platform, and checks what must always hold."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
+		os.Exit(exitBreach)
+	}
+}
+
+// Run runs the seeds.
+func (line *faultsCommand) Run() error {
 	if line.Seed == 0 {
 		line.Seed = uint64(time.Now().UnixNano())
 	}
 	earlier, cleanUp, err := line.buildEarlier()
 	if line.IfThere && problem.KindOf(err) == problem.NotFound {
 		fmt.Println("mixed builds are not played:", err)
-		return
+		return nil
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
-		os.Exit(exitBreach)
+		return err
 	}
 	defer cleanUp()
 	broken := 0
@@ -53,9 +70,9 @@
 	}
 	fmt.Printf("%d seeds, %d with a breach\n", line.Seeds, broken)
 	if broken > 0 {
-		cleanUp()
-		os.Exit(exitBreach)
+		return errBreach
 	}
+	return nil
 }
 
 // earlier is the build with which the instances start. Its program is empty if that is the current build.
@@ -65,11 +82,11 @@
 }
 
 // buildEarlier builds the requested earlier program, if any. The returned function removes it.
-func (c commandLine) buildEarlier() (earlier, func(), error) {
-	if c.From == "" {
+func (line *faultsCommand) buildEarlier() (earlier, func(), error) {
+	if line.From == "" {
 		return earlier{}, func() {}, nil
 	}
-	l, err := readLanding(c.Landings, c.From)
+	l, err := readLanding(line.Landings, line.From)
 	if err != nil {
 		return earlier{}, nil, err
 	}
@@ -88,8 +105,8 @@
 }
 
 // play runs one seed and reports whether all checks passed.
-func (c commandLine) play(seed uint64, from earlier) bool {
-	base := c.Dir
+func (line *faultsCommand) play(seed uint64, from earlier) bool {
+	base := line.Dir
 	if base == "" {
 		base = os.TempDir()
 	}
@@ -98,7 +115,7 @@
 		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
 		return false
 	}
-	report, err := soak.Run(soak.Options{Program: c.Program, EarlierProgram: from.program, MissingGuarantees: from.lacks, Dir: dir, Seed: seed, Duration: c.Length, Instances: c.Instances, Clients: c.Clients})
+	report, err := soak.Run(soak.Options{Program: line.Program, EarlierProgram: from.program, MissingGuarantees: from.lacks, Dir: dir, Seed: seed, Duration: line.Length, Instances: line.Instances, Clients: line.Clients})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cobaltcroft-soak:", err)
 		return false
