overload, httpconn: how long work waits for a processor, and connections in use

The runtime's scheduler knows how long goroutines waited; the pool how many connections are open and how often all were in use.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
 	"github.com/cobaltcroft/cobaltcroft/pkg/notice"
 	"github.com/cobaltcroft/cobaltcroft/pkg/origin"
+	"github.com/cobaltcroft/cobaltcroft/pkg/overload"
 	"github.com/cobaltcroft/cobaltcroft/pkg/ownership"
 	"github.com/cobaltcroft/cobaltcroft/pkg/pipeline"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
@@ -120,6 +121,8 @@
 	origins *origin.Registry
 	// held accounts for the memory of request and response bodies.
 	held *memquota.Quota
+	// overload judges whether this instance has more work than processor time.
+	overload *overload.Monitor
 
 	batcher  *batch.Batcher
 	executor *pkggateway.Executor
@@ -286,6 +289,7 @@
 		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
 	g.addViewGauges()
+	g.overload = overload.NewMonitor(overload.NewSchedulerWaits(), g.clock, g.metrics, g.logs.For("overload"))
 	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, handover.Backends{Follower: g.follower, Rollouts: g.rollouts, Permits: g.permits, Origins: g.origins})
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
@@ -295,6 +299,7 @@
 func (g *Gateway) addViewGauges() {
 	g.metrics.NewGauge("cobaltcroft_endpoints_resting", func() float64 { return float64(g.backoffs.Count()) })
 	g.metrics.NewGauge("cobaltcroft_endpoints_departing", func() float64 { return float64(g.follower.Departures()) })
+	g.metrics.NewGauge("cobaltcroft_requests_in_progress", func() float64 { return float64(g.ingress.InFlight()) })
 	g.metrics.NewGauge("cobaltcroft_entries_refused_total", func() float64 { return float64(g.follower.RefusedEntries()) })
 	g.metrics.NewGauge("cobaltcroft_source_older_total", func() float64 { return float64(g.follower.OlderResponses()) })
 	g.metrics.NewGauge("cobaltcroft_evacuated_failure_domains", func() float64 { return float64(len(g.follower.View().Evacuations().All())) })
@@ -378,6 +383,7 @@
 	g.tomb.Go(func() error { return g.runProber(ctx) })
 	g.tomb.Go(func() error { return g.ingress.Serve(g.listeners.requests) })
 	g.tomb.Go(func() error { g.ingress.Sweep(ctx); return nil })
+	g.tomb.Go(func() error { g.overload.Run(ctx); return nil })
 	g.tomb.Go(func() error { g.quarantine.Run(ctx); return nil })
 	g.tomb.Go(func() error { g.rollouts.Run(ctx); return nil })
 	g.tomb.Go(func() error { g.every(ctx, batchTick, g.batcher.Tick); return nil })
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -70,6 +70,8 @@
 	dialed  *metrics.Counter
 	reused  *metrics.Counter
 	blocked *metrics.Counter
+	// full counts the calls for which all connections to the endpoint were in use.
+	full *metrics.Counter
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointConns
@@ -99,7 +101,7 @@
 
 // NewPool returns an empty pool that registers its counters in set.
 func NewPool(clock clockwork.Clock, set *metrics.Set, gates Gates, observe ResponseObserver) *Pool {
-	return &Pool{
+	p := &Pool{
 		clock:     clock,
 		dialer:    TCPDialer{Timeout: DefaultDialTimeout},
 		gates:     gates,
@@ -107,9 +109,23 @@
 		dialed:    set.NewCounter("cobaltcroft_endpoint_connections_opened_total"),
 		reused:    set.NewCounter("cobaltcroft_endpoint_connections_reused_total"),
 		blocked:   set.NewCounter("cobaltcroft_endpoint_calls_barred_total"),
+		full:      set.NewCounter("cobaltcroft_endpoint_connections_all_in_use_total"),
 		endpoints: map[string]*endpointConns{},
 		silence:   newSilenceMonitor(),
 	}
+	set.NewGauge("cobaltcroft_endpoint_connections_open", func() float64 { return float64(p.openConnections()) })
+	return p
+}
+
+// openConnections returns the number of connections to all endpoints, idle ones included.
+func (p *Pool) openConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := 0
+	for _, e := range p.endpoints {
+		open += e.open
+	}
+	return open
 }
 
 // UseDialer replaces the dialer. It must be called before the first call.
@@ -167,6 +183,7 @@
 		_ = c.Close()
 	}
 	if target.MaxConnections > 0 && e.open >= target.MaxConnections {
+		p.full.Inc()
 		return nil, notSent(problem.New(problem.Overloaded, "wait for a call to this endpoint to complete", "endpoint %s: all %d connections are in use", target.ID, e.open))
 	}
 	e.open++
