overload, ingress: an instance takes the connections that it has processor time for

Cause: the instance accepted and read all that came, whatever processor time it had, so that each request's share of it was too small for any to be done before its client left; 428 requests were in progress where 45 a second can be carried.

The specs of cmd/cobaltcroftd/gateway, whose instances share one process with engines and clients, set no limit: there the waits are those of all of them.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -121,7 +121,7 @@
 	origins *origin.Registry
 	// held accounts for the memory of request and response bodies.
 	held *memquota.Quota
-	// overload judges whether this instance has more work than processor time.
+	// overload judges whether this instance has more work than processor time, and limits new connections.
 	overload *overload.Monitor
 
 	batcher  *batch.Batcher
@@ -289,8 +289,8 @@
 		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
 	g.addViewGauges()
-	g.overload = overload.NewMonitor(overload.NewSchedulerWaits(), g.clock, g.metrics, g.logs.For("overload"))
-	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Clock: g.clock, Log: g.logs.For("ingress")})
+	g.overload = overload.NewMonitor(s.MaxProcessorWait(), overload.NewSchedulerWaits(), g.clock, g.metrics, g.logs.For("overload"))
+	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Overload: g.overload, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, handover.Backends{Follower: g.follower, Rollouts: g.rollouts, Permits: g.permits, Origins: g.origins})
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
 }
--- a/cmd/cobaltcroftd/gateway/suite_test.go
+++ b/cmd/cobaltcroftd/gateway/suite_test.go
@@ -70,6 +70,8 @@
 	s.StopGraceSeconds = 4
 	s.Peers, s.PeerToken, s.Store = peers, "a shared token", store
 	s.Retries = settings.GatewayRetries{Ratio: 1, Slack: 100, WindowSeconds: 10}
+	// The instances, the engines and the clients share one process, whose waits are those of all of them.
+	s.MaxProcessorWaitMs = 0
 	change(&s)
 	data, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/overload/suite_test.go
+++ b/pkg/overload/suite_test.go
@@ -1,4 +1,4 @@
-package overload_test
+package overload
 
 import (
 	"testing"
--- a/pkg/overload/waits.go
+++ b/pkg/overload/waits.go
@@ -20,28 +20,32 @@
 // NewSchedulerWaits returns a measurement that begins now.
 func NewSchedulerWaits() *SchedulerWaits {
 	w := &SchedulerWaits{sample: []metrics.Sample{{Name: schedulerLatencies}}}
-	w.Since()
+	w.Mean()
 	return w
 }
 
-// Since implements Waits.
-func (w *SchedulerWaits) Since() (sum time.Duration, count uint64) {
+// Mean implements Waits.
+func (w *SchedulerWaits) Mean() time.Duration {
 	metrics.Read(w.sample)
 	if w.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
-		return 0, 0
+		return 0
 	}
 	histogram := w.sample[0].Value.Float64Histogram()
 	if w.counts == nil {
 		w.counts = make([]uint64, len(histogram.Counts))
 	}
 	var seconds float64
+	var count uint64
 	for i, n := range histogram.Counts {
 		since := n - w.counts[i]
 		w.counts[i] = n
 		count += since
 		seconds += float64(since) * lowerBound(histogram.Buckets, i)
 	}
-	return time.Duration(seconds * float64(time.Second)), count
+	if count == 0 {
+		return 0
+	}
+	return time.Duration(seconds / float64(count) * float64(time.Second))
 }
 
 // lowerBound returns the lower bound of a bucket in seconds. The first one is unbounded.
--- a/pkg/overload/waits_test.go
+++ b/pkg/overload/waits_test.go
@@ -1,4 +1,4 @@
-package overload_test
+package overload
 
 import (
 	"runtime"
@@ -7,13 +7,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/cobaltcroft/cobaltcroft/pkg/overload"
 )
 
 var _ = Describe("the waits of goroutines for a processor", func() {
 	It("grow with the goroutines that want to run", func() {
-		waits := overload.NewSchedulerWaits()
+		waits := NewSchedulerWaits()
 		var group sync.WaitGroup
 		for range 100 * runtime.GOMAXPROCS(0) {
 			group.Go(func() {
@@ -23,8 +21,6 @@
 			})
 		}
 		group.Wait()
-		sum, count := waits.Since()
-		Expect(count).NotTo(BeZero())
-		Expect(sum).NotTo(BeZero())
+		Expect(waits.Mean()).NotTo(BeZero())
 	})
 })
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -36,6 +36,9 @@
 	// StartWaitMs is how long after the start of the instance, in milliseconds, requests wait for the
 	// first view; 0 refuses them at once.
 	StartWaitMs int `json:"start_wait_ms"`
+	// MaxProcessorWaitMs is how long work may wait for a processor, in milliseconds in the mean. While it
+	// waits longer, the instance closes some of the new connections unread; 0 closes none.
+	MaxProcessorWaitMs float64 `json:"max_processor_wait_ms"`
 	// MaxPieces is the maximum number of pieces of all stages of a request together.
 	MaxPieces int             `json:"max_pieces"`
 	Retries   GatewayRetries  `json:"retries"`
@@ -90,6 +93,9 @@
 // StartWait returns how long after the start of the instance requests wait for the first view.
 func (g Gateway) StartWait() time.Duration { return time.Duration(g.StartWaitMs) * time.Millisecond }
 
+// MaxProcessorWait returns how long work may wait for a processor; 0 for any time.
+func (g Gateway) MaxProcessorWait() time.Duration { return seconds(g.MaxProcessorWaitMs / 1000) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // GatewayDefaults returns the values of fields that the file omits.
@@ -101,6 +107,8 @@
 		MaxPieces:        1000,
 		Retries:          GatewayRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 		Rollouts:         GatewayRollouts{Share: 0.1},
+
+		MaxProcessorWaitMs: 20,
 	}
 }
 
@@ -137,6 +145,8 @@
 	maxGrace    = 600
 	// maxStartWaitMs is the longest wait for the first view in milliseconds.
 	maxStartWaitMs = 5000
+	// maxProcessorWaitMs is the longest wait for a processor in milliseconds that can be set.
+	maxProcessorWaitMs = 1000
 	// maxPiecesLimit bounds the memory and time that the plan of one request takes.
 	maxPiecesLimit = 20_000
 	// maxProcessors and maxLinkMbps are far above those of any machine. They detect values in the wrong
@@ -169,6 +179,7 @@
 	c.count("memory_mb", int64(g.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.duration("stop_grace_seconds", Duration(g.StopGrace()), time.Second, maxGrace*time.Second)
 	c.count("start_wait_ms", int64(g.StartWaitMs), 0, maxStartWaitMs)
+	c.between("max_processor_wait_ms", g.MaxProcessorWaitMs, 0, maxProcessorWaitMs)
 	c.count("max_pieces", int64(g.MaxPieces), 1, maxPiecesLimit)
 	c.duration("retries.window_seconds", Duration(g.Retries.Window()), time.Second, maxGrace*time.Second)
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
--- a/service/ingress/conns.go
+++ b/service/ingress/conns.go
@@ -35,13 +35,19 @@
 	server *Server
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Connections that the instance has no processor time for are closed unread,
+// so that their clients try another instance.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.Overload.Admit() {
+			return &trackingConn{c, l.server}, nil
+		}
+		_ = c.Close()
 	}
-	return &trackingConn{c, l.server}, nil
 }
 
 type trackingConn struct {
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -50,6 +50,20 @@
 	refusalRetryAfter = 50 * time.Millisecond
 )
 
+// Overload judges whether the instance has more work than processor time.
+type Overload interface {
+	// Admit reports whether a new connection is taken; otherwise it is closed unread.
+	Admit() bool
+	// Limited reports whether new connections are limited.
+	Limited() bool
+}
+
+// noOverload takes all connections.
+type noOverload struct{}
+
+func (noOverload) Admit() bool   { return true }
+func (noOverload) Limited() bool { return false }
+
 // Options configures a server.
 type Options struct {
 	Run     func(ctx context.Context, r *gateway.Request, responder gateway.Responder)
@@ -57,9 +71,11 @@
 	// Limits returns the client limits of the current configuration, if there is one.
 	Limits func() (route.Limits, bool)
 	// Held accounts for the memory of request bodies. If nil, it is unlimited.
-	Held  *memquota.Quota
-	Clock clockwork.Clock
-	Log   *logrus.Entry
+	Held *memquota.Quota
+	// Overload limits new connections. If nil, all are taken.
+	Overload Overload
+	Clock    clockwork.Clock
+	Log      *logrus.Entry
 }
 
 // Server serves requests of clients over HTTP.
@@ -85,6 +101,9 @@
 	if o.Held == nil {
 		o.Held = memquota.NewQuota(0)
 	}
+	if o.Overload == nil {
+		o.Overload = noOverload{}
+	}
 	s := &Server{Options: o, idle: map[net.Conn]time.Time{}, reading: map[net.Conn]time.Time{}}
 	s.server = &http.Server{
 		Handler:           s,
@@ -138,9 +157,10 @@
 	}
 }
 
-// setKeepAlive advertises the idle timeout, or closes the connection after the response.
+// setKeepAlive advertises the idle timeout, or closes the connection after the response. Clients that keep
+// connections to an instance with too much work would stay there.
 func (s *Server) setKeepAlive(h http.Header) {
-	if s.closeConns.Load() {
+	if s.closeConns.Load() || s.Overload.Limited() {
 		h.Set("Connection", "close")
 		return
 	}
