overload: the wait for a processor is judged over half a second, by the instance's share

Ruled out: a lower bound for both alone, which took instances for overloaded that were used to less than a half (a garbage collection makes all else wait for 3 ms of processor time, which is 60 ms at a share of 0.05).

Now both waits are added, without what such work takes at the instance's share; three of five periods decide; the first limit is the average rate of the last two seconds in place of 0.7 of it, and the limit rises by half within a second.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -289,7 +289,14 @@
 		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
 	g.addViewGauges()
-	g.overload = overload.NewMonitor(s.MaxProcessorWait(), overload.NewSchedulerWaits(), g.clock, g.metrics, g.logs.For("overload"))
+	g.overload = overload.NewMonitor(overload.Options{
+		MaxWait:    s.MaxProcessorWait(),
+		Processors: s.Machine.Cores(),
+		Waits:      overload.NewSchedulerWaits(),
+		Clock:      g.clock,
+		Metrics:    g.metrics,
+		Log:        g.logs.For("overload"),
+	})
 	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Overload: g.overload, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, handover.Backends{Follower: g.follower, Rollouts: g.rollouts, Permits: g.permits, Origins: g.origins})
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
--- a/pkg/overload/limiter.go
+++ b/pkg/overload/limiter.go
@@ -13,8 +13,8 @@
 	rateTime = 2 * time.Second
 	// The waits are too long if they were so in at least longPeriods of the last judgedPeriods. A garbage
 	// collection makes work wait for a moment, and a period may hold few waits.
-	judgedPeriods = 3
-	longPeriods   = 2
+	judgedPeriods = 5
+	longPeriods   = 3
 	// minRate is the lowest limit in connections per second. An instance that is ready must not turn all away.
 	minRate = 2.0
 	// cutFactor is applied to the rate while the waits are too long, once per cutPeriod: what was taken
@@ -23,7 +23,7 @@
 	cutPeriod = 500 * time.Millisecond
 	// growth is the fraction by which the limit rises per second, and minGrowth the least rise in connections
 	// per second, per second. A stream needs the processor for seconds after it has begun.
-	growth    = 0.25
+	growth    = 0.5
 	minGrowth = 2.0
 	// burstTime is the time for which unused connections accumulate, and minBurst the least number.
 	burstTime = 100 * time.Millisecond
@@ -115,20 +115,14 @@
 	case overloaded && !l.limited:
 		l.limited = true
 		l.tokens, l.filledAt = 0, now
-		l.cut(now, l.averageRate)
+		l.rate, l.cutAt = max(minRate, l.averageRate), now
 	case overloaded && now.Sub(l.cutAt) >= cutPeriod:
-		l.cut(now, l.rate)
+		l.rate, l.cutAt = max(minRate, l.rate*cutFactor), now
 	case !overloaded && l.limited:
 		l.relax(now, closed, elapsed)
 	}
 }
 
-// cut limits the connections to less than the given rate.
-func (l *limiter) cut(now time.Time, rate float64) {
-	l.rate = max(minRate, rate*cutFactor)
-	l.cutAt = now
-}
-
 // relax raises the limit if it closed connections although there is processor time for more, and ends it if
 // it closed none for long.
 func (l *limiter) relax(now time.Time, closed int, elapsed time.Duration) {
--- a/pkg/overload/monitor_test.go
+++ b/pkg/overload/monitor_test.go
@@ -13,7 +13,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/logging"
 )
 
-const maxWait = 20 * time.Millisecond
+const maxWait = 10 * time.Millisecond
 
 // fakeWaits returns a settable mean wait.
 type fakeWaits struct{ mean time.Duration }
@@ -30,7 +30,7 @@
 	build := func(limit time.Duration) {
 		clock = clockwork.NewFakeClock()
 		waits = &fakeWaits{}
-		monitor = NewMonitor(limit, waits, clock, metrics.NewSet(), logging.Discard().For("overload"))
+		monitor = NewMonitor(Options{MaxWait: limit, Waits: waits, Clock: clock, Metrics: metrics.NewSet(), Log: logging.Discard().For("overload")})
 	}
 
 	BeforeEach(func() { build(maxWait) })
@@ -68,10 +68,22 @@
 	})
 
 	It("are limited while the whole process gets no processor, by its late timers", func() {
-		offer(longPeriods, 25, toleratedStall+maxWait)
+		offer(longPeriods, 25, soleWork+maxWait)
 		Expect(monitor.Limited()).To(BeTrue())
 	})
 
+	It("are limited while requests are refused for want of something of the instance", func() {
+		for range longPeriods {
+			monitor.ReportExhausted()
+			offer(1, 25, 0)
+		}
+		Expect(monitor.Limited()).To(BeTrue())
+		offer(judgedPeriods, 25, 0)
+		before := monitor.connectionLimit()
+		offer(10, 25, 0)
+		Expect(monitor.connectionLimit()).To(BeNumerically(">", before))
+	})
+
 	It("are not limited for a single long wait, as after a suspension", func() {
 		offer(20, 25, 0)
 		Expect(offer(1, 25, 3*time.Second)).To(Equal(25))
@@ -107,7 +119,7 @@
 		for seed := range uint64(1000) {
 			random := rand.New(rand.NewPCG(seed, 0))
 			clock, waits := clockwork.NewFakeClock(), &fakeWaits{}
-			monitor := NewMonitor(maxWait, waits, clock, metrics.NewSet(), logging.Discard().For("overload"))
+			monitor := NewMonitor(Options{MaxWait: maxWait, Waits: waits, Clock: clock, Metrics: metrics.NewSet(), Log: logging.Discard().For("overload")})
 			// capacity is in requests per second, of which usual come before the crowd.
 			capacity := math.Exp(random.Float64()*4 + 1.5)
 			usual := capacity * (0.1 + 0.6*random.Float64())
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -108,7 +108,7 @@
 		Retries:          GatewayRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 		Rollouts:         GatewayRollouts{Share: 0.1},
 
-		MaxProcessorWaitMs: 20,
+		MaxProcessorWaitMs: 10,
 	}
 }
 
