gateway, httpconn: the shares of an endpoint's connections add up to what it takes

Cause: each of n instances had 2/(n+1) of an endpoint's connections, two at least, which adds up to nearly twice as many, and questions to engines had no bound at all. And an endpoint to which this instance may open no more was taken for one that can't be reached: it counted against its version, and five of them ended the request as no_endpoint, though others were free.

Now the pool bounds all connections in one place by MaxConns/n, n with those that leave; the last of several is left to questions. All in use is a result of its own: another endpoint is taken, else the request waits as for room, and is then refused as connections_in_use. An instance that refuses for want of connections, or of memory, takes fewer new connections, as for want of processor time. Endpoints of stages are called by their owner alone, as before.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -103,6 +103,8 @@
 	// unknownTerms are the unknown terms of endpoints and of the store already logged.
 	unknownTerms sync.Map
 	conns        *httpconn.Pool
+	// connecting is the number of instances that share the connections to endpoints; 0 before the first count.
+	connecting atomic.Int64
 	// reach tracks which endpoints this instance can connect to. dialer connects to them, prober finds
 	// out when they are reached again, tunnels carries connections of other instances.
 	reach    *reach.Tracker
@@ -246,7 +248,7 @@
 	g.permits = throttle.NewLimiter(g.rateLimits, permitPeers, g.domainOf, g.clock, g.logs.For("throttle"))
 	g.backoffs = notice.NewBackoffs(g.clock, g.permits, g.logs.For("notice"))
 	g.metrics.NewGauge("cobaltcroft_endpoints_limited", func() float64 { return float64(g.rateLimits.Count()) })
-	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit}, g.observeResponse)
+	g.conns = httpconn.NewPool(g.clock, g.metrics, httpconn.Gates{Connect: g.checkRouting, Send: g.checkBackoff, Permit: g.takePermit, Connections: g.maxConnections}, g.observeResponse)
 	g.buildPaths()
 	g.balancer = balance.New(g.clock, g.backoffs)
 	g.room = room.NewTable(roomGroup{g}, g.clock, g.logs.For("room"))
@@ -264,6 +266,14 @@
 	originPeers := &handover.OriginPeers{Client: g.client, Gossip: g.gossip, LiveMembers: g.group.Live}
 	g.origins = origin.New(originPeers, originView{g.follower}, originEndpoints{g}, g.clock, g.metrics, g.logs.For("origin"))
 	g.gossip.OnOrigins(g.origins.Merge)
+	g.overload = overload.NewMonitor(overload.Options{
+		MaxWait:    s.MaxProcessorWait(),
+		Processors: s.Machine.Cores(),
+		Waits:      overload.NewSchedulerWaits(),
+		Clock:      g.clock,
+		Metrics:    g.metrics,
+		Log:        g.logs.For("overload"),
+	})
 	g.executor = pkggateway.New(pkggateway.Options{
 		View:      g.follower.View,
 		Dialect:   platform.Dialect{},
@@ -276,10 +286,10 @@
 		Metrics:   g.metrics,
 		Domain:    s.FailureDomain,
 		Regions:   s.Regions,
-		Instances: g.instances,
 		Sponsors:  g.sponsors,
 		Reachable: g.reachable,
 		Isolated:  g.isolated,
+		Exhausted: g.overload.ReportExhausted,
 
 		Quarantine: g.quarantine,
 		Rollouts:   g.rollouts.Participant,
@@ -289,14 +299,6 @@
 		StartWait:  pkggateway.StartWait{Until: g.started.Add(s.StartWait()), Loaded: g.follower.Loaded()},
 	})
 	g.addViewGauges()
-	g.overload = overload.NewMonitor(overload.Options{
-		MaxWait:    s.MaxProcessorWait(),
-		Processors: s.Machine.Cores(),
-		Waits:      overload.NewSchedulerWaits(),
-		Clock:      g.clock,
-		Metrics:    g.metrics,
-		Log:        g.logs.For("overload"),
-	})
 	g.ingress = ingress.New(ingress.Options{Run: g.executor.Run, Dialect: platform.Dialect{}, Limits: g.limits, Held: g.held, Overload: g.overload, Clock: g.clock, Log: g.logs.For("ingress")})
 	g.handler = handover.NewHandler(g.router, handover.Backends{Follower: g.follower, Rollouts: g.rollouts, Permits: g.permits, Origins: g.origins})
 	g.server = peers.NewServer(g.handler, s.PeerToken, g.usage, g.logs.For("peers"))
@@ -436,6 +438,7 @@
 	g.backoffs.Sweep()
 	g.rateLimits.Sweep(exists)
 	g.room.Sweep(exists)
+	g.countConnecting()
 	g.permits.UpdateMembers()
 	g.origins.Tick()
 	g.router.Tick()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -35,6 +35,9 @@
 	resultConnBroken
 	// resultBarred: nothing was sent because the endpoint must not be used any more.
 	resultBarred
+	// resultAllInUse: nothing was sent because all connections that this instance may open to the endpoint
+	// are in use.
+	resultAllInUse
 	// resultLinkLost: like resultFailed, but because the link to the endpoint was silent.
 	resultLinkLost
 )
@@ -61,7 +64,7 @@
 			return u.finalRefusal(refuseQuarantined())
 		}
 		call := u.pick()
-		if call == nil && u.awaitBackoff(ctx) {
+		if call == nil && (u.awaitConnection(ctx) || u.awaitBackoff(ctx)) {
 			continue
 		}
 		if call == nil {
@@ -85,6 +88,8 @@
 			if unreachable++; unreachable >= maxUnreachable {
 				return u.finalRefusal(u.refuseNoneAvailable())
 			}
+		case resultAllInUse:
+			u.allInUse[call.Endpoint.ID] = true
 		case resultNotRun:
 			u.tried[call.Endpoint.ID] = true
 			if u.rejectedForRoom() {
@@ -175,7 +180,7 @@
 func (u *run) constraints() balance.CallSpec {
 	return balance.CallSpec{
 		Domain:  u.Domain,
-		Exclude: u.tried,
+		Exclude: u.excluded(),
 		Engine:  u.service.Engine != nil,
 		Request: u.request.ID,
 		Parts:   u.request.Parts,
@@ -215,15 +220,6 @@
 	return o
 }
 
-// connectionLimit returns this instance's share of the connections to one endpoint; 0 if
-// unlimited.
-func (u *run) connectionLimit() int {
-	if u.service.MaxConnections <= 0 {
-		return 0
-	}
-	return max(2, u.service.MaxConnections*2/(u.Instances()+1))
-}
-
 func (u *run) maxIdle() time.Duration {
 	if u.route.Repeatable() {
 		return maxIdleRepeatable
@@ -233,7 +229,7 @@
 
 func (u *run) target(call *balance.Call) httpconn.Target {
 	e := call.Endpoint
-	return httpconn.Target{ID: e.ID, Address: e.Address, FailureDomain: e.FailureDomain, MaxConnections: u.connectionLimit()}
+	return httpconn.Target{ID: e.ID, Address: e.Address, FailureDomain: e.FailureDomain}
 }
 
 // send makes one attempt at an endpoint.
@@ -291,6 +287,8 @@
 	case httpconn.IsLinkLost(err):
 		u.recordSent(call)
 		result = balance.Canceled
+	case httpconn.IsAllInUse(err):
+		outcome, result = resultAllInUse, balance.Canceled
 	case httpconn.IsBlocked(err):
 		outcome, result = resultBarred, balance.Canceled
 	case httpconn.NotSent(err):
--- a/pkg/gateway/backoff.go
+++ b/pkg/gateway/backoff.go
@@ -50,6 +50,9 @@
 	ready := u.ready(u.service.Name)
 	rest := u.Balancer.RetryAfter(ready, u.retryAfter())
 	switch {
+	case len(u.allInUse) > 0:
+		u.Exhausted()
+		return refuseAllInUse(u.retryAfter())
 	case rest == 0 && u.Balancer.RoomLimited(ready):
 		return refuseNoRoom(u.retryAfter())
 	case rest == 0:
--- a/pkg/gateway/canary.go
+++ b/pkg/gateway/canary.go
@@ -70,7 +70,7 @@
 		s.Duration = o.firstEvent.Sub(o.begin)
 	}
 	switch {
-	case outcome == resultNotRun || outcome == resultInputGone || outcome == resultBarred || outcome == resultLinkLost:
+	case outcome == resultNotRun || outcome == resultInputGone || outcome == resultBarred || outcome == resultAllInUse || outcome == resultLinkLost:
 		return nil
 	case outcome == resultUnreachable && u.isolated(o.endpoint):
 		return nil
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -56,8 +56,6 @@
 	Domain   string
 	// Regions maps each failure domain to its region.
 	Regions map[string]string
-	// Instances returns the number of instances, including this one.
-	Instances func() int
 	// Sponsors reports whether this instance is the only one that may use an endpoint while all
 	// endpoints of its service are cold. If nil, this instance sponsors none.
 	Sponsors func(endpoint string) bool
@@ -67,6 +65,9 @@
 	// Isolated reports whether a failed connection to an endpoint may be due to this instance's links. If
 	// nil, it is due to the endpoint.
 	Isolated func(fleet.Endpoint) bool
+	// Exhausted is called when a request is refused because this instance may open no more connections to
+	// endpoints. Optional.
+	Exhausted func()
 	// Quarantine tracks requests that crash their endpoints.
 	Quarantine *quarantine.Manager
 	// Rollouts collects the outcomes of attempts per version.
@@ -108,6 +109,9 @@
 	if o.Held == nil {
 		o.Held = memquota.NewQuota(0)
 	}
+	if o.Exhausted == nil {
+		o.Exhausted = func() {}
+	}
 	if o.Origins == nil {
 		o.Origins = noOrigins{}
 	}
@@ -178,7 +182,9 @@
 	reader  string
 	planner string
 	// tried contains the endpoints that the request was sent to.
-	tried    map[string]bool
+	tried map[string]bool
+	// allInUse contains the endpoints to which all connections of this instance are in use.
+	allInUse map[string]bool
 	attempts int
 	// lastEvent is the ID of the last event forwarded; events is the number of events forwarded.
 	lastEvent   string
@@ -212,7 +218,7 @@
 
 // Run executes a request and answers the client. The context ends when the client disconnects.
 func (x *Executor) Run(ctx context.Context, r *Request, responder Responder) {
-	u := &run{Executor: x, request: r, responder: responder, tried: map[string]bool{}, lastEvent: r.LastEvent}
+	u := &run{Executor: x, request: r, responder: responder, tried: map[string]bool{}, allInUse: map[string]bool{}, lastEvent: r.LastEvent}
 	u.useView(x.View())
 	if !u.awaitView(ctx) {
 		return
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -55,6 +55,10 @@
 	return &Refusal{http.StatusServiceUnavailable, after, "no_room", "the endpoints of the service have no room for the request; it has not run; retry after the delay in Retry-After"}
 }
 
+func refuseAllInUse(after time.Duration) *Refusal {
+	return &Refusal{http.StatusServiceUnavailable, after, "connections_in_use", "all connections that this instance may open to the endpoints of the service are in use; the request has not run; send it to another instance"}
+}
+
 func refuseBusy(after time.Duration) *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, after, "busy", "the request would miss its deadline; it has not run; retry after the delay in Retry-After"}
 }
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -156,6 +156,10 @@
 	switch {
 	case confirmation == origin.Listed || confirmation == origin.NotStated:
 		return resultDone, true
+	case httpconn.IsAllInUse(err):
+		call.End(balance.Canceled, nil)
+		u.logAttempt(call, begin, 0, resultAllInUse, err)
+		return resultAllInUse, false
 	case httpconn.IsBlocked(err):
 		call.End(balance.Canceled, nil)
 		u.logAttempt(call, begin, 0, resultBarred, err)
--- a/pkg/gateway/room.go
+++ b/pkg/gateway/room.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 )
 
 // While the endpoints of a service fail when they reject too many calls, an instance only sends as
-// many as there is room for. Other requests wait here, where nothing is lost by it, and are refused
+// many as there is room for, and always only as many as it may open connections for. Other requests wait here, where nothing is lost by it, and are refused
 // if there is no room soon.
 
 const (
@@ -31,9 +32,26 @@
 		return false
 	}
 	u.backoffWaited += roomPoll
+	clear(u.allInUse)
 	return u.wait(ctx, roomPoll)
 }
 
+// excluded returns the endpoints that the request must not be sent to now.
+func (u *run) excluded() map[string]bool {
+	if len(u.allInUse) == 0 {
+		return u.tried
+	}
+	excluded := maps.Clone(u.tried)
+	maps.Copy(excluded, u.allInUse)
+	return excluded
+}
+
+// awaitConnection waits for a short time and reports whether the request may look again for an endpoint to
+// which this instance may open a connection.
+func (u *run) awaitConnection(ctx context.Context) bool {
+	return len(u.allInUse) > 0 && u.awaitRoom(ctx)
+}
+
 // rejectedForRoom records that an endpoint did not run the request, and reports whether it should be
 // offered to no other one.
 func (u *run) rejectedForRoom() bool {
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -42,6 +42,8 @@
 	// MaxIdle is the longest idle time of a reused connection. If negative, a new connection is
 	// opened.
 	MaxIdle time.Duration
+	// Control marks a short call that carries no request of a client.
+	Control bool
 	// Repeatable allows the pool to break off the call when its connection leads over a silent link.
 	Repeatable bool
 }
@@ -91,6 +93,21 @@
 	return errors.As(err, &e)
 }
 
+// AllInUseError is returned if all connections that this instance may open to an endpoint are in use.
+type AllInUseError struct{ Cause error }
+
+// Error implements error.
+func (e *AllInUseError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *AllInUseError) Unwrap() error { return e.Cause }
+
+// IsAllInUse reports whether err is an AllInUseError. It does not indicate a fault of the endpoint.
+func IsAllInUse(err error) bool {
+	var e *AllInUseError
+	return errors.As(err, &e)
+}
+
 // LinkLostError is returned if a call was broken off because its connection led over a silent link,
 // while other instances reach the endpoint. The endpoint may have processed the call.
 type LinkLostError struct{}
@@ -115,7 +132,7 @@
 			return nil, err
 		}
 	}
-	c, err := p.acquire(ctx, call.Target, call.MaxIdle)
+	c, err := p.acquire(ctx, call)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -83,11 +83,14 @@
 	var (
 		clock *clockwork.FakeClock
 		pool  *httpconn.Pool
+		// limit is the number of connections to an endpoint that may be open; 0 means any number.
+		limit int
 	)
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Permit: httpconn.AllowAll, Send: httpconn.AllowAll}, httpconn.IgnoreResponses)
+		limit = 0
+		pool = httpconn.NewPool(clock, metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Permit: httpconn.AllowAll, Send: httpconn.AllowAll, Connections: func(httpconn.Target) int { return limit }}, httpconn.IgnoreResponses)
 		DeferCleanup(pool.Close)
 	})
 
@@ -313,7 +316,7 @@
 			return plain("1", "x"), true
 		})
 		c := call(s, "1")
-		c.Target.MaxConnections = 1
+		limit = 1
 		done := make(chan error, 1)
 		go func() {
 			_, err := do(c)
@@ -322,11 +325,39 @@
 		Eventually(s.conns.Load).Should(Equal(int32(1)))
 		_, err := do(c)
 		Expect(httpconn.NotSent(err)).To(BeTrue())
+		Expect(httpconn.IsAllInUse(err)).To(BeTrue())
 		close(hold)
 		Eventually(done).Should(Receive(BeNil()))
 		Expect(do(c)).To(Equal("x"))
 	})
 
+	It("leaves the last of several connections to control calls", func() {
+		hold := make(chan struct{})
+		s := serve(func(int, *http.Request) (string, bool) {
+			<-hold
+			return plain("1", "x"), true
+		})
+		limit = 2
+		request, control := call(s, "1"), call(s, "1")
+		control.Control = true
+		done := make(chan error, 2)
+		send := func(c httpconn.Call) {
+			_, err := do(c)
+			done <- err
+		}
+		go send(request)
+		Eventually(s.conns.Load).Should(Equal(int32(1)))
+		_, err := do(request)
+		Expect(httpconn.IsAllInUse(err)).To(BeTrue())
+		go send(control)
+		Eventually(s.conns.Load).Should(Equal(int32(2)))
+		_, err = do(control)
+		Expect(httpconn.IsAllInUse(err)).To(BeTrue())
+		close(hold)
+		Eventually(done).Should(Receive(BeNil()))
+		Eventually(done).Should(Receive(BeNil()))
+	})
+
 	It("aborts a call when its context is done", func() {
 		s := serve(func(int, *http.Request) (string, bool) { select {} })
 		ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -32,8 +32,6 @@
 	ID            string
 	Address       string
 	FailureDomain string
-	// MaxConnections limits this pool's connections to the endpoint; 0 means unlimited.
-	MaxConnections int
 }
 
 // Gate checks whether an endpoint may be used now. The error is the reason if it may not.
@@ -49,6 +47,9 @@
 	// Permit is checked exactly once for each call, right before it is sent. It may consume a
 	// permit.
 	Permit Gate
+	// Connections returns how many connections may be open to an endpoint, idle ones included; 0 means any
+	// number. Nil limits none.
+	Connections func(Target) int
 }
 
 // ResponseObserver is called with the status and header of each response, including responses to other calls
@@ -140,9 +141,23 @@
 	return nil
 }
 
-// acquire returns a connection that has been idle for at most maxIdle, or a new one.
-func (p *Pool) acquire(ctx context.Context, target Target, maxIdle time.Duration) (*conn, error) {
-	idle, err := p.reserve(target, maxIdle)
+// connectionLimit returns how many connections to the endpoint a call may open; 0 means any number. The last
+// one is left to control calls, if there are others.
+func (p *Pool) connectionLimit(call Call) int {
+	if p.gates.Connections == nil {
+		return 0
+	}
+	limit := p.gates.Connections(call.Target)
+	if limit > 1 && !call.Control {
+		limit--
+	}
+	return limit
+}
+
+// acquire returns a connection that has been idle for at most the call's MaxIdle, or a new one.
+func (p *Pool) acquire(ctx context.Context, call Call) (*conn, error) {
+	target := call.Target
+	idle, err := p.reserve(target, call.MaxIdle, p.connectionLimit(call))
 	if err != nil {
 		return nil, err
 	}
@@ -160,8 +175,8 @@
 }
 
 // reserve returns an idle connection. If there is none, it returns nil and counts a connection that
-// the caller must open.
-func (p *Pool) reserve(target Target, maxIdle time.Duration) (*conn, error) {
+// the caller must open, of limit at most unless that is 0.
+func (p *Pool) reserve(target Target, maxIdle time.Duration, limit int) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -182,9 +197,9 @@
 		e.open--
 		_ = c.Close()
 	}
-	if target.MaxConnections > 0 && e.open >= target.MaxConnections {
+	if limit > 0 && e.open >= limit {
 		p.full.Inc()
-		return nil, notSent(problem.New(problem.Overloaded, "wait for a call to this endpoint to complete", "endpoint %s: all %d connections are in use", target.ID, e.open))
+		return nil, notSent(&AllInUseError{problem.New(problem.Overloaded, "use another endpoint, or wait for a call to this one to complete", "endpoint %s: all %d connections are in use", target.ID, e.open)})
 	}
 	e.open++
 	return nil, nil
--- a/service/ingress/body_quota.go
+++ b/service/ingress/body_quota.go
@@ -60,6 +60,9 @@
 	return n, err
 }
 
+// reasonNoMemory is the reason of refusals for want of memory.
+const reasonNoMemory = "no_memory"
+
 func refuseMemory() *gateway.Refusal {
-	return &gateway.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: refusalRetryAfter, Reason: "no_memory", Message: "this instance has reached its memory limit; the request has not run; send it to another instance"}
+	return &gateway.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: refusalRetryAfter, Reason: reasonNoMemory, Message: "this instance has reached its memory limit; the request has not run; send it to another instance"}
 }
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -56,13 +56,16 @@
 	Admit() bool
 	// Limited reports whether new connections are limited.
 	Limited() bool
+	// ReportExhausted records that a request was refused for want of memory.
+	ReportExhausted()
 }
 
 // noOverload takes all connections.
 type noOverload struct{}
 
-func (noOverload) Admit() bool   { return true }
-func (noOverload) Limited() bool { return false }
+func (noOverload) Admit() bool      { return true }
+func (noOverload) Limited() bool    { return false }
+func (noOverload) ReportExhausted() {}
 
 // Options configures a server.
 type Options struct {
@@ -189,6 +192,9 @@
 	body := &bodyReservation{quota: s.Held}
 	defer body.release()
 	if refusal := s.read(writer, r, request, body); refusal != nil {
+		if refusal.Reason == reasonNoMemory {
+			s.Overload.ReportExhausted()
+		}
 		s.refuse(writer, request, refusal)
 		return
 	}
--- a/service/ingress/overload_test.go
+++ b/service/ingress/overload_test.go
@@ -19,8 +19,9 @@
 // switchedOverload limits connections while it is set: it then takes none.
 type switchedOverload struct{ limited atomic.Bool }
 
-func (o *switchedOverload) Admit() bool   { return !o.limited.Load() }
-func (o *switchedOverload) Limited() bool { return o.limited.Load() }
+func (o *switchedOverload) Admit() bool    { return !o.limited.Load() }
+func (o *switchedOverload) Limited() bool  { return o.limited.Load() }
+func (*switchedOverload) ReportExhausted() {}
 
 var _ = Describe("an instance with more work than processor time", func() {
 	It("closes connections that it doesn't take unread, and those that it has after their response", func() {
@@ -46,8 +47,8 @@
 			response, err := client.Get("http://" + l.Addr().String() + "/x")
 			if err == nil {
 				// The connection is kept only if the response was read.
-			_, err = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
 			}
 			return response, err
 		}
