--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -92,6 +92,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// header limits what is read of a header.
+	header *headerLimit
 	target Target
 	// openedAt is when the connection was opened.
 	openedAt time.Time
@@ -210,7 +212,9 @@
 	if err != nil {
 		return nil, notSent(problem.Wrap(err, problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s at %s", target.ID, target.Address))
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), target: target, openedAt: p.clock.Now()}, nil
+	header := &headerLimit{reader: c}
+	header.end()
+	return &conn{Conn: c, reader: bufio.NewReaderSize(header, readBufferSize), header: header, target: target, openedAt: p.clock.Now()}, nil
 }
 
 // tunneled reports whether the connection leads through another instance. Such a connection is not
--- a/pkg/infra/etcdkv/etcdkv.go
+++ b/pkg/infra/etcdkv/etcdkv.go
@@ -117,8 +117,11 @@
 		return err
 	}
 	defer resp.Body.Close()
-	decoder := json.NewDecoder(resp.Body)
+	body := &io.LimitedReader{R: resp.Body}
+	decoder := json.NewDecoder(body)
 	for {
+		// A watch lasts for any time, but each of its messages has an end.
+		body.N = maxResponse
 		var message watchResponse
 		if err := decoder.Decode(&message); err != nil {
 			return problem.Wrap(err, problem.Unavailable, remedyService, "watch of key %s failed", key)
