--- a/cmd/cobaltcroft-soak/cmds/crowd.go
+++ b/cmd/cobaltcroft-soak/cmds/crowd.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/cobaltcroft/cobaltcroft/platform/platformtest/soak"
@@ -38,7 +37,7 @@
 		defer os.RemoveAll(made)
 		dir = made
 	}
-	if err := os.MkdirAll(filepath.Clean(dir), 0o700); err != nil {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
 	report, err := soak.PlayCrowd(soak.CrowdOptions{
--- a/cmd/cobaltcroftd/gateway/connections.go
+++ b/cmd/cobaltcroftd/gateway/connections.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+import (
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/overload"
+)
 
 // assumedInstances is the number of instances that one assumes which may not know the others yet.
 const assumedInstances = 8
@@ -37,3 +40,15 @@
 	}
 	return max(1, service.MaxConnections/int(sharers))
 }
+
+// newOverload returns the judgement of whether this instance has more work than it can carry.
+func (g *Gateway) newOverload() *overload.Monitor {
+	return overload.NewMonitor(overload.Options{
+		MaxWait:    g.settings.MaxProcessorWait(),
+		Processors: g.settings.Machine.Cores(),
+		Waits:      overload.NewSchedulerWaits(),
+		Clock:      g.clock,
+		Metrics:    g.metrics,
+		Log:        g.logs.For("overload"),
+	})
+}
--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -266,14 +266,7 @@
 	originPeers := &handover.OriginPeers{Client: g.client, Gossip: g.gossip, LiveMembers: g.group.Live}
 	g.origins = origin.New(originPeers, originView{g.follower}, originEndpoints{g}, g.clock, g.metrics, g.logs.For("origin"))
 	g.gossip.OnOrigins(g.origins.Merge)
-	g.overload = overload.NewMonitor(overload.Options{
-		MaxWait:    s.MaxProcessorWait(),
-		Processors: s.Machine.Cores(),
-		Waits:      overload.NewSchedulerWaits(),
-		Clock:      g.clock,
-		Metrics:    g.metrics,
-		Log:        g.logs.For("overload"),
-	})
+	g.overload = g.newOverload()
 	g.executor = pkggateway.New(pkggateway.Options{
 		View:      g.follower.View,
 		Dialect:   platform.Dialect{},
--- a/pkg/overload/limiter.go
+++ b/pkg/overload/limiter.go
@@ -8,8 +8,8 @@
 const (
 	// measurePeriod is the time between two measurements.
 	measurePeriod = 100 * time.Millisecond
-	// rateTime is the time over which the rate of new connections is averaged. It is short enough to follow a
-	// crowd, whose rate the instance can't carry, only in part before the first limit is derived from it.
+	// rateTime is the time over which the rate of new connections is averaged. It is long enough that the first
+	// moments of a crowd don't raise the average to a rate that the instance can't carry.
 	rateTime = 2 * time.Second
 	// The waits are too long if they were so in at least longPeriods of the last judgedPeriods. A garbage
 	// collection makes work wait for a moment, and a period may hold few waits.
