gateway: an instance that has stopped closes its readiness and metrics servers

Found as the suite of cmd/cobaltcroftd/gateway used nearly four processors in its seventh minute (1 min 50 s of processor time at 09:53, 11 min 39 s at 09:56): a dump of its goroutines showed 656 that still served the readiness and metrics of instances that had stopped, and so kept what these held, while the heap's limit is that of one instance. That the collector used the time is an inference. A process that exits leaves nothing behind; one that holds several instances did.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -133,7 +133,9 @@
 	handler  *handover.Handler
 	server   *peers.Server
 
-	listeners   listeners
+	listeners listeners
+	// servers serve readiness, metrics and operators.
+	servers     []*http.Server
 	loggedUsage usageSnapshot
 	stopping    stopState
 }
@@ -390,13 +392,20 @@
 	g.tomb.Go(func() error { g.rollouts.Run(ctx); return nil })
 	g.tomb.Go(func() error { g.every(ctx, batchTick, g.batcher.Tick); return nil })
 	g.tomb.Go(func() error { g.every(ctx, sweepPeriod, g.sweep); return nil })
-	go func() { _ = http.Serve(g.listeners.readiness, http.HandlerFunc(g.ready)) }()
+	g.serveHTTP(g.listeners.readiness, http.HandlerFunc(g.ready))
 	if g.listeners.metrics != nil {
-		go func() { _ = http.Serve(g.listeners.metrics, g.operatorsHandler()) }()
+		g.serveHTTP(g.listeners.metrics, g.operatorsHandler())
 	}
 	return g.handleSignals(signals)
 }
 
+// serveHTTP serves requests to a listener until the instance is closed.
+func (g *Gateway) serveHTTP(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	g.servers = append(g.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
 func (g *Gateway) every(ctx context.Context, period time.Duration, do func()) {
 	ticker := g.clock.NewTicker(period)
 	defer ticker.Stop()
--- a/cmd/cobaltcroftd/gateway/stop.go
+++ b/cmd/cobaltcroftd/gateway/stop.go
@@ -76,6 +76,9 @@
 func (g *Gateway) close() {
 	g.tomb.Kill(nil)
 	g.ingress.Close()
+	for _, server := range g.servers {
+		_ = server.Close()
+	}
 	_ = g.listeners.calls.Close()
 	g.tunnels.Close()
 	g.server.Close()
