--- a/pkg/overload/monitor.go
+++ b/pkg/overload/monitor.go
@@ -1,6 +1,7 @@
-// Package overload judges whether this instance has more work than it can carry, for want of processor time or
-// of what others leave it, and limits the new connections that it takes while it has. Clients whose connection is closed unread try another instance at
-// once; what an instance takes without the processor time for it is served late by all of them, or never.
+// Package overload judges whether this instance has more work than it can carry, for want of processor time
+// or of what others leave it, and limits the new connections that it takes while it has. Clients whose
+// connection is closed unread try another instance at once; what an instance takes beyond what it can carry is
+// served late, or never.
 package overload
 
 import (
