httpconn: a reset that only the writer of the upload is told of is no end of a response

Callers got the first part of an answer as the whole one, on requests that run once, on those that may be repeated and on streams: an engine answered a long upload at once with a 200 without a length, sent a part and reset the connection.

Cause: a body without a length ends with its connection, and only an orderly end counts. The kernel tells of the failure of a connection once (sk_err). Two goroutines use the connection of a long upload: where the one that writes was told, the one that reads found the end of the data, which looks like a FIN. The same in an instance that carries a tunnel, whose last frame then said "whole" to the other instance.

Change: httpconn.Conn has one outcome for both directions. At the end of the data it ends the writing and waits for the Write in progress; if a Write was told of a failure, the Read is told too. EPIPE is no failure: the kernel has it for a reset after the FIN, when all data has arrived. A Write that was not told can't have taken the failure from the reader. Nothing is guessed from the order of events in time.

Sound early answers were and are whole: FIN while the endpoint goes on reading, FIN and then a reset.

--- /dev/null
+++ b/cmd/cobaltcroftd/gateway/broken_answers_test.go
@@ -0,0 +1,78 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cobaltcroft/cobaltcroft/platform/platformtest"
+)
+
+// Guards against answers of endpoints in trouble that reach clients as sound ones.
+var _ = Describe("an answer that is broken", func() {
+	const (
+		// uploadSize is more than the sockets of a connection buffer.
+		uploadSize = 8 << 20
+		plays      = 6
+		// firstEvents is a part of a stream that ends between two events.
+		firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+	)
+	var (
+		d *platformtest.Deployment
+		i *instance
+	)
+
+	BeforeEach(func() {
+		d = deploy(2)
+		d.Config.Limits["MaxBodyBytes"] = uploadSize
+		d.PutConfig()
+		i = start(d.Address())
+	})
+
+	// answerAll makes all endpoints that serve clients send a raw response.
+	answerAll := func(response platformtest.RawResponse) {
+		for _, e := range append(d.EnginesOf("simple"), d.EnginesOf("model")...) {
+			e.SetRawResponse(&response)
+		}
+	}
+
+	// sealed returns a response without a length that is valid but for its end.
+	sealed := func(body string) func(*http.Request) string {
+		return func(r *http.Request) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nCobaltcroft-Request-Id: %s\r\nCobaltcroft-Seal: x\r\n\r\n%s", r.Header.Get("Cobaltcroft-Request-Id"), body)
+		}
+	}
+
+	upload := func(route string) answer {
+		return send(i.request(http.MethodPost, route, newID(), strings.Repeat("x", uploadSize)))
+	}
+
+	succeeded := SatisfyAll(HaveField("Status", http.StatusOK), HaveField("Whole", true))
+
+	DescribeTable("since its connection was reset during the upload is not passed on as whole", func(route string) {
+		answerAll(platformtest.RawResponse{Text: sealed(firstEvents), Early: true, End: platformtest.Reset})
+		for range plays {
+			Expect(upload(route)).NotTo(succeeded)
+		}
+	},
+		Entry("of a request that runs once at most", "once"),
+		Entry("of a request that may be repeated", "repeat"),
+		Entry("of a stream that may be resumed", "stream"),
+		Entry("of a stream that may not", "fixed"),
+	)
+
+	DescribeTable("is told from one that is whole before the upload has ended", func(route string) {
+		answerAll(platformtest.RawResponse{Text: sealed(firstEvents), Early: true, End: platformtest.CloseWrite})
+		for range plays {
+			Expect(upload(route)).To(SatisfyAll(succeeded, HaveField("Body", firstEvents)))
+		}
+	},
+		Entry("of a request that runs once at most", "once"),
+		Entry("of a request that may be repeated", "repeat"),
+		Entry("of a stream that may be resumed", "stream"),
+		Entry("of a stream that may not", "fixed"),
+	)
+})
--- a/pkg/httpconn/dialer.go
+++ b/pkg/httpconn/dialer.go
@@ -28,5 +28,5 @@
 		return nil, err
 	}
 	SetSilenceTimeout(conn)
-	return conn, nil
+	return NewConn(conn.(*net.TCPConn)), nil
 }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -221,7 +221,7 @@
 // reused, so that calls return to direct connections as soon as there are any, and an instance that
 // stops only waits for the calls in progress.
 func (c *conn) tunneled() bool {
-	_, direct := c.Conn.(*net.TCPConn)
+	_, direct := c.Conn.(*Conn)
 	return !direct
 }
 
--- a/service/tunnel/tunnel_test.go
+++ b/service/tunnel/tunnel_test.go
@@ -188,6 +188,29 @@
 		Expect(err).To(HaveOccurred())
 	}, SpecTimeout(10*time.Second))
 
+	It("is broken off at the caller when the endpoint resets it while the caller writes", func(ctx SpecContext) {
+		// The kernel may report the reset to either direction of the tunnel.
+		for range 20 {
+			caller, endpoint := open(ctx)
+			go func() {
+				for data := make([]byte, 1<<20); ; {
+					if _, err := caller.Write(data); err != nil {
+						return
+					}
+				}
+			}()
+			_, err := endpoint.Read(make([]byte, 1))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = endpoint.Write([]byte("a part"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(endpoint.(*net.TCPConn).SetLinger(0)).To(Succeed())
+			Expect(endpoint.Close()).To(Succeed())
+			_, err = io.ReadAll(caller)
+			Expect(err).To(HaveOccurred())
+			Expect(caller.Close()).To(Succeed())
+		}
+	}, SpecTimeout(20*time.Second))
+
 	It("ends at the endpoint when the caller leaves", func(ctx SpecContext) {
 		caller, endpoint := open(ctx)
 		Expect(caller.Close()).To(Succeed())
