httpconn: what has no status of HTTP is no response

An engine in trouble sent an answer with status 000; clients got answers made of what followed it. With a status under 200 that is none (000, 099, "+99"), net/http's reader has no body, and our loop over informational responses read what followed as the next response: a whole answer in that place reached the client as the engine's. 600 and 999 were passed on.

Cause: the head of a response is believed as net/http reads it, which is lenient: a status is any three characters that strconv takes, a version any of HTTP/x.y, a reason any bytes.

Ruled out: 000 alone (502 before and after; the connection is read to its end, where there is no other response); the store's client and those of the product's own interface, which let net/http skip 1xx alone and take 200 alone.

Nothing of a head that is none is believed: no notice, limit or rest in it is heeded, and the connection is reset.

A head in pieces, longer than the buffer, after responses to other calls or informational ones is read as before.

--- a/cmd/cobaltcroftd/gateway/broken_answers_test.go
+++ b/cmd/cobaltcroftd/gateway/broken_answers_test.go
@@ -75,4 +75,29 @@
 		Entry("of a stream that may be resumed", "stream"),
 		Entry("of a stream that may not", "fixed"),
 	)
+
+	// sealedAnswer is a whole answer, where only its body would be expected.
+	sealedAnswer := func(r *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nCobaltcroft-Request-Id: %s\r\nCobaltcroft-Seal: x\r\nContent-Length: 5\r\n\r\ninner", r.Header.Get("Cobaltcroft-Request-Id"))
+	}
+
+	// beforeAnswer returns the bytes of a head, with the fields of the endpoint, and of a whole answer after it.
+	beforeAnswer := func(head string) func(*http.Request) string {
+		return func(r *http.Request) string {
+			fields := fmt.Sprintf("Cobaltcroft-Request-Id: %s\r\nCobaltcroft-Seal: x\r\n", r.Header.Get("Cobaltcroft-Request-Id"))
+			return head + fields + "\r\n" + sealedAnswer(r)
+		}
+	}
+
+	DescribeTable("since it is none by its head is not passed on", func(head string) {
+		answerAll(platformtest.RawResponse{Text: beforeAnswer(head), End: platformtest.CloseWrite})
+		for _, route := range []string{"once", "repeat", "stream", "fixed"} {
+			_, got := i.ask(route)
+			Expect(got).To(SatisfyAll(HaveField("Status", http.StatusBadGateway), HaveField("Body", ContainSubstring("answer_lost"))), route)
+		}
+	},
+		Entry("with status 000", "HTTP/1.1 000 Error\r\n"),
+		Entry("with status 099", "HTTP/1.1 099 Error\r\n"),
+		Entry("with status 600", "HTTP/1.1 600 Error\r\nContent-Length: 1\r\n"),
+	)
 })
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -260,9 +260,7 @@
 	request := &http.Request{Method: x.call.Method}
 	informational := 0
 	for stale := 0; stale <= maxStale; {
-		x.conn.header.begin()
-		response, err := http.ReadResponse(x.conn.reader, request)
-		x.conn.header.end()
+		response, err := x.conn.responses.next(request)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -4,7 +4,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -91,10 +90,8 @@
 // conn is a connection. It is used by one call at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// header limits what is read of a header.
-	header *headerLimit
-	target Target
+	responses *responseReader
+	target    Target
 	// openedAt is when the connection was opened.
 	openedAt time.Time
 	// idleSince is the end of the last call; expires is when the connection must be closed.
@@ -212,9 +209,7 @@
 	if err != nil {
 		return nil, notSent(problem.Wrap(err, problem.Unavailable, "use another endpoint", "cannot connect to endpoint %s at %s", target.ID, target.Address))
 	}
-	header := &headerLimit{reader: c}
-	header.end()
-	return &conn{Conn: c, reader: bufio.NewReaderSize(header, readBufferSize), header: header, target: target, openedAt: p.clock.Now()}, nil
+	return &conn{Conn: c, responses: newResponseReader(c), target: target, openedAt: p.clock.Now()}, nil
 }
 
 // tunneled reports whether the connection leads through another instance. Such a connection is not
@@ -290,7 +285,7 @@
 	}
 	p.mu.Lock()
 	e := p.endpoints[c.target.ID]
-	if p.closed || e == nil || idleTimeout <= 0 || c.reader.Buffered() > 0 || c.tunneled() {
+	if p.closed || e == nil || idleTimeout <= 0 || c.responses.buffered() > 0 || c.tunneled() {
 		p.mu.Unlock()
 		p.discard(c)
 		return
