httpconn: a head with a malformed name of a field, or with two ends of its body, is no response

An engine in trouble sent an answer in whose head the name of a field held a blank. Clients got it, without that line; where the line was "Transfer-Encoding : chunked" or "Content-Length : 5" they got a body that was not the engine's (the framing of the chunks, or whatever came until the connection ended). Control bytes in a name were refused already; the specs of that stay.

Cause: net/http takes a blank in a name, keeps the field under a name that nobody looks up, and its server leaves it out. A field that frames the body is passed over like that too. By reading: chunks in HTTP/1.0 are passed over as well, chunks hide a length, and the body that a 1xx or 204 names is read as the next response, as is what follows a 101.

Ruled out: values of fields, lines without a colon, names with control or non-ASCII bytes, different lengths (net/http refuses them).

Change: checkHead reads all fields by RFC 9112 before net/http does, and refuses a head that leaves open where its body ends. Where answers are read by net/http (the platform's store, etcd's and the instance list's clients, the open inference protocol) StrictTransport refuses such names, and statuses that are none. The store's era was passed over in that way, so that its revisions looked like those of era 0.

--- a/cmd/cobaltcroftd/gateway/broken_answers_test.go
+++ b/cmd/cobaltcroftd/gateway/broken_answers_test.go
@@ -99,5 +99,9 @@
 		Entry("with status 000", "HTTP/1.1 000 Error\r\n"),
 		Entry("with status 099", "HTTP/1.1 099 Error\r\n"),
 		Entry("with status 600", "HTTP/1.1 600 Error\r\nContent-Length: 1\r\n"),
+		Entry("with a blank after the name of a field", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Own : y\r\n"),
+		Entry("with a control byte in the name of a field", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-\x01Own: y\r\n"),
+		Entry("with a blank after the name of the field that frames its body", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"),
+		Entry("with a blank after the name of its length", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n"),
 	)
 })
--- a/pkg/endpoint/openinference/client.go
+++ b/pkg/endpoint/openinference/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/endpoint"
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 )
 
 const (
@@ -44,7 +45,7 @@
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport}, maxResponse: maxResponse}
+	return &Client{http: &http.Client{Transport: httpconn.StrictTransport{Transport: transport}}, maxResponse: maxResponse}
 }
 
 // Close closes idle connections.
--- a/pkg/httpconn/head.go
+++ b/pkg/httpconn/head.go
@@ -1,44 +1,80 @@
 package httpconn
 
 import (
-	"bufio"
 	"bytes"
-	"errors"
-	"io"
-	"net/http"
+	"strings"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
-// maxHeadBytes limits the size of the head of a response.
-const maxHeadBytes = 256 << 10
+// remedyMalformed is what operators should do about a malformed response.
+const remedyMalformed = "check what listens at the endpoint's address"
 
 var (
 	lineFeed = []byte("\n")
 	blank    = []byte(" ")
 )
 
-const remedyMalformed = "check what listens at the endpoint's address"
-
-// errHeadTooLong is returned when an endpoint sends a head without end.
-var errHeadTooLong = problem.New(problem.Invalid, remedyMalformed, "the endpoint sent %d bytes without a complete response head", maxHeadBytes)
-
-// checkHead returns an error if the head of a response is not one of HTTP/1.1. It is stricter than net/http,
-// to which what is no response may look like the start of another one.
+// checkHead returns an error if the head of a response is not one of HTTP/1.1, or if it leaves open where its
+// body ends. It is stricter than net/http, to which what is no response may look like the start of another
+// one, and which passes over fields that it does not understand.
 func checkHead(head []byte) error {
-	line, _, _ := bytes.Cut(head, lineFeed)
-	return checkStatusLine(trimReturn(line))
+	first, fields, _ := bytes.Cut(head, lineFeed)
+	f, err := parseStatusLine(trimReturn(first))
+	if err != nil {
+		return err
+	}
+	for line := range bytes.Lines(fields) {
+		line = trimReturn(bytes.TrimSuffix(line, lineFeed))
+		if len(line) == 0 {
+			break
+		}
+		name, value, err := parseField(line)
+		if err != nil {
+			return err
+		}
+		f.add(name, value)
+	}
+	return f.check()
 }
 
-// checkStatusLine returns an error if a line is not a status line: RFC 9112, section 4. The blank before an
-// empty reason may be missing.
-func checkStatusLine(line []byte) error {
+// parseStatusLine parses a status line: RFC 9112, section 4. The blank before an empty reason may be missing.
+func parseStatusLine(line []byte) (framing, error) {
 	version, rest, _ := bytes.Cut(line, blank)
 	status, reason, _ := bytes.Cut(rest, blank)
 	if !isVersion(version) || !isStatus(status) || !isText(reason) {
-		return problem.New(problem.Invalid, remedyMalformed, "malformed status line %.100q", line)
+		return framing{}, problem.New(problem.Invalid, remedyMalformed, "malformed status line %.100q", line)
+	}
+	return framing{version: string(version), status: string(status)}, nil
+}
+
+// parseField parses a line of a field: RFC 9112, section 5. The name is empty if the line continues the value
+// of the field before.
+func parseField(line []byte) (name, value []byte, err error) {
+	if !isText(line) {
+		return nil, nil, problem.New(problem.Invalid, remedyMalformed, "a control byte in the line %.100q", line)
+	}
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil, bytes.Trim(line, " \t"), nil
+	}
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
+		return nil, nil, problem.New(problem.Invalid, remedyMalformed, "malformed name of a field in the line %.100q", line)
+	}
+	return name, bytes.Trim(value, " \t"), nil
+}
+
+// isToken reports whether text may be the name of a field: RFC 9110, section 5.6.2.
+func isToken(text []byte) bool {
+	return len(text) > 0 && !bytes.ContainsFunc(text, func(r rune) bool { return !isTokenRune(r) })
+}
+
+func isTokenRune(r rune) bool {
+	switch {
+	case 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z', '0' <= r && r <= '9':
+		return true
 	}
-	return nil
+	return strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
 
 // isVersion reports whether text is a version of HTTP/1.
@@ -54,73 +90,10 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isText reports whether text may stand in a reason or in the value of a field: it has no control bytes but
-// tabs.
+// isText reports whether text may stand in a reason or in a field: it has no control bytes but tabs.
 func isText(text []byte) bool {
 	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' })
 }
 
 // trimReturn returns a line without the carriage return before its line feed.
 func trimReturn(line []byte) []byte { return bytes.TrimSuffix(line, []byte("\r")) }
-
-// responseReader reads the responses on a connection.
-type responseReader struct {
-	// received is what comes from the connection.
-	received *bufio.Reader
-	// current is the current response: its head, which is sound, and what follows it.
-	current *bufio.Reader
-}
-
-func newResponseReader(conn io.Reader) *responseReader {
-	return &responseReader{received: bufio.NewReaderSize(conn, readBufferSize), current: bufio.NewReaderSize(nil, readBufferSize)}
-}
-
-// next reads the head of the next response. The body of the one before must have been read.
-func (r *responseReader) next(request *http.Request) (*http.Response, error) {
-	r.unread()
-	head, err := readHead(r.received)
-	if err != nil {
-		return nil, err
-	}
-	if err := checkHead(head); err != nil {
-		return nil, err
-	}
-	r.current.Reset(io.MultiReader(bytes.NewReader(head), r.received))
-	return http.ReadResponse(r.current, request)
-}
-
-// unread returns what was buffered with the current response, and belongs to the next.
-func (r *responseReader) unread() {
-	n := r.current.Buffered()
-	if n == 0 {
-		return
-	}
-	next, _ := r.current.Peek(n)
-	r.received = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(next)), r.received), readBufferSize)
-}
-
-// buffered returns the number of bytes that were received and not yet read.
-func (r *responseReader) buffered() int { return r.current.Buffered() + r.received.Buffered() }
-
-// readHead reads a head up to the empty line that ends it.
-func readHead(r *bufio.Reader) ([]byte, error) {
-	var head []byte
-	for lineStart := 0; ; {
-		part, err := r.ReadSlice('\n')
-		head = append(head, part...)
-		switch {
-		case len(head) > maxHeadBytes:
-			return nil, errHeadTooLong
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-		if line := bytes.TrimSuffix(head[lineStart:], lineFeed); len(trimReturn(line)) == 0 {
-			return head, nil
-		}
-		lineStart = len(head)
-	}
-}
--- a/pkg/infra/etcdkv/etcdkv.go
+++ b/pkg/infra/etcdkv/etcdkv.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/infra"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
@@ -39,7 +40,7 @@
 // New returns a client of the service at base, such as http://127.0.0.1:2379. timeout
 // applies to all calls except Watch.
 func New(base string, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}
+	transport := httpconn.StrictTransport{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DialContext: (&net.Dialer{Timeout: timeout}).DialContext}}
 	return &Client{
 		base:    strings.TrimSuffix(base, "/"),
 		timeout: timeout,
--- a/pkg/infra/httpsd/httpsd.go
+++ b/pkg/infra/httpsd/httpsd.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/infra"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
@@ -47,7 +48,7 @@
 
 // New returns a client of the list at url.
 func New(url string, timeout time.Duration) *Client {
-	return &Client{url: url, timeout: timeout, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	return &Client{url: url, timeout: timeout, http: &http.Client{Transport: httpconn.StrictTransport{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}}
 }
 
 // Close closes idle connections.
