gateway, platform: what is read of an answer counts against the instance's memory while it is read

Endpoints sent bodies without end. An instance of 284 MB grew to 462 MB by 16 of them at once on routes whose answers are buffered, and requests of others failed: each answer may have 16 MB, and counted against the quota for bodies only once it was read. Until then nothing bounded all together; after that, whatever came met a full quota.

Cause: memory is judged after it is used. The same where requests' bodies of unknown length did not: they have a reservation that grows with what is read.

Ruled out: heads (256 KB each: 27 MB for 24 at once before, 13 MB after); events of streams (1 MB each, 24 MB and 18 MB, counted now as well); stages' answers and reports (1 MB each, counted now).

Change: memquota.Reservation serves both bodies of requests and answers. Answers longer than 256 KB grow only while half of the quota is free, so that one without end leaves room to all others. An announced length over the bound is refused unread. An endpoint whose long answer finds no room has failed; one whose short answer does not, since the quota is used up, is not judged. cobaltcroft_responses_unreadable_total counts both.

Heads, streams and stages held before too; their specs stay.

--- a/cmd/cobaltcroftd/gateway/gateway.go
+++ b/cmd/cobaltcroftd/gateway/gateway.go
@@ -259,7 +259,7 @@
 	g.balancer.Export(g.metrics)
 	g.budget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
 	g.pieceBudget = retry.NewBudget(g.clock, budgetBounds(s), g.instances)
-	g.batcher = batch.New(&platform.StageCaller{Conns: g.conns, Clock: g.clock}, batchView{g.follower, g.backoffs}, g.pieceBudget, g.clock, g.metrics, g.logs.For("batch"))
+	g.batcher = batch.New(&platform.StageCaller{Conns: g.conns, Held: g.held, Clock: g.clock}, batchView{g.follower, g.backoffs}, g.pieceBudget, g.clock, g.metrics, g.logs.For("batch"))
 	g.batcher.SetRegions(g.regions)
 	planner := pipeline.NewPlanner(g.batcher, g.clock, g.metrics, g.logs.For("pipeline"))
 	g.router = handover.NewRouter(g.routerOptions(self, planner))
--- a/cmd/cobaltcroftd/gateway/views.go
+++ b/cmd/cobaltcroftd/gateway/views.go
@@ -58,7 +58,7 @@
 
 // Incarnation implements origin.Endpoints.
 func (o originEndpoints) Incarnation(ctx context.Context, e fleet.Endpoint) (string, error) {
-	return platform.Incarnations{Conns: o.conns}.Incarnation(ctx, e)
+	return platform.Incarnations{Conns: o.conns, Held: o.held}.Incarnation(ctx, e)
 }
 
 // Limited implements origin.Endpoints. A question uses up a permit of an endpoint with a rate limit.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -357,13 +356,14 @@
 
 // relayBuffered reads the complete response and forwards it.
 func (u *run) relayBuffered(ctx context.Context, call *balance.Call, answer *httpconn.Response, verdict Verdict) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedResponse+1))
+	held := u.Held.NewYieldingReservation()
 	// The body counts as held until the client has read it.
-	u.Held.Reserve(int64(len(body)))
-	defer u.Held.Release(int64(len(body)))
-	if err != nil || len(body) > maxBufferedResponse {
+	defer held.Release()
+	body, err := readBody(answer, held)
+	if err != nil {
+		u.noteUnreadable(err)
 		call.End(brokenOutcome(ctx, err), nil)
-		return either(err != nil, connBrokenResult(ctx, err), resultFailed)
+		return connBrokenResult(ctx, err)
 	}
 	if answer.Status < http.StatusMultipleChoices {
 		u.answerComplete(call, answer)
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/fleet"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
 	"github.com/cobaltcroft/cobaltcroft/pkg/quarantine"
 )
 
@@ -60,7 +62,7 @@
 // ended, the gateway itself closed the connection.
 func connBrokenResult(ctx context.Context, err error) attemptResult {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || unreadable(err):
 		return resultFailed
 	case httpconn.IsLinkLost(err):
 		return resultLinkLost
@@ -68,9 +70,11 @@
 	return resultConnBroken
 }
 
-// brokenOutcome returns what a connection that broke with an error says of the endpoint's health.
+// brokenOutcome returns what a connection that broke with an error says of the endpoint's health. A response for
+// which others leave no memory says nothing, unless it is long itself.
 func brokenOutcome(ctx context.Context, err error) balance.Outcome {
-	return either(ctx.Err() == nil && !httpconn.IsLinkLost(err), balance.Failed, balance.Canceled)
+	innocent := ctx.Err() != nil || httpconn.IsLinkLost(err) || errors.Is(err, memquota.ErrExhausted)
+	return either(innocent, balance.Canceled, balance.Failed)
 }
 
 // eventsReceived marks the request as harmless once its stream has run long enough.
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -36,8 +36,6 @@
 	// repeated: the longer a connection is idle, the likelier the peer is closing it.
 	maxIdleNonRepeatable = 300 * time.Millisecond
 	maxIdleRepeatable    = 3 * time.Second
-	// maxBufferedResponse limits the size of responses that are buffered.
-	maxBufferedResponse = 16 << 20
 	// minRemaining is the least time before the deadline at which an attempt is started.
 	minRemaining = 5 * time.Millisecond
 )
@@ -77,7 +75,7 @@
 	Origins Origins
 	// MaxPieces is the maximum number of pieces of all stages of a request together; 0 means unlimited.
 	MaxPieces int
-	// Held accounts for the memory of buffered responses. Optional.
+	// Held accounts for the memory of responses, from their first byte on. Optional.
 	Held *memquota.Quota
 	// StartWait lets requests wait for the first view. Optional.
 	StartWait StartWait
@@ -92,6 +90,9 @@
 	firstEventSeconds *metrics.Histogram
 	// promptFetches is the number of calls that named an engine to fetch prompt parts from.
 	promptFetches *metrics.Counter
+	// unreadableResponses is the number of responses that were too long, or that the memory quota did not
+	// admit.
+	unreadableResponses *metrics.Counter
 	// drained is closed by Drain.
 	drained chan struct{}
 	drain   sync.Once
@@ -120,8 +121,11 @@
 		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
 		firstEventSeconds: o.Metrics.NewHistogram("cobaltcroft_first_event_seconds"),
 		promptFetches:     o.Metrics.NewCounter("cobaltcroft_prompt_fetches_total"),
-		drained:           make(chan struct{}),
-		startWaitStopped:  make(chan struct{}),
+
+		unreadableResponses: o.Metrics.NewCounter("cobaltcroft_responses_unreadable_total"),
+
+		drained:          make(chan struct{}),
+		startWaitStopped: make(chan struct{}),
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
+	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
 )
 
 const (
@@ -18,7 +19,9 @@
 
 // relayStream forwards the events of a stream as they become complete.
 func (u *run) relayStream(ctx context.Context, call *balance.Call, answer *httpconn.Response) attemptResult {
-	events := &eventReader{body: answer.Body}
+	held := u.Held.NewYieldingReservation()
+	defer held.Release()
+	events := &eventReader{body: answer.Body, held: held}
 	for {
 		data, err := events.next()
 		if len(data) > 0 {
@@ -38,6 +41,7 @@
 			u.logEnd(answer.Status, "answered")
 			return resultDone
 		}
+		u.noteUnreadable(err)
 		call.End(brokenOutcome(ctx, err), nil)
 		return connBrokenResult(ctx, err)
 	}
@@ -80,8 +84,10 @@
 
 // eventReader splits a body into complete events.
 type eventReader struct {
-	body    io.Reader
+	body io.Reader
+	// partial is the start of an event; held is the memory reserved for it.
 	partial []byte
+	held    *memquota.Reservation
 	// lastID is the ID of the last complete event.
 	lastID string
 	err    error
@@ -102,14 +108,23 @@
 	}
 	end := bytes.LastIndex(r.partial, eventSeparator)
 	if end < 0 {
+		r.reservePartial()
 		return nil, r.err
 	}
 	whole := r.partial[:end+len(eventSeparator)]
 	r.partial = bytes.Clone(r.partial[end+len(eventSeparator):])
 	r.updateLastID(whole)
+	r.reservePartial()
 	return whole, r.err
 }
 
+// reservePartial reserves the memory of an event that is not complete, or ends the stream if there is none.
+func (r *eventReader) reservePartial() {
+	if err := r.held.Resize(int64(len(r.partial))); err != nil && r.err == nil {
+		r.err = err
+	}
+}
+
 // atBoundary reports whether the body ended between two events.
 func (r *eventReader) atBoundary() bool { return len(bytes.TrimSpace(r.partial)) == 0 }
 
--- a/pkg/httpconn/exchange.go
+++ b/pkg/httpconn/exchange.go
@@ -59,6 +59,8 @@
 	// Framed reports whether the body has a length or chunks. The body of others ends with the connection,
 	// whatever ended that.
 	Framed bool
+	// Length is the announced length of the body in bytes, or -1 if there is none.
+	Length int64
 }
 
 // NotSentError is returned if no part of the call reached the endpoint.
@@ -160,7 +162,7 @@
 	}
 	p.heard(x)
 	x.response = response
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: x, ConnectedAt: c.openedAt, Framed: framed(response)}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: x, ConnectedAt: c.openedAt, Framed: framed(response), Length: response.ContentLength}, nil
 }
 
 func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
--- a/pkg/memquota/quota.go
+++ b/pkg/memquota/quota.go
@@ -21,8 +21,11 @@
 func (q *Quota) SetLimit(limit int64) { q.limit.Store(limit) }
 
 // TryReserve reserves bytes if they are within the limit and reports whether it did.
-func (q *Quota) TryReserve(bytes int64) bool {
-	limit := q.limit.Load()
+func (q *Quota) TryReserve(bytes int64) bool { return q.tryReserveShare(bytes, 1) }
+
+// tryReserveShare is TryReserve within a fraction of the limit.
+func (q *Quota) tryReserveShare(bytes int64, share float64) bool {
+	limit := int64(share * float64(q.limit.Load()))
 	if after := q.used.Add(bytes); limit > 0 && after > limit {
 		q.used.Add(-bytes)
 		return false
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -189,8 +189,8 @@
 		}
 		s.refuse(writer, request, refuseInternal())
 	}()
-	body := &bodyReservation{quota: s.Held}
-	defer body.release()
+	body := s.Held.NewReservation()
+	defer body.Release()
 	if refusal := s.read(writer, r, request, body); refusal != nil {
 		if refusal.Reason == reasonNoMemory {
 			s.Overload.ReportExhausted()
@@ -215,7 +215,7 @@
 }
 
 // read validates the headers and reads the body.
-func (s *Server) read(writer *responder, r *http.Request, request *gateway.Request, reservation *bodyReservation) *gateway.Refusal {
+func (s *Server) read(writer *responder, r *http.Request, request *gateway.Request, reservation *memquota.Reservation) *gateway.Refusal {
 	if s.rejecting.Load() {
 		return &gateway.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: refusalRetryAfter, Reason: "stopping", Message: "this instance is shutting down; the request has not run; send it to another instance"}
 	}
@@ -251,19 +251,20 @@
 	_, _ = io.CopyN(io.Discard, r.Body, maxDrainBytes)
 }
 
-func readBody(writer *responder, r *http.Request, request *gateway.Request, limit int64, reservation *bodyReservation) *gateway.Refusal {
+func readBody(writer *responder, r *http.Request, request *gateway.Request, limit int64, reservation *memquota.Reservation) *gateway.Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if !reservation.reserve(r.ContentLength) {
+	tracked, admitted := trackBody(http.MaxBytesReader(nil, r.Body, limit), r.ContentLength, reservation)
+	if !admitted {
 		drainBody(writer, r)
 		return refuseMemory()
 	}
 	_ = writer.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(reservation.track(http.MaxBytesReader(nil, r.Body, limit)))
+	body, err := io.ReadAll(tracked)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memquota.ErrExhausted):
 		drainBody(writer, r)
 		return refuseMemory()
 	case errors.As(err, &tooLarge):
