ingress: a request that has been read to its end only late in a planned stop is refused, not run

In a planned stop requests that came late were passed on, and cut at its end. From 2.8 s on new requests are refused, but by when their head came: one whose body went on coming was passed on after that, with what was left of the grace, whether it may be repeated or not.

Ruled out: requests whose head comes late, on kept and new connections (refused); requests that wait for stages or for an endpoint (Drain refuses them at three quarters of the grace).

--- a/cmd/cobaltcroftd/gateway/lifecycle_test.go
+++ b/cmd/cobaltcroftd/gateway/lifecycle_test.go
@@ -165,6 +165,22 @@
 		Expect(d.Runs("simple", id)).To(BeEmpty())
 	})
 
+	It("refuses, not run, what it has read to its end only late in a planned stop", func() {
+		i := start(d.Address())
+		id := newID()
+		c, reader := i.raw("POST /once/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nAuthorization: Bearer " + platformtest.APIKey + "\r\nCobaltcroft-Request-Id: " + id + "\r\nContent-Length: 8\r\n\r\nthe")
+		i.signals <- syscall.SIGTERM
+		Eventually(status(i, "once")).Should(Equal(http.StatusServiceUnavailable))
+		_, err := io.WriteString(c, " rest")
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(io.ReadAll(response.Body)).To(ContainSubstring("stopping"))
+		Expect(d.Runs("simple", id)).To(BeEmpty())
+	})
+
 	It("reloads changed settings with and without a signal, and rejects invalid ones", func() {
 		i := start(d.Address())
 		i.signals <- syscall.SIGHUP
