gateway: what is in flight when the grace of a planned stop is over is answered

At the end of the grace requests that their endpoints were still working on were cut: their clients saw a closed connection and knew nothing, also of those that may not be repeated.

Cause: the end of the process was the end of its connections, and of nothing before them.

Ruled out: refusing such requests as they come, since the load balancer sends them here for up to 2.8 s, clients have few tries, and most are answered in time.

Change: Executor.Stop ends the context of all requests.

Before, the new specs (once, repeat, an endpoint that works for a minute) saw a closed connection; now a whole 502 that says that the request may have run. It runs once.

--- a/cmd/cobaltcroftd/gateway/lifecycle_test.go
+++ b/cmd/cobaltcroftd/gateway/lifecycle_test.go
@@ -181,6 +181,24 @@
 		Expect(d.Runs("simple", id)).To(BeEmpty())
 	})
 
+	DescribeTable("answers, before a planned stop ends, what its endpoint is still working on", func(route string) {
+		for _, e := range d.EnginesOf("simple") {
+			e.SetTiming(time.Minute, 0)
+		}
+		i := start(d.Address())
+		done := make(chan answer, 1)
+		id := newID()
+		go func() { done <- send(i.request(http.MethodPost, route, id, "")) }()
+		Eventually(func() []platformtest.Run { return d.Runs("simple", id) }).Should(HaveLen(1))
+		i.signals <- syscall.SIGTERM
+		Eventually(done).Should(Receive(SatisfyAll(HaveField("Status", http.StatusBadGateway), HaveField("Body", ContainSubstring("may have run")), HaveField("Whole", true))))
+		Eventually(i.ended).Should(BeClosed())
+		Expect(d.Runs("simple", id)).To(HaveLen(1))
+	},
+		Entry("if it must not be repeated", "once"),
+		Entry("if it may be repeated", "repeat"),
+	)
+
 	It("reloads changed settings with and without a signal, and rejects invalid ones", func() {
 		i := start(d.Address())
 		i.signals <- syscall.SIGHUP
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -96,6 +96,9 @@
 	// drained is closed by Drain.
 	drained chan struct{}
 	drain   sync.Once
+	// stopped is done after Stop.
+	stopped context.Context
+	stop    context.CancelFunc
 	// startWaiting is the number of requests that wait for the first view. startWaitStopped is closed
 	// by StopStartWait.
 	startWaiting     atomic.Int64
@@ -116,7 +119,10 @@
 	if o.Origins == nil {
 		o.Origins = noOrigins{}
 	}
+	stopped, stop := context.WithCancel(context.Background())
 	return &Executor{
+		stopped:           stopped,
+		stop:              stop,
 		Options:           o,
 		requestSeconds:    o.Metrics.NewHistogram("cobaltcroft_request_seconds"),
 		firstEventSeconds: o.Metrics.NewHistogram("cobaltcroft_first_event_seconds"),
@@ -136,6 +142,23 @@
 	x.drain.Do(func() { close(x.drained) })
 }
 
+// Stop ends all requests, now or later: those that have no answer yet are refused, and streams are broken off.
+// It is called when the instance can wait no longer.
+func (x *Executor) Stop() {
+	x.Drain()
+	x.stop()
+}
+
+// untilStopped returns a context that ends with ctx or when Stop is called.
+func (x *Executor) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	unregister := context.AfterFunc(x.stopped, cancel)
+	return ctx, func() {
+		unregister()
+		cancel()
+	}
+}
+
 // draining reports whether Drain was called.
 func (x *Executor) draining() bool {
 	select {
@@ -243,6 +266,8 @@
 	}
 	ctx, cancel := bootclock.WithDeadline(ctx, u.Clock, u.deadline)
 	defer cancel()
+	ctx, release := x.untilStopped(ctx)
+	defer release()
 	if refusal := u.bindResumed(ctx); refusal != nil {
 		u.refuse(refusal)
 		return
@@ -380,6 +405,9 @@
 // timedOut replaces the refusal of a request whose deadline has passed, if the request may have
 // run.
 func (u *run) timedOut(ctx context.Context, refusal *Refusal) *Refusal {
+	if u.stopped.Err() != nil {
+		return either(u.mayHaveRun, refuseStopped(), refuseStopping())
+	}
 	if ctx.Err() == nil || refusal.Status != http.StatusServiceUnavailable && refusal.Status != http.StatusBadGateway {
 		return refusal
 	}
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -89,6 +89,10 @@
 	return &Refusal{http.StatusServiceUnavailable, stoppingRetryAfter, "stopping", "this instance is shutting down; the request has not run; send it to another instance"}
 }
 
+func refuseStopped() *Refusal {
+	return &Refusal{http.StatusBadGateway, 0, "stopped", "this instance has shut down before the endpoint has answered; the request may have run"}
+}
+
 // refuseUnknownStream has no retry delay if no instance will know the stream later either.
 func refuseUnknownStream(after time.Duration) *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, after, "stream_unknown", "it is not known which software version began the stream, and only that one may continue it; the request has not run; name the stream that is resumed, or start it anew"}
