--- a/cmd/cobaltcroftd/gateway/resume_test.go
+++ b/cmd/cobaltcroftd/gateway/resume_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -248,6 +249,41 @@
 		Expect(versionsOf(requests...)).To(HaveLen(1))
 	})
 
+	DescribeTable("is not joined from two versions after all instances were killed at once", func(leave func()) {
+		// tries is for how long the clients take up their streams.
+		const tries = 3 * time.Second
+		clients := make([]client, 12)
+		for n := range clients {
+			Expect(clients[n].read(all[n%len(all)], "stream", 2)).To(Equal(http.StatusOK))
+		}
+		var killed sync.WaitGroup
+		for _, i := range all {
+			killed.Go(i.kill)
+		}
+		killed.Wait()
+		leave()
+		back := startGroup(d.Address(), len(all))
+		for end := time.Now().Add(tries); time.Now().Before(end); {
+			for n := range clients {
+				c := &clients[n]
+				if c.whole(streamEvents) {
+					continue
+				}
+				Expect(c.read(back[n%len(back)], "stream", 0)).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+				Expect(versionsOf(c.ids...)).To(HaveLen(1))
+			}
+		}
+	},
+		Entry("which both go on serving", func() {}),
+		Entry("of which the first one has left", func() {
+			for _, e := range d.EnginesOf("model") {
+				if e.Settings().Version == "v1" {
+					d.Store.Remove("servers/" + e.ID)
+				}
+			}
+		}),
+	)
+
 	It("is refused by an instance that does not reach the others, and goes on at those", func() {
 		alone := launchWith(func(s *settings.Gateway) { s.PeerToken = "another token" }, d.Address())
 		Eventually(alone.ready).Should(BeTrue())
