--- a/cmd/cobaltcroftd/gateway/broken_answers_test.go
+++ b/cmd/cobaltcroftd/gateway/broken_answers_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 
@@ -39,13 +38,6 @@
 		}
 	}
 
-	// sealed returns a response without a length that is valid but for its end.
-	sealed := func(body string) func(*http.Request) string {
-		return func(r *http.Request) string {
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nCobaltcroft-Request-Id: %s\r\nCobaltcroft-Seal: x\r\n\r\n%s", r.Header.Get("Cobaltcroft-Request-Id"), body)
-		}
-	}
-
 	upload := func(route string) answer {
 		return send(i.request(http.MethodPost, route, newID(), strings.Repeat("x", uploadSize)))
 	}
@@ -53,7 +45,7 @@
 	succeeded := SatisfyAll(HaveField("Status", http.StatusOK), HaveField("Whole", true))
 
 	DescribeTable("since its connection was reset during the upload is not passed on as whole", func(route string) {
-		answerAll(platformtest.RawResponse{Text: sealed(firstEvents), Early: true, End: platformtest.Reset})
+		answerAll(platformtest.RawResponse{Text: platformtest.SealedText("", firstEvents), Early: true, End: platformtest.Reset})
 		for range plays {
 			Expect(upload(route)).NotTo(succeeded)
 		}
@@ -65,7 +57,7 @@
 	)
 
 	DescribeTable("is told from one that is whole before the upload has ended", func(route string) {
-		answerAll(platformtest.RawResponse{Text: sealed(firstEvents), Early: true, End: platformtest.CloseWrite})
+		answerAll(platformtest.RawResponse{Text: platformtest.SealedText("", firstEvents), Early: true, End: platformtest.CloseWrite})
 		for range plays {
 			Expect(upload(route)).To(SatisfyAll(succeeded, HaveField("Body", firstEvents)))
 		}
@@ -76,16 +68,12 @@
 		Entry("of a stream that may not", "fixed"),
 	)
 
-	// sealedAnswer is a whole answer, where only its body would be expected.
-	sealedAnswer := func(r *http.Request) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nCobaltcroft-Request-Id: %s\r\nCobaltcroft-Seal: x\r\nContent-Length: 5\r\n\r\ninner", r.Header.Get("Cobaltcroft-Request-Id"))
-	}
-
-	// beforeAnswer returns the bytes of a head, with the fields of the endpoint, and of a whole answer after it.
+	// beforeAnswer returns the text of a head, with the fields of the endpoint, and of a whole answer after it.
 	beforeAnswer := func(head string) func(*http.Request) string {
+		whole := platformtest.SealedText("Content-Length: 5\r\n", "inner")
 		return func(r *http.Request) string {
-			fields := fmt.Sprintf("Cobaltcroft-Request-Id: %s\r\nCobaltcroft-Seal: x\r\n", r.Header.Get("Cobaltcroft-Request-Id"))
-			return head + fields + "\r\n" + sealedAnswer(r)
+			_, fields, _ := strings.Cut(platformtest.SealedText("", "")(r), "\r\n")
+			return head + fields + whole(r)
 		}
 	}
 
--- a/cmd/cobaltcroftd/gateway/endless_answers_test.go
+++ b/cmd/cobaltcroftd/gateway/endless_answers_test.go
@@ -59,13 +59,6 @@
 
 	part := strings.Repeat("x", 64<<10)
 
-	// sealed returns a head that is whole, with a field that frames the body, if any.
-	sealed := func(field string) func(*http.Request) string {
-		return func(r *http.Request) string {
-			return "HTTP/1.1 200 OK\r\n" + field + "Cobaltcroft-Request-Id: " + r.Header.Get("Cobaltcroft-Request-Id") + "\r\nCobaltcroft-Seal: x\r\n\r\n"
-		}
-	}
-
 	DescribeTable("leave an instance its memory, and other requests their answers", func(kind, route, other string, text func(*http.Request) string, repeat string) {
 		for _, e := range d.EnginesOf(kind) {
 			e.SetRawResponse(&platformtest.RawResponse{Text: text, Repeat: repeat})
@@ -107,12 +100,12 @@
 		Expect(served.Load()).NotTo(BeZero())
 		Eventually(func() string { return i.get("/metrics") }).Should(ContainSubstring("cobaltcroft_held_bytes 0\n"))
 	},
-		Entry("without a length", "simple", "once", "stream", sealed(""), part),
-		Entry("with a length", "simple", "once", "stream", sealed("Content-Length: 1000000000000\r\n"), part),
-		Entry("in chunks", "simple", "once", "stream", sealed("Transfer-Encoding: chunked\r\n"), "10000\r\n"+part+"\r\n"),
-		Entry("of requests that may be repeated", "simple", "repeat", "stream", sealed(""), part),
+		Entry("without a length", "simple", "once", "stream", platformtest.SealedText("", ""), part),
+		Entry("with a length", "simple", "once", "stream", platformtest.SealedText("Content-Length: 1000000000000\r\n", ""), part),
+		Entry("in chunks", "simple", "once", "stream", platformtest.SealedText("Transfer-Encoding: chunked\r\n", ""), "10000\r\n"+part+"\r\n"),
+		Entry("of requests that may be repeated", "simple", "repeat", "stream", platformtest.SealedText("", ""), part),
 		Entry("in a head", "simple", "once", "stream", func(*http.Request) string { return "HTTP/1.1 200 OK\r\nX-Long: " }, part),
-		Entry("of streams", "model", "fixed", "once", sealed(""), part),
-		Entry("of stages", "first", "staged", "once", sealed(""), part),
+		Entry("of streams", "model", "fixed", "once", platformtest.SealedText("", ""), part),
+		Entry("of stages", "first", "staged", "once", platformtest.SealedText("", ""), part),
 	)
 })
--- a/pkg/httpconn/broken_head_test.go
+++ b/pkg/httpconn/broken_head_test.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -28,10 +26,9 @@
 	call := func(answer string) (int, string, error) {
 		s := serve(func(int, *http.Request) (string, bool) { return answer, false })
 		observed = nil
-		pool := httpconn.NewPool(clockwork.NewRealClock(), metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Send: httpconn.AllowAll, Permit: httpconn.AllowAll}, func(_ httpconn.Target, _ string, status int, _ http.Header) {
+		pool := openPool(func(_ httpconn.Target, _ string, status int, _ http.Header) {
 			observed = append(observed, status)
 		})
-		DeferCleanup(pool.Close)
 		response, err := pool.Do(context.Background(), httpconn.Call{Target: httpconn.Target{ID: "e", Address: s.Addr().String()}, Method: http.MethodGet, URI: "/x", Host: "h", ID: "1", IDHeader: "X-Id", MaxIdle: time.Second})
 		if err != nil {
 			return 0, "", err
@@ -114,8 +111,7 @@
 				_, _ = c.Write([]byte{b})
 			}
 		}()
-		pool := httpconn.NewPool(clockwork.NewRealClock(), metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Send: httpconn.AllowAll, Permit: httpconn.AllowAll}, httpconn.IgnoreResponses)
-		DeferCleanup(pool.Close)
+		pool := openPool(httpconn.IgnoreResponses)
 		response, err := pool.Do(context.Background(), httpconn.Call{Target: httpconn.Target{ID: "e", Address: listener.Addr().String()}, Method: http.MethodGet, URI: "/x", Host: "h", MaxIdle: time.Second})
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
--- a/pkg/httpconn/early_end_test.go
+++ b/pkg/httpconn/early_end_test.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -52,8 +50,7 @@
 	}
 
 	upload := func(address string) (string, error) {
-		pool := httpconn.NewPool(clockwork.NewRealClock(), metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Send: httpconn.AllowAll, Permit: httpconn.AllowAll}, httpconn.IgnoreResponses)
-		defer pool.Close()
+		pool := openPool(httpconn.IgnoreResponses)
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		defer cancel()
 		response, err := pool.Do(ctx, httpconn.Call{Target: httpconn.Target{ID: "e", Address: address}, Method: http.MethodPost, URI: "/x", Host: "h", Body: bytes.Repeat([]byte("x"), uploadSize), MaxIdle: time.Second})
--- a/pkg/httpconn/endless_test.go
+++ b/pkg/httpconn/endless_test.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -55,8 +53,7 @@
 
 	DescribeTable("is cut off within its header", func(first, again string) {
 		address, sent, closed := endless(first, again)
-		pool := httpconn.NewPool(clockwork.NewRealClock(), metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Send: httpconn.AllowAll, Permit: httpconn.AllowAll}, httpconn.IgnoreResponses)
-		DeferCleanup(pool.Close)
+		pool := openPool(httpconn.IgnoreResponses)
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		defer cancel()
 		_, err := pool.Do(ctx, httpconn.Call{Target: httpconn.Target{ID: "e", Address: address}, Method: http.MethodGet, URI: "/x", Host: "h", MaxIdle: time.Second})
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -26,6 +26,13 @@
 	RunSpecs(t, "httpconn")
 }
 
+// openPool returns a pool without limits by the real clock.
+func openPool(observe httpconn.ResponseObserver) *httpconn.Pool {
+	pool := httpconn.NewPool(clockwork.NewRealClock(), metrics.NewSet(), httpconn.Gates{Connect: httpconn.AllowAll, Send: httpconn.AllowAll, Permit: httpconn.AllowAll}, observe)
+	DeferCleanup(pool.Close)
+	return pool
+}
+
 // server sends the responses that a test defines.
 type server struct {
 	net.Listener
