--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -55,7 +55,7 @@
 	unreachable := 0
 	for ctx.Err() == nil {
 		if u.draining() {
-			return u.finalRefusal(refuseStopping())
+			return u.finalRefusal(RefuseStopping())
 		}
 		u.Quarantine.LoadCrashes(ctx, u.subject)
 		if u.quarantined() {
@@ -361,9 +361,7 @@
 	defer held.Release()
 	body, err := readBody(answer, held)
 	if err != nil {
-		u.noteUnreadable(err)
-		call.End(brokenOutcome(ctx, err), nil)
-		return connBrokenResult(ctx, err)
+		return u.endBroken(ctx, call, err)
 	}
 	if answer.Status < http.StatusMultipleChoices {
 		u.answerComplete(call, answer)
--- a/pkg/gateway/backoff.go
+++ b/pkg/gateway/backoff.go
@@ -34,7 +34,7 @@
 
 // wait waits for a time and reports whether neither ctx nor the instance's service has ended before.
 func (u *run) wait(ctx context.Context, d time.Duration) bool {
-	ctx, cancel := u.untilDrained(ctx)
+	ctx, cancel := until(ctx, u.drained)
 	defer cancel()
 	select {
 	case <-u.Clock.After(d):
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 
+	"github.com/cobaltcroft/cobaltcroft/pkg/balance"
 	"github.com/cobaltcroft/cobaltcroft/pkg/httpconn"
 	"github.com/cobaltcroft/cobaltcroft/pkg/memquota"
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
@@ -33,9 +35,11 @@
 	return errors.Is(err, errResponseTooLong) || errors.Is(err, memquota.ErrTooLong) || errors.Is(err, memquota.ErrExhausted)
 }
 
-// noteUnreadable counts a response that was not read to its end.
-func (u *run) noteUnreadable(err error) {
+// endBroken ends a call whose response was not read to its end.
+func (u *run) endBroken(ctx context.Context, call *balance.Call, err error) attemptResult {
 	if unreadable(err) {
 		u.unreadableResponses.Inc()
 	}
+	call.End(brokenOutcome(ctx, err), nil)
+	return connBrokenResult(ctx, err)
 }
--- a/pkg/gateway/executor.go
+++ b/pkg/gateway/executor.go
@@ -93,9 +93,9 @@
 	// unreadableResponses is the number of responses that were too long, or that the memory quota did not
 	// admit.
 	unreadableResponses *metrics.Counter
-	// drained is closed by Drain.
-	drained chan struct{}
-	drain   sync.Once
+	// drained is done after Drain.
+	drained context.Context
+	drain   context.CancelFunc
 	// stopped is done after Stop.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -119,8 +119,11 @@
 	if o.Origins == nil {
 		o.Origins = noOrigins{}
 	}
+	drained, drain := context.WithCancel(context.Background())
 	stopped, stop := context.WithCancel(context.Background())
 	return &Executor{
+		drained:           drained,
+		drain:             drain,
 		stopped:           stopped,
 		stop:              stop,
 		Options:           o,
@@ -130,7 +133,6 @@
 
 		unreadableResponses: o.Metrics.NewCounter("cobaltcroft_responses_unreadable_total"),
 
-		drained:          make(chan struct{}),
 		startWaitStopped: make(chan struct{}),
 	}
 }
@@ -139,7 +141,7 @@
 // called before the instance exits.
 func (x *Executor) Drain() {
 	x.StopStartWait()
-	x.drain.Do(func() { close(x.drained) })
+	x.drain()
 }
 
 // Stop ends all requests, now or later: those that have no answer yet are refused, and streams are broken off.
@@ -149,10 +151,10 @@
 	x.stop()
 }
 
-// untilStopped returns a context that ends with ctx or when Stop is called.
-func (x *Executor) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+// until returns a context that ends with ctx or with other.
+func until(ctx, other context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	unregister := context.AfterFunc(x.stopped, cancel)
+	unregister := context.AfterFunc(other, cancel)
 	return ctx, func() {
 		unregister()
 		cancel()
@@ -160,27 +162,7 @@
 }
 
 // draining reports whether Drain was called.
-func (x *Executor) draining() bool {
-	select {
-	case <-x.drained:
-		return true
-	default:
-		return false
-	}
-}
-
-// untilDrained returns a context that ends with ctx or when Drain is called.
-func (x *Executor) untilDrained(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		select {
-		case <-x.drained:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, cancel
-}
+func (x *Executor) draining() bool { return x.drained.Err() != nil }
 
 // run is the state of one request.
 type run struct {
@@ -266,7 +248,7 @@
 	}
 	ctx, cancel := bootclock.WithDeadline(ctx, u.Clock, u.deadline)
 	defer cancel()
-	ctx, release := x.untilStopped(ctx)
+	ctx, release := until(ctx, x.stopped)
 	defer release()
 	if refusal := u.bindResumed(ctx); refusal != nil {
 		u.refuse(refusal)
@@ -406,7 +388,7 @@
 // run.
 func (u *run) timedOut(ctx context.Context, refusal *Refusal) *Refusal {
 	if u.stopped.Err() != nil {
-		return either(u.mayHaveRun, refuseStopped(), refuseStopping())
+		return either(u.mayHaveRun, refuseStopped(), RefuseStopping())
 	}
 	if ctx.Err() == nil || refusal.Status != http.StatusServiceUnavailable && refusal.Status != http.StatusBadGateway {
 		return refusal
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -85,7 +85,8 @@
 	return &Refusal{http.StatusServiceUnavailable, quarantinedRetryAfter, "quarantined", "endpoints crashed while running this request, or others with a part of its prompt; this attempt has not run; do not retry it, and report the digest in the logs to the operators of the service"}
 }
 
-func refuseStopping() *Refusal {
+// RefuseStopping refuses a request because the instance is shutting down.
+func RefuseStopping() *Refusal {
 	return &Refusal{http.StatusServiceUnavailable, stoppingRetryAfter, "stopping", "this instance is shutting down; the request has not run; send it to another instance"}
 }
 
--- a/pkg/gateway/stages.go
+++ b/pkg/gateway/stages.go
@@ -58,7 +58,7 @@
 	if len(u.route.Stages) == 0 || len(u.request.Pieces) == 0 {
 		return nil
 	}
-	ctx, cancel := u.untilDrained(ctx)
+	ctx, cancel := until(ctx, u.drained)
 	defer cancel()
 	begin := u.Clock.Now()
 	ctx, stop := bootclock.WithDeadline(ctx, u.Clock, u.stagesDeadline())
@@ -74,7 +74,7 @@
 	u.readInputs = u.readInputs || len(u.inputs) > 0
 	switch {
 	case outcome.Reason != "" && u.draining():
-		return refuseStopping()
+		return RefuseStopping()
 	case outcome.Reason == pipeline.Busy:
 		return refuseBusy(outcome.RetryAfter)
 	case outcome.Reason != "":
--- a/pkg/gateway/start_wait.go
+++ b/pkg/gateway/start_wait.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	if stopped {
-		u.refuse(refuseStopping())
+		u.refuse(RefuseStopping())
 		return false
 	}
 	u.useView(u.View())
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -41,9 +41,7 @@
 			u.logEnd(answer.Status, "answered")
 			return resultDone
 		}
-		u.noteUnreadable(err)
-		call.End(brokenOutcome(ctx, err), nil)
-		return connBrokenResult(ctx, err)
+		return u.endBroken(ctx, call, err)
 	}
 }
 
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -18,6 +18,7 @@
 //
 // One goroutine may read and another one write.
 type Conn struct {
+	// Conn is tcp, without its methods that io.Copy would call in place of Read and Write.
 	net.Conn
 	tcp *net.TCPConn
 
--- a/pkg/httpconn/framing.go
+++ b/pkg/httpconn/framing.go
@@ -1,12 +1,17 @@
 package httpconn
 
 import (
-	"net/http"
+	"bytes"
 	"slices"
 
 	"github.com/cobaltcroft/cobaltcroft/pkg/problem"
 )
 
+var (
+	transferEncoding = []byte("Transfer-Encoding")
+	contentLength    = []byte("Content-Length")
+)
+
 // framing is what a head says of the end of the body.
 type framing struct {
 	version string
@@ -19,10 +24,10 @@
 
 // add notes a field if it frames the body.
 func (f *framing) add(name, value []byte) {
-	switch http.CanonicalHeaderKey(string(name)) {
-	case "Transfer-Encoding":
+	switch {
+	case bytes.EqualFold(name, transferEncoding):
 		f.chunked = true
-	case "Content-Length":
+	case bytes.EqualFold(name, contentLength):
 		f.lengths = append(f.lengths, string(value))
 	}
 }
--- a/pkg/memquota/reservation.go
+++ b/pkg/memquota/reservation.go
@@ -60,6 +60,13 @@
 // Reader returns a reader that adds what it reads to the reservation, and fails as Resize does.
 func (r *Reservation) Reader(body io.Reader) io.Reader { return &reservingReader{body, r} }
 
+// ReadAll reads a body that may have no end, up to limit bytes. It counts against the quota while it is read.
+func (q *Quota) ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	r := q.NewYieldingReservation()
+	defer r.Release()
+	return io.ReadAll(r.Reader(io.LimitReader(body, limit)))
+}
+
 type reservingReader struct {
 	body        io.Reader
 	reservation *Reservation
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -217,7 +217,7 @@
 // read validates the headers and reads the body.
 func (s *Server) read(writer *responder, r *http.Request, request *gateway.Request, reservation *memquota.Reservation) *gateway.Refusal {
 	if s.rejecting.Load() {
-		return refuseStopping()
+		return gateway.RefuseStopping()
 	}
 	if headerSize(r) > s.clientLimits.update(s.Limits()).HeaderBytes {
 		return refuseHeader()
@@ -238,7 +238,7 @@
 	}
 	if s.rejecting.Load() {
 		// Reading the body may have taken until now.
-		return refuseStopping()
+		return gateway.RefuseStopping()
 	}
 	wait := request.MaxWait
 	if wait == 0 {
@@ -282,10 +282,6 @@
 	return nil
 }
 
-func refuseStopping() *gateway.Refusal {
-	return &gateway.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: refusalRetryAfter, Reason: "stopping", Message: "this instance is shutting down; the request has not run; send it to another instance"}
-}
-
 func refuseBody(limit int64) *gateway.Refusal {
 	return &gateway.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large", Message: "the body exceeds " + strconv.FormatInt(limit, 10) + " bytes; send a smaller one"}
 }
